--- /dev/null
+++ b/cmake/flamingoloom.cmake
@@ -0,0 +1,35 @@
+# Warnings are errors in our own code; generated and library headers are
+# system headers.
+add_library(flamingoloom_options INTERFACE)
+target_include_directories(flamingoloom_options INTERFACE ${CMAKE_SOURCE_DIR})
+target_compile_options(flamingoloom_options INTERFACE
+  -Wall -Wextra -Werror -Wno-missing-field-initializers)
+
+# flamingoloom_library(NAME SOURCES ... DEPENDS ...)
+# One library in the current folder.
+function(flamingoloom_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(ARG_SOURCES)
+    add_library(${name} STATIC ${ARG_SOURCES})
+    target_link_libraries(${name} PUBLIC flamingoloom_options ${ARG_DEPENDS})
+  else()
+    add_library(${name} INTERFACE)
+    target_link_libraries(${name} INTERFACE flamingoloom_options ${ARG_DEPENDS})
+  endif()
+endfunction()
+
+# flamingoloom_test(NAME SOURCES ... DEPENDS ...)
+# One doctest program, run by ctest. It links the shared doctest main.
+function(flamingoloom_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE flamingoloom_options test_main ${ARG_DEPENDS})
+  add_test(NAME ${name} COMMAND ${name})
+endfunction()
+
+# flamingoloom_program(NAME SOURCES ... DEPENDS ...)
+function(flamingoloom_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE flamingoloom_options ${ARG_DEPENDS})
+endfunction()
--- /dev/null
+++ b/flamingoloom/base/digest.h
@@ -0,0 +1,12 @@
+// SHA-256 digests of answers, request bodies and configurations.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace flamingoloom::base {
+
+// SHA-256 of aData as 64 lower-case hexadecimal digits. Thread-safe.
+std::string Sha256Hex(std::string_view aData);
+
+} // namespace flamingoloom::base
--- /dev/null
+++ b/flamingoloom/config/configuration.cpp
@@ -0,0 +1,35 @@
+#include "flamingoloom/config/configuration.h"
+
+#include <algorithm>
+
+namespace flamingoloom::config {
+namespace {
+
+template <class Entry, class Id>
+const Entry* Find(const std::vector<Entry>& aEntries, const Id& aId)
+{
+  auto found =
+    std::find_if(aEntries.begin(), aEntries.end(), [&](const Entry& aEntry) {
+      return aEntry.mId == aId;
+    });
+  return found == aEntries.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const JobKind* Configuration::Kind(const base::KindId& aId) const
+{
+  return Find(mKinds, aId);
+}
+
+const ClientAccount* Configuration::Account(const base::AccountId& aId) const
+{
+  return Find(mAccounts, aId);
+}
+
+const DataCentre* Configuration::Centre(const base::DataCentreId& aId) const
+{
+  return Find(mDataCentres, aId);
+}
+
+} // namespace flamingoloom::config
