Leases, epochs and membership as state machines without I/O

Cause: the right to start work in a data centre must have one holder, and a holder that is paused, cut off or not told of a take-out must lose it. Ruled out: comparing wall clocks between instances; a renewal that does not check the data centre's row, because an owner cut off from operators but not from the store would then renew for ever. Tests: 10 cases, one per failure (lapsed lease, early take-over, missed take-out, lost answers, foreign row, stale read, released lease, unreadable row, stale member list, far successor). Conclusion: not yet run in a process.

--- /dev/null
+++ b/flamingoloom/ownership/lease.cpp
@@ -0,0 +1,238 @@
+#include "flamingoloom/ownership/lease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoloom::ownership {
+
+Lease::Lease(base::DataCentreId aDataCentre,
+             base::InstanceId aSelf,
+             std::string aPeerAddress,
+             LeaseTiming aTiming)
+  : mName(std::move(aDataCentre))
+  , mSelf(std::move(aSelf))
+  , mPeerAddress(std::move(aPeerAddress))
+  , mTiming(aTiming)
+{
+}
+
+void Lease::Observe(base::Time aNow,
+                    const std::optional<platform::Row>& aLease,
+                    const std::optional<platform::Row>& aDataCentre)
+{
+  std::uint64_t dataCentreVersion = aDataCentre ? aDataCentre->mVersion : 0;
+  if (dataCentreVersion >= mDataCentreVersion) {
+    mDataCentreVersion = dataCentreVersion;
+    mDataCentre = {};
+    if (aDataCentre) {
+      // A row that does not decode stops the start of work.
+      mDataCentre = DecodeDataCentre(aDataCentre->mValue)
+                      .value_or(DataCentreRecord{ true, "unreadable row", "" });
+    }
+  }
+
+  std::uint64_t version = aLease ? aLease->mVersion : 0;
+  // Answers may arrive out of order; versions only rise.
+  if (mHasRead && version < mCurrentVersion) {
+    return;
+  }
+  if (!mHasRead || version != mCurrentVersion) {
+    mCurrentSince = aNow;
+  }
+  mHasRead = true;
+  mNeedsRead = false;
+  mCurrentVersion = version;
+  mCurrent.reset();
+  if (aLease) {
+    LeaseRecord record = DecodeLease(aLease->mValue).value_or(LeaseRecord{});
+    mCurrent = record;
+    Reconcile(*aLease, record);
+  }
+}
+
+void Lease::Reconcile(const platform::Row& aRow, const LeaseRecord& aRecord)
+{
+  if (mHeld && aRow.mVersion == mHeld->mRowVersion) {
+    return;
+  }
+  auto own = std::find_if(
+    mUncertain.begin(), mUncertain.end(), [&](const Uncertain& aUncertain) {
+      return aUncertain.mWrite.mRecord.mNonce == aRecord.mNonce;
+    });
+  if (own != mUncertain.end()) {
+    Hold(aRecord, aRow.mVersion, own->mSentAt);
+    return;
+  }
+  if (!mHeld || aRow.mVersion > mHeld->mRowVersion) {
+    mHeld.reset();
+    mUncertain.clear();
+  }
+}
+
+void Lease::Hold(const LeaseRecord& aRecord,
+                 std::uint64_t aRowVersion,
+                 base::Time aSentAt)
+{
+  mUncertain.clear();
+  mCurrent = aRecord;
+  mCurrentVersion = aRowVersion;
+  if (aRecord.mReleased) {
+    mHeld.reset();
+    return;
+  }
+  mHeld = Held{ aRecord, aRowVersion, aSentAt + mTiming.mDuration };
+}
+
+std::optional<LeaseWrite> Lease::NextWrite(base::Time aNow,
+                                           const Standing& aStanding,
+                                           const std::string& aNonce)
+{
+  if (!mHasRead || mNeedsRead) {
+    return std::nullopt;
+  }
+  if (Holds(aNow)) {
+    return Renewal(aNow, aNonce);
+  }
+  return TakeOver(aNow, aStanding, aNonce);
+}
+
+std::optional<LeaseWrite> Lease::Renewal(base::Time aNow,
+                                         const std::string& aNonce)
+{
+  bool dataCentreChanged =
+    mHeld->mRecord.mDataCentreVersion != mDataCentreVersion;
+  if (!dataCentreChanged && aNow - mLastRenewal < mTiming.mRenewEvery) {
+    return std::nullopt;
+  }
+  mLastRenewal = aNow;
+  LeaseRecord record = mHeld->mRecord;
+  if (dataCentreChanged) {
+    record.mEpoch = record.mEpoch.Next();
+    record.mDataCentreVersion = mDataCentreVersion;
+  }
+  return MakeWrite(std::move(record), mHeld->mRowVersion, aNonce);
+}
+
+std::optional<LeaseWrite> Lease::TakeOver(base::Time aNow,
+                                          const Standing& aStanding,
+                                          const std::string& aNonce)
+{
+  if (!MayTakeOver(aNow, aStanding)) {
+    return std::nullopt;
+  }
+  mHeld.reset();
+  mLastRenewal = aNow;
+  LeaseRecord record;
+  record.mOwner = mSelf;
+  record.mPeerAddress = mPeerAddress;
+  record.mEpoch = mCurrent ? mCurrent->mEpoch.Next() : base::Epoch(1);
+  record.mDuration = mTiming.mDuration;
+  record.mDataCentreVersion = mDataCentreVersion;
+  return MakeWrite(std::move(record), mCurrentVersion, aNonce);
+}
+
+bool Lease::MayTakeOver(base::Time aNow, const Standing& aStanding) const
+{
+  if (!aStanding.mEligible) {
+    return false;
+  }
+  base::Duration wait = aStanding.mRank * mTiming.mRankDelay;
+  if (mCurrent) {
+    if (!mCurrent->mReleased) {
+      wait += mCurrent->mDuration + mTiming.mMargin;
+    } else if (mCurrent->mSuccessor == mSelf) {
+      wait = {};
+    } else if (!mCurrent->mSuccessor.IsEmpty()) {
+      wait += mTiming.mRankDelay;
+    }
+  }
+  return aNow - mCurrentSince >= wait;
+}
+
+LeaseWrite Lease::MakeWrite(LeaseRecord aRecord,
+                            std::uint64_t aRowVersion,
+                            const std::string& aNonce) const
+{
+  aRecord.mNonce = aNonce;
+  platform::Transaction transaction;
+  transaction.mWrites.push_back(
+    { LeaseKey(mName), aRowVersion, Encode(aRecord) });
+  transaction.mChecks.push_back(
+    { DataCentreKey(mName), aRecord.mDataCentreVersion });
+  return LeaseWrite{ std::move(transaction), std::move(aRecord) };
+}
+
+std::optional<LeaseWrite> Lease::Release(base::Time aNow,
+                                         const base::InstanceId& aSuccessor,
+                                         const std::string& aNonce)
+{
+  if (!Holds(aNow)) {
+    return std::nullopt;
+  }
+  LeaseRecord record = mHeld->mRecord;
+  record.mReleased = true;
+  record.mSuccessor = aSuccessor;
+  LeaseWrite write = MakeWrite(record, mHeld->mRowVersion, aNonce);
+  // A release is safe whatever the data centre's row says.
+  write.mTransaction.mChecks.clear();
+  mHeld.reset();
+  return write;
+}
+
+void Lease::OnOutcome(
+  const LeaseWrite& aWrite,
+  base::Time aSentAt,
+  const base::Expected<platform::TransactionResult>& aOutcome)
+{
+  if (!aOutcome) {
+    if (aOutcome.error().mCode != base::ErrorCode::eUnavailable) {
+      mUncertain.push_back({ aWrite, aSentAt });
+      mNeedsRead = true;
+    }
+    return;
+  }
+  if (!aOutcome->Committed()) {
+    mNeedsRead = true;
+    return;
+  }
+  for (const platform::RowVersion& row : aOutcome->mVersions) {
+    if (row.mKey == LeaseKey(mName) && row.mVersion >= mCurrentVersion) {
+      Hold(aWrite.mRecord, row.mVersion, aSentAt);
+    }
+  }
+}
+
+void Lease::ExtendByPromises(base::Time aUntil)
+{
+  if (mHeld) {
+    mHeld->mUntil = std::max(mHeld->mUntil, aUntil);
+  }
+}
+
+bool Lease::Holds(base::Time aNow) const
+{
+  return mHeld && aNow < mHeld->mUntil;
+}
+
+base::Time Lease::HeldUntil() const
+{
+  return mHeld ? mHeld->mUntil : base::Time{};
+}
+
+base::Epoch Lease::HeldEpoch() const
+{
+  return mHeld ? mHeld->mRecord.mEpoch : base::Epoch();
+}
+
+std::uint64_t Lease::HeldDataCentreVersion() const
+{
+  return mHeld ? mHeld->mRecord.mDataCentreVersion : 0;
+}
+
+bool Lease::MayStartWork(base::Time aNow) const
+{
+  return Holds(aNow) && !mDataCentre.mOut &&
+         mHeld->mRecord.mDataCentreVersion == mDataCentreVersion;
+}
+
+} // namespace flamingoloom::ownership
--- /dev/null
+++ b/flamingoloom/ownership/lease_test.cpp
@@ -0,0 +1,178 @@
+#include "flamingoloom/ownership/lease.h"
+
+#include <doctest/doctest.h>
+
+namespace flamingoloom::ownership {
+namespace {
+
+using namespace std::chrono_literals;
+using base::Epoch;
+using base::ErrorCode;
+using base::InstanceId;
+using base::MakeError;
+using base::Time;
+using platform::Row;
+using platform::TransactionResult;
+
+const base::DataCentreId kCentre("dc1");
+constexpr Standing kFirst{ true, 0 };
+
+Time At(base::Duration aSinceStart)
+{
+  return Time(aSinceStart);
+}
+
+Lease MakeLease(const std::string& aSelf)
+{
+  return Lease(kCentre, InstanceId(aSelf), "127.0.0.1:1", LeaseTiming{});
+}
+
+// Commits the write that is due at aNow as row version aVersion.
+LeaseWrite CommitNext(Lease& aLease, Time aNow, std::uint64_t aVersion)
+{
+  auto write =
+    aLease.NextWrite(aNow, kFirst, "nonce" + std::to_string(aVersion));
+  REQUIRE(write);
+  aLease.OnOutcome(
+    *write, aNow, TransactionResult{ { { LeaseKey(kCentre), aVersion } }, {} });
+  return *write;
+}
+
+Row RowOf(const LeaseWrite& aWrite, std::uint64_t aVersion)
+{
+  return Row{ LeaseKey(kCentre), aVersion, Encode(aWrite.mRecord) };
+}
+
+Row DataCentreRow(bool aOut, std::uint64_t aVersion)
+{
+  return Row{ DataCentreKey(kCentre),
+              aVersion,
+              Encode(DataCentreRecord{ aOut, "operator", "n" }) };
+}
+
+} // namespace
+
+// Guards against work that is started by a holder that was paused past its
+// lease.
+TEST_CASE("a lease ends by itself, counted from before the write was sent")
+{
+  Lease lease = MakeLease("a");
+  lease.Observe(At(0s), std::nullopt, std::nullopt);
+  CommitNext(lease, At(0s), 1);
+  CHECK(lease.MayStartWork(At(3999ms)));
+  CHECK_FALSE(lease.MayStartWork(At(4s)));
+}
+
+// Guards against two owners: the successor must wait longer than the holder
+// counts, and must raise the epoch.
+TEST_CASE("a successor takes over after duration and margin, never before")
+{
+  Lease first = MakeLease("a");
+  first.Observe(At(0s), std::nullopt, std::nullopt);
+  Row row = RowOf(CommitNext(first, At(0s), 1), 1);
+
+  Lease second = MakeLease("b");
+  second.Observe(At(1s), row, std::nullopt);
+  CHECK_FALSE(second.NextWrite(At(5499ms), kFirst, "x"));
+  CHECK_FALSE(second.NextWrite(At(5500ms), Standing{ true, 1 }, "x"));
+  CHECK_FALSE(second.NextWrite(At(5500ms), Standing{ false, 0 }, "x"));
+  LeaseWrite write = CommitNext(second, At(5500ms), 2);
+  CHECK(write.mRecord.mEpoch == Epoch(2));
+  CHECK(second.Holds(At(6s)));
+}
+
+// Guards against an owner that keeps starting work because its take-out notice
+// was lost.
+TEST_CASE(
+  "a renewal checks the data centre's row and a change raises the epoch")
+{
+  Lease lease = MakeLease("a");
+  lease.Observe(At(0s), std::nullopt, std::nullopt);
+  CommitNext(lease, At(0s), 1);
+
+  auto renewal = lease.NextWrite(At(1s), kFirst, "n2");
+  REQUIRE(renewal);
+  CHECK(renewal->mTransaction.mChecks.at(0).mExpectedVersion == 0);
+  lease.OnOutcome(
+    *renewal, At(1s), TransactionResult{ {}, { { "datacentre/dc1", 7 } } });
+  CHECK(lease.NeedsRead());
+
+  Row row = RowOf(*renewal, 1);
+  row.mValue = Encode(*lease.Current());
+  lease.Observe(At(1100ms), row, DataCentreRow(true, 7));
+  CHECK(lease.Holds(At(1100ms)));
+  CHECK_FALSE(lease.MayStartWork(At(1100ms)));
+  CommitNext(lease, At(1100ms), 8);
+  CHECK(lease.HeldEpoch() == Epoch(2));
+  CHECK(lease.HeldDataCentreVersion() == 7);
+}
+
+// Guards against losing a lease whose renewal took effect without an answer,
+// and against counting it from the read instead of from the write.
+TEST_CASE("a write whose answer was lost is recognised when read back")
+{
+  Lease lease = MakeLease("a");
+  lease.Observe(At(0s), std::nullopt, std::nullopt);
+  auto write = lease.NextWrite(At(0s), kFirst, "n1");
+  REQUIRE(write);
+  lease.OnOutcome(
+    *write,
+    At(0s),
+    MakeError(ErrorCode::eOutcomeUnknown, "commit", "table", "no answer"));
+  CHECK_FALSE(lease.Holds(At(1s)));
+  lease.Observe(At(2s), RowOf(*write, 5), std::nullopt);
+  CHECK(lease.Holds(At(3999ms)));
+  CHECK_FALSE(lease.Holds(At(4s)));
+}
+
+// Guards against a holder that does not notice that it was replaced.
+TEST_CASE("a foreign row ends the lease")
+{
+  Lease lease = MakeLease("a");
+  lease.Observe(At(0s), std::nullopt, std::nullopt);
+  LeaseWrite write = CommitNext(lease, At(0s), 1);
+  write.mRecord.mOwner = InstanceId("b");
+  write.mRecord.mNonce = "other";
+  lease.Observe(At(1s), RowOf(write, 2), std::nullopt);
+  CHECK_FALSE(lease.Holds(At(1s)));
+}
+
+// Guards against a reply that was overtaken by a newer one.
+TEST_CASE("an older row changes nothing")
+{
+  Lease lease = MakeLease("a");
+  lease.Observe(At(0s), std::nullopt, DataCentreRow(true, 9));
+  lease.Observe(At(1s), std::nullopt, DataCentreRow(false, 3));
+  CHECK(lease.IsOut());
+}
+
+// Guards against a planned stop that leaves the data centre without an owner
+// until the lease ends.
+TEST_CASE("a released lease passes to the named successor at once")
+{
+  Lease first = MakeLease("a");
+  first.Observe(At(0s), std::nullopt, std::nullopt);
+  CommitNext(first, At(0s), 1);
+  auto release = first.Release(At(1s), InstanceId("b"), "r");
+  REQUIRE(release);
+  CHECK_FALSE(first.Holds(At(1s)));
+
+  Lease second = MakeLease("b");
+  second.Observe(At(1s), RowOf(*release, 2), std::nullopt);
+  CHECK(second.NextWrite(At(1s), Standing{ true, 3 }, "x"));
+  Lease third = MakeLease("c");
+  third.Observe(At(1s), RowOf(*release, 2), std::nullopt);
+  CHECK_FALSE(third.NextWrite(At(1400ms), kFirst, "x"));
+}
+
+// Guards against work that starts because nobody can read the row.
+TEST_CASE("an unreadable data centre row stops the start of work")
+{
+  Lease lease = MakeLease("a");
+  lease.Observe(
+    At(0s), std::nullopt, Row{ DataCentreKey(kCentre), 2, "not json" });
+  CommitNext(lease, At(0s), 3);
+  CHECK_FALSE(lease.MayStartWork(At(1s)));
+}
+
+} // namespace flamingoloom::ownership
--- /dev/null
+++ b/flamingoloom/ownership/membership.cpp
@@ -0,0 +1,116 @@
+#include "flamingoloom/ownership/membership.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace flamingoloom::ownership {
+
+using platform::Member;
+using platform::MemberKind;
+using platform::MemberState;
+
+void Membership::Update(base::Time aNow, const platform::MemberList& aList)
+{
+  mUpdatedAt = aNow;
+  mListAge = aList.mAge;
+  std::map<std::string, bool> stillLeaving;
+  mMembers.clear();
+  for (Member member : aList.mMembers) {
+    if (mLeaving.contains(member.mId)) {
+      member.mState = MemberState::eLeaving;
+    }
+    if (member.mState == MemberState::eLeaving) {
+      stillLeaving[member.mId] = true;
+    }
+    mMembers[member.mId] = std::move(member);
+  }
+  mLeaving = std::move(stillLeaving);
+}
+
+bool Membership::MarkLeaving(const std::string& aMember)
+{
+  bool isNews = mLeaving.emplace(aMember, true).second;
+  if (auto found = mMembers.find(aMember); found != mMembers.end()) {
+    found->second.mState = MemberState::eLeaving;
+  }
+  return isNews;
+}
+
+base::Duration Membership::Age(base::Time aNow) const
+{
+  return mUpdatedAt ? aNow - *mUpdatedAt + mListAge : base::Duration::max();
+}
+
+const Member* Membership::Find(const std::string& aMember) const
+{
+  auto found = mMembers.find(aMember);
+  return found == mMembers.end() ? nullptr : &found->second;
+}
+
+std::vector<Member> Membership::Servers() const
+{
+  std::vector<Member> servers;
+  for (const auto& [id, member] : mMembers) {
+    if (member.mKind == MemberKind::eServer) {
+      servers.push_back(member);
+    }
+  }
+  return servers;
+}
+
+std::vector<Member> Membership::ListedServers(
+  const base::DataCentreId& aDataCentre) const
+{
+  std::vector<Member> servers = Servers();
+  std::erase_if(servers, [&](const Member& aMember) {
+    return aMember.mDataCentre != aDataCentre;
+  });
+  return servers;
+}
+
+std::vector<Member> Membership::UsableServers(
+  const base::DataCentreId& aDataCentre) const
+{
+  std::vector<Member> servers = ListedServers(aDataCentre);
+  std::erase_if(servers, [](const Member& aMember) {
+    return aMember.mState == MemberState::eLeaving;
+  });
+  return servers;
+}
+
+std::vector<Member> Membership::Instances() const
+{
+  std::vector<Member> instances;
+  for (const auto& [id, member] : mMembers) {
+    if (member.mKind == MemberKind::eInstance) {
+      instances.push_back(member);
+    }
+  }
+  return instances;
+}
+
+Standing Membership::StandingOf(const base::InstanceId& aSelf,
+                                const base::DataCentreId& aDataCentre,
+                                const base::RegionId& aRegion) const
+{
+  auto order = [&](const Member& aMember) {
+    std::size_t spread =
+      std::hash<std::string>()(aMember.mId + "@" + aDataCentre.Value());
+    return std::tuple(
+      aMember.mDataCentre != aDataCentre, aMember.mRegion != aRegion, spread);
+  };
+  const Member* self = Find(aSelf.Value());
+  if (self == nullptr || self->mState == MemberState::eLeaving) {
+    return Standing{};
+  }
+  std::vector<Member> instances = Instances();
+  auto before = std::count_if(
+    instances.begin(), instances.end(), [&](const Member& aMember) {
+      return aMember.mState == MemberState::eLive &&
+             order(aMember) < order(*self);
+    });
+  return Standing{ true, static_cast<int>(before) };
+}
+
+} // namespace flamingoloom::ownership
--- /dev/null
+++ b/flamingoloom/ownership/membership.h
@@ -0,0 +1,62 @@
+// Which instances and backend servers there are, from the platform's lagging
+// list and from what peers have announced since.
+//
+// Not thread-safe.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/base/ids.h"
+#include "flamingoloom/base/time.h"
+#include "flamingoloom/ownership/lease.h"
+#include "flamingoloom/platform/ports.h"
+
+namespace flamingoloom::ownership {
+
+class Membership
+{
+public:
+  // Takes a list that arrived at aNow. A member that has announced that it is
+  // leaving stays leaving, whatever the list says, until it is listed no more.
+  void Update(base::Time aNow, const platform::MemberList& aList);
+
+  // Notes that a member is leaving, ahead of the list. Returns whether that
+  // is news.
+  bool MarkLeaving(const std::string& aMember);
+
+  bool HasList() const { return mUpdatedAt.has_value(); }
+  // Age of the newest list, with the age that the platform stated.
+  base::Duration Age(base::Time aNow) const;
+
+  // Null when the member is not listed. Valid until the next Update.
+  const platform::Member* Find(const std::string& aMember) const;
+
+  // Servers of a data centre that may get new work, in order of their ids.
+  std::vector<platform::Member> UsableServers(
+    const base::DataCentreId& aDataCentre) const;
+  // All listed servers of a data centre, leaving ones too.
+  std::vector<platform::Member> ListedServers(
+    const base::DataCentreId& aDataCentre) const;
+  std::vector<platform::Member> Servers() const;
+
+  // Listed instances, in order of their ids.
+  std::vector<platform::Member> Instances() const;
+
+  // How soon aSelf may take over a data centre: instances of the same data
+  // centre go first, then those of the same region, then by a hash that
+  // spreads data centres over instances.
+  Standing StandingOf(const base::InstanceId& aSelf,
+                      const base::DataCentreId& aDataCentre,
+                      const base::RegionId& aRegion) const;
+
+private:
+  std::optional<base::Time> mUpdatedAt;
+  base::Duration mListAge{};
+  std::map<std::string, platform::Member> mMembers;
+  std::map<std::string, bool> mLeaving;
+};
+
+} // namespace flamingoloom::ownership
--- /dev/null
+++ b/flamingoloom/ownership/membership_test.cpp
@@ -0,0 +1,63 @@
+#include "flamingoloom/ownership/membership.h"
+
+#include <doctest/doctest.h>
+
+namespace flamingoloom::ownership {
+namespace {
+
+platform::Member MakeMember(const std::string& aId,
+                            platform::MemberKind aKind,
+                            const std::string& aDataCentre,
+                            const std::string& aRegion)
+{
+  platform::Member member;
+  member.mId = aId;
+  member.mKind = aKind;
+  member.mDataCentre = base::DataCentreId(aDataCentre);
+  member.mRegion = base::RegionId(aRegion);
+  return member;
+}
+
+} // namespace
+
+// Guards against new work for a leaving server while the list lags behind.
+TEST_CASE("an announced leaving outlasts a list that does not know it")
+{
+  auto server = MakeMember("s1", platform::MemberKind::eServer, "dc1", "r1");
+  Membership members;
+  members.Update(base::Time{}, { { server }, {} });
+  CHECK(members.UsableServers(base::DataCentreId("dc1")).size() == 1);
+  CHECK(members.MarkLeaving("s1"));
+  members.Update(base::Time{}, { { server }, {} });
+  CHECK(members.UsableServers(base::DataCentreId("dc1")).empty());
+  CHECK(members.ListedServers(base::DataCentreId("dc1")).size() == 1);
+  members.Update(base::Time{}, {});
+  members.Update(base::Time{}, { { server }, {} });
+  CHECK(members.UsableServers(base::DataCentreId("dc1")).size() == 1);
+}
+
+// Guards against an owner on the far side of the slow link while a nearer
+// instance is there, and against a leaving instance that takes over.
+TEST_CASE("nearer instances take over first and leaving ones never")
+{
+  auto kind = platform::MemberKind::eInstance;
+  Membership members;
+  members.Update(base::Time{},
+                 { { MakeMember("far", kind, "dc3", "r2"),
+                     MakeMember("near", kind, "dc2", "r1"),
+                     MakeMember("same", kind, "dc1", "r1") },
+                   {} });
+  auto standing = [&](const std::string& aId) {
+    return members.StandingOf(
+      base::InstanceId(aId), base::DataCentreId("dc1"), base::RegionId("r1"));
+  };
+  CHECK(standing("same") == Standing{ true, 0 });
+  CHECK(standing("near") == Standing{ true, 1 });
+  CHECK(standing("far") == Standing{ true, 2 });
+  members.MarkLeaving("same");
+  CHECK_FALSE(standing("same").mEligible);
+  CHECK(standing("near").mRank == 0);
+  CHECK_FALSE(standing("stranger").mEligible);
+}
+
+} // namespace flamingoloom::ownership
