Settings and configuration as checked JSON documents

Cause: the daemon must refuse a wrong settings file before it serves, and every instance must read the same meaning out of a stored configuration. Both are checked against a JSON schema; each problem carries the path of the value at fault and what the schema says the value must be. Rules that a schema cannot express (reachable listen addresses, renewal interval, unique ids, references) are checked on what the schema accepted, so that one run shows all problems. Ruled out: "additionalProperties": false, because valijson then reports only the first unknown key; a schema that accepts nothing reports each one. valijson takes no integer above 2^63 - 1, so versions are limited to that.

--- /dev/null
+++ b/flamingoloom/config/settings.cpp
@@ -0,0 +1,347 @@
+#include "flamingoloom/config/settings.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "flamingoloom/config/address.h"
+#include "flamingoloom/config/json_document.h"
+#include "flamingoloom/config/names.h"
+
+namespace flamingoloom::config {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr internal::Names<LogFormat, 2> kFormats = { {
+  { LogFormat::eKeyValue, "keyValue" },
+  { LogFormat::eJson, "json" },
+} };
+
+constexpr internal::Names<LogLevel, 4> kLevels = { {
+  { LogLevel::eDebug, "debug" },
+  { LogLevel::eInfo, "info" },
+  { LogLevel::eWarning, "warning" },
+  { LogLevel::eError, "error" },
+} };
+
+constexpr internal::Names<StoreDownPolicy, 2> kPolicies = { {
+  { StoreDownPolicy::eStop, "stop" },
+  { StoreDownPolicy::ePromises, "promises" },
+} };
+
+template <class T>
+void Read(const json& aObject, const char* aKey, T& aValue)
+{
+  if (aObject.contains(aKey)) {
+    aValue = aObject.at(aKey).get<T>();
+  }
+}
+
+void ReadMs(const json& aObject, const char* aKey, base::Duration& aValue)
+{
+  if (aObject.contains(aKey)) {
+    aValue = milliseconds(aObject.at(aKey).get<std::int64_t>());
+  }
+}
+
+template <class Enum, std::size_t kSize>
+void ReadName(const json& aObject,
+              const char* aKey,
+              const internal::Names<Enum, kSize>& aNames,
+              Enum& aValue)
+{
+  if (aObject.contains(aKey)) {
+    aValue = internal::ValueOf(aNames, aObject.at(aKey).get<std::string>());
+  }
+}
+
+json Section(const json& aDocument, const char* aKey)
+{
+  return aDocument.value(aKey, json::object());
+}
+
+LogSettings ReadLogs(const json& aSection)
+{
+  LogSettings logs;
+  ReadName(aSection, "format", kFormats, logs.mFormat);
+  ReadName(aSection, "level", kLevels, logs.mLevel);
+  return logs;
+}
+
+LimitSettings ReadLimits(const json& aSection)
+{
+  LimitSettings limits;
+  Read(aSection, "maxBodyBytes", limits.mMaxBodyBytes);
+  Read(aSection, "maxHeaderBytes", limits.mMaxHeaderBytes);
+  Read(aSection, "maxConnections", limits.mMaxConnections);
+  Read(aSection, "httpThreads", limits.mHttpThreads);
+  return limits;
+}
+
+OwnershipSettings ReadOwnership(const json& aSection)
+{
+  OwnershipSettings ownership;
+  ReadMs(aSection, "leaseMs", ownership.mLease);
+  ReadMs(aSection, "renewMs", ownership.mRenew);
+  ReadName(aSection, "storeDownPolicy", kPolicies, ownership.mStoreDownPolicy);
+  return ownership;
+}
+
+template <class Id>
+Id ReadId(const json& aSection, const char* aKey)
+{
+  return Id(aSection.value(aKey, std::string()));
+}
+
+KeySettings ReadKeys(const json& aSection)
+{
+  KeySettings keys;
+  Read(aSection, "operatorKeySha256", keys.mOperatorKeySha256);
+  Read(aSection, "operatorKeySha256Variable", keys.mOperatorKeySha256Variable);
+  return keys;
+}
+
+// Leaves defaults where the document has no value. Requires that each value
+// present has the form that the schema prescribes.
+Settings Decode(const json& aDocument)
+{
+  Settings settings;
+  auto instance = Section(aDocument, "instance");
+  settings.mInstance = {
+    ReadId<base::InstanceId>(instance, "id"),
+    ReadId<base::DataCentreId>(instance, "dataCentre"),
+    ReadId<base::RegionId>(instance, "region"),
+  };
+  auto listen = Section(aDocument, "listen");
+  Read(listen, "httpAddress", settings.mListen.mHttpAddress);
+  Read(listen, "peerAddress", settings.mListen.mPeerAddress);
+  Read(Section(aDocument, "platform"), "address", settings.mPlatformAddress);
+  settings.mLogs = ReadLogs(Section(aDocument, "logs"));
+  settings.mLimits = ReadLimits(Section(aDocument, "limits"));
+  settings.mKeys = ReadKeys(Section(aDocument, "keys"));
+  settings.mOwnership = ReadOwnership(Section(aDocument, "ownership"));
+  return settings;
+}
+
+// Checks that the schema cannot express.
+class RuleCheck
+{
+public:
+  explicit RuleCheck(DocumentSource aSource)
+    : mSource(std::move(aSource))
+  {
+  }
+
+  void Require(bool aHolds, std::string aField, std::string aMessage)
+  {
+    if (!aHolds) {
+      mProblems.push_back(base::Error{ base::ErrorCode::eInvalid,
+                                       mSource.mStep,
+                                       mSource.mName,
+                                       std::move(aMessage),
+                                       std::move(aField) });
+    }
+  }
+
+  Problems TakeProblems() { return std::move(mProblems); }
+
+private:
+  DocumentSource mSource;
+  Problems mProblems;
+};
+
+void CheckAddress(RuleCheck& aCheck,
+                  const std::string& aField,
+                  const std::string& aText)
+{
+  auto address = ParseAddress(aText);
+  aCheck.Require(
+    address.has_value(), aField, address ? "" : address.error().mMessage);
+}
+
+void CheckListenAddress(RuleCheck& aCheck,
+                        const std::string& aField,
+                        const std::string& aText)
+{
+  CheckAddress(aCheck, aField, aText);
+  auto address = ParseAddress(aText);
+  aCheck.Require(!address ||
+                   (address->mIp != "0.0.0.0" && address->mIp != "::"),
+                 aField,
+                 "must be an address that other instances can reach, not a "
+                 "wildcard address");
+}
+
+void CheckListen(RuleCheck& aCheck, const ListenSettings& aListen)
+{
+  CheckListenAddress(aCheck, "/listen/httpAddress", aListen.mHttpAddress);
+  CheckListenAddress(aCheck, "/listen/peerAddress", aListen.mPeerAddress);
+  auto address = ParseAddress(aListen.mPeerAddress);
+  aCheck.Require(aListen.mHttpAddress != aListen.mPeerAddress || !address ||
+                   address->mPort == 0,
+                 "/listen/peerAddress",
+                 "must differ from httpAddress");
+}
+
+void CheckOwnership(RuleCheck& aCheck, const OwnershipSettings& aOwnership)
+{
+  aCheck.Require(aOwnership.mRenew * 2 <= aOwnership.mLease,
+                 "/ownership/renewMs",
+                 fmt::format("must be at most half of leaseMs ({}), so that "
+                             "one lost renewal does not end the lease",
+                             base::ToMilliseconds(aOwnership.mLease)));
+}
+
+// Replaces the name of the variable by its value.
+void ResolveKeys(RuleCheck& aCheck,
+                 KeySettings& aKeys,
+                 const Environment& aEnvironment)
+{
+  const std::string field = "/keys/operatorKeySha256Variable";
+  const auto& variable = aKeys.mOperatorKeySha256Variable;
+  if (variable.empty()) {
+    return;
+  }
+  aCheck.Require(aKeys.mOperatorKeySha256.empty(),
+                 field,
+                 "must not be given together with operatorKeySha256");
+  auto value = aEnvironment(variable).value_or("");
+  bool valid = value.size() == 64 &&
+               value.find_first_not_of("0123456789abcdef") == std::string::npos;
+  aCheck.Require(valid,
+                 field,
+                 fmt::format("environment variable {} must hold 64 lower-case "
+                             "hexadecimal digits",
+                             variable));
+  aKeys.mOperatorKeySha256 = value;
+}
+
+// Removes the values at fault, so that the rest can be decoded and checked.
+void EraseFaults(json& aDocument, const Problems& aProblems)
+{
+  for (const auto& problem : aProblems) {
+    json::json_pointer pointer(problem.mField);
+    if (!pointer.empty() && aDocument.contains(pointer)) {
+      aDocument.at(pointer.parent_pointer()).erase(pointer.back());
+    }
+  }
+}
+
+// A rule that fails because the schema already found the value missing or
+// malformed says nothing new.
+bool IsCovered(const base::Error& aProblem, const Problems& aBySchema)
+{
+  return std::any_of(
+    aBySchema.begin(), aBySchema.end(), [&](const base::Error& aOther) {
+      return aProblem.mField == aOther.mField ||
+             aProblem.mField.starts_with(aOther.mField + "/");
+    });
+}
+
+Problems CheckRules(Settings& aSettings,
+                    const DocumentSource& aSource,
+                    const Environment& aEnvironment)
+{
+  RuleCheck check(aSource);
+  CheckListen(check, aSettings.mListen);
+  CheckAddress(check, "/platform/address", aSettings.mPlatformAddress);
+  ResolveKeys(check, aSettings.mKeys, aEnvironment);
+  CheckOwnership(check, aSettings.mOwnership);
+  return check.TakeProblems();
+}
+
+json KeysToJson(const KeySettings& aKeys)
+{
+  auto keys = json::object();
+  if (!aKeys.mOperatorKeySha256Variable.empty()) {
+    keys["operatorKeySha256Variable"] = aKeys.mOperatorKeySha256Variable;
+  }
+  return keys;
+}
+
+} // namespace
+
+Environment ProcessEnvironment()
+{
+  return [](const std::string& aName) -> std::optional<std::string> {
+    const char* value = std::getenv(aName.c_str());
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+  };
+}
+
+Checked<Settings> ReadSettings(std::string_view aText,
+                               const std::string& aName,
+                               const Environment& aEnvironment)
+{
+  const DocumentSource source{ "read settings", aName };
+  auto document = ParseDocument(aText, source);
+  if (!document) {
+    return tl::unexpected(document.error());
+  }
+  auto problems = CheckSchema(SettingsSchema(), *document, source);
+  if (!document->is_object()) {
+    return tl::unexpected(problems);
+  }
+  EraseFaults(*document, problems);
+  auto settings = Decode(*document);
+  const auto bySchema = problems;
+  for (auto& problem : CheckRules(settings, source, aEnvironment)) {
+    if (!IsCovered(problem, bySchema)) {
+      problems.push_back(std::move(problem));
+    }
+  }
+  if (!problems.empty()) {
+    return tl::unexpected(problems);
+  }
+  return settings;
+}
+
+json ToJson(const Settings& aSettings)
+{
+  const auto& [maxBody, maxHeader, maxConnections, threads] = aSettings.mLimits;
+  return {
+    { "instance",
+      { { "id", aSettings.mInstance.mId.Value() },
+        { "dataCentre", aSettings.mInstance.mDataCentre.Value() },
+        { "region", aSettings.mInstance.mRegion.Value() } } },
+    { "listen",
+      { { "httpAddress", aSettings.mListen.mHttpAddress },
+        { "peerAddress", aSettings.mListen.mPeerAddress } } },
+    { "platform", { { "address", aSettings.mPlatformAddress } } },
+    { "logs",
+      { { "format", LogFormatName(aSettings.mLogs.mFormat) },
+        { "level", LogLevelName(aSettings.mLogs.mLevel) } } },
+    { "limits",
+      { { "maxBodyBytes", maxBody },
+        { "maxHeaderBytes", maxHeader },
+        { "maxConnections", maxConnections },
+        { "httpThreads", threads } } },
+    { "keys", KeysToJson(aSettings.mKeys) },
+    { "ownership",
+      { { "leaseMs", base::ToMilliseconds(aSettings.mOwnership.mLease) },
+        { "renewMs", base::ToMilliseconds(aSettings.mOwnership.mRenew) },
+        { "storeDownPolicy",
+          StoreDownPolicyName(aSettings.mOwnership.mStoreDownPolicy) } } },
+  };
+}
+
+std::string_view LogFormatName(LogFormat aFormat)
+{
+  return internal::NameOf(kFormats, aFormat);
+}
+
+std::string_view LogLevelName(LogLevel aLevel)
+{
+  return internal::NameOf(kLevels, aLevel);
+}
+
+std::string_view StoreDownPolicyName(StoreDownPolicy aPolicy)
+{
+  return internal::NameOf(kPolicies, aPolicy);
+}
+
+} // namespace flamingoloom::config
