Plan of the guarantees over data centres

Cause: the generation of the configuration needs the list of shapes that each data centre must be able to provide, in the normal case and with any one other data centre out. Ruled out: a shared spare block for several client accounts. It needs fewer blocks, but cannot be expressed as one list for each data centre. Ruled out: blocks aligned by plain index when servers per rack or accelerators per server are no powers of two; such a block would cover parts of two servers. The tree rounds these sizes up and leaves gaps. Conclusion: the smallest limit per data centre and demand is taken, largest shapes first.

--- /dev/null
+++ b/flamingoloom/placement/guarantee_plan_test.cpp
@@ -0,0 +1,103 @@
+#include "flamingoloom/placement/guarantee_plan.h"
+
+#include <map>
+
+#include <doctest/doctest.h>
+
+namespace flamingoloom::placement {
+
+namespace {
+
+using base::AccountId;
+using base::DataCentreId;
+
+CentreCapacity Centre(const char* aId, int aRacks)
+{
+  return { DataCentreId(aId), aRacks, 8, 8 };
+}
+
+} // namespace
+
+// Guards against a size that would get a block of its own half.
+TEST_CASE("sizes are rounded up to powers of two within 1 to 128")
+{
+  CHECK(ShapeOf(1) == 1);
+  CHECK(ShapeOf(3) == 4);
+  CHECK(ShapeOf(64) == 64);
+  CHECK(ShapeOf(65) == 128);
+  CHECK(ShapeOf(0) == 0);
+  CHECK(ShapeOf(129) == 0);
+}
+
+// Guards against blocks that cover parts of two servers or racks.
+TEST_CASE("sizes that are no powers of two leave gaps in the tree")
+{
+  const Layout layout({ DataCentreId("a"), 2, 3, 6 });
+  LevelCounts expected{};
+  expected[LevelOf(4)] = 6;
+  expected[LevelOf(2)] = 6;
+  CHECK(layout.Blocks() == expected);
+  for (int index = 0; index < layout.Accelerators(); ++index) {
+    CHECK(layout.IndexOf(layout.PositionOf(index)) == index);
+    CHECK(layout.HasAccelerator(layout.PositionOf(index)));
+  }
+}
+
+// Guards against a plan that loses a guarantee with one data centre, or that
+// promises more than a data centre has.
+TEST_CASE("the plan holds with any one data centre out")
+{
+  const std::vector centres{ Centre("a", 4), Centre("b", 2), Centre("c", 3) };
+  const std::vector<Demand> demands{ { AccountId("x"), 128, 1 },
+                                     { AccountId("y"), 12, 5 },
+                                     { AccountId("y"), 16, 1 },
+                                     { AccountId("z"), 1, 7 } };
+  const auto plan = PlanGuarantees(centres, demands);
+  REQUIRE(plan);
+  std::map<DataCentreId, LevelCounts> perCentre;
+  for (const auto& entry : *plan) {
+    perCentre[entry.mDataCentre][LevelOf(entry.mDemand.mShape)] +=
+      entry.mDemand.mCount;
+  }
+  for (const auto& centre : centres) {
+    CHECK(Packs(Layout(centre).Blocks(), perCentre[centre.mId]));
+    std::map<AccountId, int> rest;
+    for (const auto& entry : *plan) {
+      if (entry.mDataCentre != centre.mId) {
+        rest[entry.mDemand.mAccount] += entry.mDemand.mCount;
+      }
+    }
+    CHECK(rest[AccountId("x")] >= 1);
+    CHECK(rest[AccountId("y")] >= 6);
+    CHECK(rest[AccountId("z")] >= 7);
+  }
+}
+
+// Guards against a rejection that does not help to correct the answers.
+TEST_CASE("a set that does not fit names account, shape and fitting count")
+{
+  const std::vector centres{ Centre("a", 2), Centre("b", 2), Centre("c", 2) };
+  const std::vector<Demand> demands{ { AccountId("x"), 64, 5 } };
+  const auto plan = PlanGuarantees(centres, demands);
+  REQUIRE(!plan);
+  CHECK(plan.error().mCode == base::ErrorCode::eInvalid);
+  CHECK(plan.error().mMessage.find("account x") != std::string::npos);
+  CHECK(plan.error().mMessage.find("shape 64") != std::string::npos);
+  CHECK(plan.error().mMessage.find("at most 4 fit") != std::string::npos);
+  CHECK(
+    PlanGuarantees(centres, std::vector<Demand>{ { AccountId("x"), 64, 4 } }));
+}
+
+// Guards against input that the tree cannot represent.
+TEST_CASE("unusable input is rejected")
+{
+  const std::vector centres{ Centre("a", 2) };
+  const std::vector<Demand> tooLarge{ { AccountId("x"), 129, 1 } };
+  const std::vector<Demand> one{ { AccountId("x"), 1, 1 } };
+  CHECK(!PlanGuarantees(centres, tooLarge));
+  CHECK(!PlanGuarantees({}, one));
+  CHECK(!PlanGuarantees(std::vector{ Centre("a", 0) }, one));
+  CHECK(!PlanGuarantees(std::vector{ Centre("a", 1), Centre("a", 1) }, one));
+}
+
+} // namespace flamingoloom::placement
