--- /dev/null
+++ b/flamingoloom/placement/block_tree.h
@@ -0,0 +1,118 @@
+// Which aligned blocks of one data centre are free.
+//
+// The accelerators are the leaves of binary trees with 128 leaves each. A tree
+// is kept as bit masks, from which each level is derived with a few shifts.
+//
+//   BlockTree tree(layout);
+//   tree.Allocate({ 0, 4 });
+//   int largest = BlocksAt(tree.FreeBlocks(), 7);
+//
+// A value type without synchronisation: one thread at a time.
+#pragma once
+
+#include <array>
+#include <bit>
+#include <cstdint>
+#include <vector>
+
+#include "flamingoloom/placement/layout.h"
+
+namespace flamingoloom::placement {
+
+// 2^mLevel consecutive positions from mPosition, which is a multiple of that.
+struct Block
+{
+  int mPosition = 0;
+  int mLevel = 0;
+
+  int Size() const { return ShapeAt(mLevel); }
+  int End() const { return mPosition + Size(); }
+  // The block of aLevel that contains this one. Precondition: aLevel >= mLevel.
+  Block Enclosing(int aLevel) const
+  {
+    return { mPosition & ~(ShapeAt(aLevel) - 1), aLevel };
+  }
+  bool Contains(const Block& aOther) const
+  {
+    return aOther.mPosition >= mPosition && aOther.End() <= End();
+  }
+  bool Overlaps(const Block& aOther) const
+  {
+    return Contains(aOther) || aOther.Contains(*this);
+  }
+
+  friend auto operator<=>(const Block&, const Block&) = default;
+  friend bool operator==(const Block&, const Block&) = default;
+};
+
+class BlockTree
+{
+public:
+  // All accelerators of the layout are free.
+  explicit BlockTree(const Layout& aLayout);
+
+  bool IsFree(const Block& aBlock) const;
+  // Free accelerators of the block.
+  int FreeWithin(const Block& aBlock) const;
+  // The maximal free blocks of the whole tree, by level.
+  const LevelCounts& FreeBlocks() const { return mFreeBlocks; }
+  // FreeBlocks() as it would be with all of aBlock allocated.
+  LevelCounts FreeBlocksWithout(const Block& aBlock) const;
+  int FreeAccelerators() const;
+
+  // Precondition: no position of the block is allocated.
+  void Allocate(const Block& aBlock);
+  // Precondition: all positions of the block are allocated.
+  void Release(const Block& aBlock);
+  // A disabled position is not free, whether it is allocated or not.
+  void Disable(int aPosition);
+  void Enable(int aPosition);
+
+  // Calls aVisit with each free block of aLevel, by rising position.
+  template <class Visit>
+  void ForEachFree(int aLevel, Visit aVisit) const;
+
+  std::size_t MemoryBytes() const { return mTrees.capacity() * sizeof(Tree); }
+
+private:
+  using Words = std::array<std::uint64_t, 2>;
+
+  struct Tree
+  {
+    Words mAllocated{};
+    Words mDisabled{};
+    // Maximal free blocks of this tree, by level.
+    std::array<std::uint8_t, kLevels> mFreeBlocks{};
+
+    Words Free() const;
+  };
+
+  // Bit i is set when the block of aLevel from position i is free.
+  static Words FreeStarts(const Words& aFree, int aLevel);
+  static LevelCounts CountMaximal(const Words& aFree);
+  static Words Mask(const Block& aBlock);
+  const Tree& TreeOf(int aPosition) const;
+  Tree& TreeOf(int aPosition);
+  // Brings the counts up to date after a change in aTree.
+  void Recount(Tree& aTree);
+
+  std::vector<Tree> mTrees;
+  LevelCounts mFreeBlocks{};
+};
+
+template <class Visit>
+void BlockTree::ForEachFree(int aLevel, Visit aVisit) const
+{
+  for (std::size_t tree = 0; tree < mTrees.size(); ++tree) {
+    const Words starts = FreeStarts(mTrees[tree].Free(), aLevel);
+    for (int word = 0; word < 2; ++word) {
+      for (std::uint64_t bits = starts[word]; bits != 0; bits &= bits - 1) {
+        const int offset = word * 64 + std::countr_zero(bits);
+        aVisit(
+          Block{ static_cast<int>(tree) * kLargestShape + offset, aLevel });
+      }
+    }
+  }
+}
+
+} // namespace flamingoloom::placement
