Fakes at the ports under a virtual clock

The decision code has to run against faults that real processes meet rarely and not repeatably: a holder paused with a start about to be sent, an answer lost after the write took effect, a member list that lags.

FakePorts satisfies platform::Ports for one instance and reaches a shared FakeWorld: table and objects, member list, backend servers, network. All random values come from one seed, and each instance has a clock offset of its own, so that a comparison of times between instances shows.

A fake that called back synchronously was ruled out: the ports promise that no callback runs within the call. A server that died does not return under its id, because its epochs and attempts would be gone.

--- /dev/null
+++ b/testing/fakes/fake_ports.h
@@ -0,0 +1,127 @@
+// The ports of one instance in a FakeWorld; satisfies platform::Ports.
+//
+// A call leaves through Transmit, travels with the latency of the network,
+// has its effect where it arrives, and is answered the same way. A call that
+// is not answered in time ends with eOutcomeUnknown.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/platform/ports.h"
+
+namespace flamingoloom::testing::fakes {
+
+class FakeStore;
+class FakeWorld;
+struct Endpoint;
+struct Node;
+
+class FakePorts
+{
+public:
+  FakePorts(FakeWorld& aWorld, Node& aNode)
+    : mWorld(aWorld)
+    , mNode(aNode)
+  {
+  }
+
+  base::Time Now() const;
+  std::uint64_t Random();
+  void After(base::Duration aWait, std::function<void()> aAction);
+
+  void Commit(platform::Transaction aTransaction,
+              platform::Done<platform::TransactionResult> aDone);
+  void Read(std::vector<std::string> aKeys,
+            platform::Done<std::vector<platform::Row>> aDone);
+  void Scan(const std::string& aPrefix,
+            platform::Done<std::vector<platform::Row>> aDone);
+  void PutObject(const std::string& aText, platform::Done<std::string> aDone);
+  void GetObject(const std::string& aDigest, platform::Done<std::string> aDone);
+  void ListMembers(platform::Done<platform::MemberList> aDone);
+
+  void Fence(const platform::ServerAddress& aServer,
+             const base::DataCentreId& aDataCentre,
+             base::Epoch aEpoch,
+             platform::Done<base::Epoch> aDone);
+  void StartTask(const platform::ServerAddress& aServer,
+                 platform::TaskStart aStart,
+                 base::Duration aWait,
+                 platform::Done<platform::TaskStatus> aDone);
+  void ActOnTask(const platform::ServerAddress& aServer,
+                 const base::AttemptId& aAttempt,
+                 platform::TaskAction aAction,
+                 base::Duration aLease,
+                 platform::Done<platform::TaskStatus> aDone);
+  void AwaitTask(const platform::ServerAddress& aServer,
+                 const base::AttemptId& aAttempt,
+                 base::Duration aWait,
+                 platform::Done<platform::TaskStatus> aDone);
+
+  void RequestCredits(const platform::PeerAddress& aPeer,
+                      platform::CreditRequest aRequest,
+                      platform::Done<platform::CreditGrant> aDone);
+  void NotifyRequest(const platform::PeerAddress& aPeer,
+                     platform::RequestNotice aNotice,
+                     platform::Done<platform::Nothing> aDone);
+  void AwaitRequest(const platform::PeerAddress& aPeer,
+                    platform::RequestNotice aNotice,
+                    base::Duration aWait,
+                    platform::Done<platform::RequestProgress> aDone);
+  void NotifyDataCentre(const platform::PeerAddress& aPeer,
+                        platform::DataCentreNotice aNotice,
+                        platform::Done<platform::DataCentreStatus> aDone);
+  void RequestPromise(const platform::PeerAddress& aPeer,
+                      platform::PromiseRequest aRequest,
+                      platform::Done<platform::Nothing> aDone);
+  void AnnounceConfig(const platform::PeerAddress& aPeer,
+                      platform::ConfigNotice aNotice,
+                      platform::Done<platform::Nothing> aDone);
+  void AnnounceLeaving(const platform::PeerAddress& aPeer,
+                       platform::LeavingNotice aNotice,
+                       platform::Done<platform::Nothing> aDone);
+
+private:
+  // Hands a message to the network, unless the instance is dead, dies or is
+  // frozen just before. aStartsWork marks the start or commit of a task.
+  void Transmit(std::function<void()> aDepart, bool aStartsWork = false);
+
+  // One call: aServe runs at aTo when the request arrives there.
+  template <class T>
+  void Call(const Endpoint& aTo,
+            const char* aStep,
+            std::size_t aBytes,
+            base::Duration aTimeout,
+            std::function<void(platform::Done<T>)> aServe,
+            platform::Done<T> aDone,
+            bool aStartsWork = false);
+  template <class T>
+  void CallStore(const char* aStep,
+                 std::size_t aBytes,
+                 std::function<base::Expected<T>(FakeStore&)> aServe,
+                 platform::Done<T> aDone);
+  template <class T, class F>
+  void CallServer(const platform::ServerAddress& aServer,
+                  const char* aStep,
+                  std::size_t aBytes,
+                  base::Duration aTimeout,
+                  F aServe,
+                  platform::Done<T> aDone,
+                  bool aStartsWork = false);
+  template <class T, class... Args>
+  void CallPeer(const platform::PeerAddress& aPeer,
+                const char* aStep,
+                base::Duration aTimeout,
+                platform::Done<T> aDone,
+                Args... aArgs);
+
+  FakeWorld& mWorld;
+  Node& mNode;
+};
+
+static_assert(platform::Ports<FakePorts>);
+
+} // namespace flamingoloom::testing::fakes
--- /dev/null
+++ b/testing/fakes/fake_world.h
@@ -0,0 +1,159 @@
+// Everything around the instances of one run: store, member list, backend
+// servers, network, and the faults of all of them.
+//
+// The name of an instance or backend server says its data centre: "a2" and
+// "a-s1" are in data centre "a". The store and the member list are in the
+// region of the first data centre and are cut off under the name "store".
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "flamingoloom/platform/ports.h"
+#include "testing/fakes/fake_ports.h"
+#include "testing/fakes/fake_server.h"
+#include "testing/fakes/fake_store.h"
+#include "testing/fakes/history.h"
+#include "testing/fakes/system_under_test.h"
+#include "testing/fakes/virtual_clock.h"
+
+namespace flamingoloom::testing::fakes {
+
+struct Endpoint
+{
+  std::string mName;
+  base::DataCentreId mDataCentre;
+  base::RegionId mRegion;
+};
+
+struct WorldOptions
+{
+  std::uint64_t mSeed = 1;
+  std::vector<config::DataCentre> mDataCentres;
+  InstanceFactory mFactory;
+  RunTime mRunTime;
+  // A member's arrival or new state is listed so much later, its death after
+  // mListExpiry.
+  base::Duration mListLag = std::chrono::seconds(1);
+  base::Duration mListExpiry = std::chrono::seconds(4);
+  int mSlots = 8;
+  int mConnections = 64;
+  int mAccelerators = 8;
+};
+
+// One instance, from its start to its end.
+struct Node
+{
+  Endpoint mEndpoint;
+  control::InstanceIdentity mIdentity;
+  // Clocks of different processes have nothing in common.
+  base::Duration mClockOffset{};
+  bool mAlive = true;
+  bool mFrozen = false;
+  bool mFreezeAtStart = false;
+  // Dies before its n-th message from now on; 0 means never.
+  int mKillAtMessage = 0;
+  // Events and messages held back until the instance is thawed.
+  std::vector<std::function<void()>> mHeldEvents;
+  std::vector<std::function<void()>> mHeldMessages;
+  platform::Member mMember;
+  base::Time mListedFrom;
+  base::Time mListedUntil = base::Time::max();
+  base::Time mLeavingFrom = base::Time::max();
+  std::unique_ptr<FakePorts> mPorts;
+  std::unique_ptr<InstanceApi> mInstance;
+};
+
+class FakeWorld
+{
+public:
+  explicit FakeWorld(WorldOptions aOptions);
+
+  VirtualClock& Clock() { return mClock; }
+  History& Log() { return mHistory; }
+  FakeStore& Store() { return mStore; }
+  std::uint64_t CrossRegionBytes() const { return mCrossRegionBytes; }
+  // Appends an event of now.
+  void Record(Event aEvent);
+
+  // --- Instances and backend servers. Names are never used twice. ---
+  Node& StartInstance(const std::string& aName);
+  // Null when there is no such name.
+  Node* FindInstance(const std::string& aName);
+  const std::map<std::string, std::unique_ptr<Node>>& Instances() const
+  {
+    return mNodes;
+  }
+  // Runs aAction at the instance: now, at its thaw, or never when it is dead.
+  void DeliverTo(Node& aNode, std::function<void()> aAction);
+  FakeServer& AddServer(const std::string& aName);
+  FakeServer* FindServer(const std::string& aName);
+  platform::MemberList Members() const;
+
+  // --- Faults; an unknown name is ignored. ---
+  void Kill(const std::string& aInstance);
+  // The instance dies instead of sending its aCount-th message from now on.
+  void KillAtMessage(const std::string& aInstance, int aCount);
+  void Freeze(const std::string& aInstance);
+  // Freezes the instance when it next starts or commits a task; that message
+  // leaves at the thaw.
+  void FreezeAtStart(const std::string& aInstance);
+  void Thaw(const std::string& aInstance);
+  // Each side is an instance, a backend server, "store" or a region.
+  void Cut(const std::string& aLeft, const std::string& aRight);
+  void Heal(const std::string& aLeft, const std::string& aRight);
+  void SetStore(StoreMode aMode, double aLossProbability = 0.3);
+  void KillServer(const std::string& aServer);
+  void LeaveServer(const std::string& aServer, bool aRefuses = true);
+  void BreakServer(const std::string& aServer, bool aBroken);
+  void MixAnswers(const std::string& aServer, double aProbability);
+  // Thaws, heals and repairs everything that can be.
+  void HealAll();
+  // Asks the instance to leave and ends it when it says that it may.
+  void StopInstance(const std::string& aInstance);
+
+  // --- Network ---
+  bool IsConnected(const Endpoint& aLeft, const Endpoint& aRight) const;
+  base::Duration Latency(const Endpoint& aFrom, const Endpoint& aTo);
+  void CountBytes(const Endpoint& aFrom,
+                  const Endpoint& aTo,
+                  std::size_t aBytes);
+  const Endpoint& StoreEndpoint() const { return mStoreEndpoint; }
+  StoreMode Mode() const { return mStoreMode; }
+  double LossProbability() const { return mLossProbability; }
+  Endpoint EndpointOf(const std::string& aName) const;
+  // Ends the process at once; its object goes when no call is on the stack.
+  void End(Node& aNode, base::Duration aListedFor);
+
+private:
+  void BeginFault(std::string aName);
+  void EndFault(const std::string& aName);
+
+  struct ListedServer
+  {
+    std::unique_ptr<FakeServer> mServer;
+    base::Time mListedFrom;
+    base::Time mListedUntil = base::Time::max();
+    base::Time mLeavingFrom = base::Time::max();
+  };
+
+  WorldOptions mOptions;
+  VirtualClock mClock;
+  History mHistory;
+  FakeStore mStore;
+  Endpoint mStoreEndpoint;
+  StoreMode mStoreMode = StoreMode::eUp;
+  double mLossProbability = 0;
+  std::map<std::string, std::unique_ptr<Node>> mNodes;
+  std::map<std::string, ListedServer> mServers;
+  std::vector<std::pair<std::string, std::string>> mCuts;
+  std::vector<std::string> mFaults;
+  std::uint64_t mCrossRegionBytes = 0;
+};
+
+} // namespace flamingoloom::testing::fakes
--- /dev/null
+++ b/testing/fakes/fakes_test.cpp
@@ -0,0 +1,336 @@
+#include <doctest/doctest.h>
+
+#include "testing/fakes/dummy_instance.h"
+#include "testing/fakes/fake_world.h"
+
+namespace flamingoloom::testing::fakes {
+namespace {
+
+using namespace std::chrono_literals;
+using base::ErrorCode;
+using platform::TaskAction;
+using platform::TaskState;
+using platform::TaskStatus;
+
+WorldOptions TestOptions()
+{
+  WorldOptions options;
+  options.mDataCentres = { { base::DataCentreId("a"), base::RegionId("north") },
+                           { base::DataCentreId("b"), base::RegionId("north") },
+                           { base::DataCentreId("c"),
+                             base::RegionId("south") } };
+  options.mFactory = FactoryOf<DummyInstance<FakePorts>>();
+  options.mRunTime = [](const platform::TaskStart&) { return 1s; };
+  return options;
+}
+
+platform::TaskStart StartOf(const std::string& aAttempt, std::uint64_t aEpoch)
+{
+  platform::TaskStart start;
+  start.mAttempt = base::AttemptId(aAttempt);
+  start.mRequest = { base::AccountId("x"), "key-" + aAttempt };
+  start.mDataCentre = base::DataCentreId("a");
+  start.mEpoch = base::Epoch(aEpoch);
+  start.mPayload = "payload-" + aAttempt;
+  start.mLease = 5s;
+  return start;
+}
+
+platform::ServerAddress AddressOf(const std::string& aName)
+{
+  return { base::ServerId(aName), "" };
+}
+
+// Keeps what a callback got.
+template <class T>
+struct Result
+{
+  std::optional<base::Expected<T>> mValue;
+  int mCalls = 0;
+
+  platform::Done<T> Slot()
+  {
+    return [this](base::Expected<T> aValue) {
+      mValue = std::move(aValue);
+      ++mCalls;
+    };
+  }
+  bool Failed(ErrorCode aCode) const
+  {
+    return mValue && !*mValue && mValue->error().mCode == aCode;
+  }
+};
+
+struct Fixture
+{
+  FakeWorld mWorld{ TestOptions() };
+  FakePorts& mPorts = *mWorld.StartInstance("a1").mPorts;
+  FakeServer& mServer = mWorld.AddServer("a-s1");
+  platform::ServerAddress mAddress = AddressOf("a-s1");
+  Result<TaskStatus> mStatus;
+
+  void Run(base::Duration aDuration) { mWorld.Clock().RunFor(aDuration); }
+  int Count(EventKind aKind)
+  {
+    return static_cast<int>(
+      std::ranges::count(mWorld.Log().mEvents, aKind, &Event::mKind));
+  }
+};
+
+// A conflicting row must leave every other row of the transaction unchanged.
+TEST_CASE("a transaction takes effect completely or not at all")
+{
+  FakeStore store;
+  auto first = store.Commit({ { { "a", 0, "1" }, { "b", 0, "1" } }, {} });
+  REQUIRE(first.Committed());
+  CHECK(first.mVersions[0].mVersion < first.mVersions[1].mVersion);
+  auto second = store.Commit(
+    { { { "a", first.mVersions[0].mVersion, "2" }, { "b", 7, "2" } }, {} });
+  CHECK(second.mConflicts == std::vector<platform::RowVersion>{
+                               { "b", first.mVersions[1].mVersion } });
+  CHECK(store.Read({ "b", "a" })[0].mValue == "1");
+  // A check alone must also stop the writes.
+  auto third = store.Commit({ { { "c", 0, "1" } }, { { "d", 1 } } });
+  CHECK_FALSE(third.Committed());
+  CHECK(store.VersionOf("c") == 0);
+  // The version of a row that was deleted and created again is new.
+  REQUIRE(store.Commit({ { { "a", first.mVersions[0].mVersion, {} } }, {} })
+            .Committed());
+  CHECK(store.VersionOf("a") == 0);
+  CHECK(store.Commit({ { { "a", 0, "3" } }, {} }).mVersions[0].mVersion >
+        first.mVersions[1].mVersion);
+  CHECK(store.Scan("a").size() == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a server refuses a lower epoch than it has seen")
+{
+  Result<base::Epoch> fenced;
+  mPorts.Fence(
+    mAddress, base::DataCentreId("a"), base::Epoch(3), fenced.Slot());
+  Run(10ms);
+  REQUIRE(fenced.mValue);
+  mPorts.StartTask(mAddress, StartOf("t1", 2), 5s, mStatus.Slot());
+  Run(10ms);
+  CHECK(mStatus.Failed(ErrorCode::eStaleEpoch));
+  CHECK(Count(EventKind::eTaskStarted) == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "an attempt id never runs twice")
+{
+  Result<TaskStatus> second;
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 5s, mStatus.Slot());
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 5s, second.Slot());
+  Run(2s);
+  CHECK(second.Failed(ErrorCode::eDuplicate));
+  REQUIRE(mStatus.mValue);
+  CHECK((*mStatus.mValue)->mAnswer ==
+        AnswerOf({ base::AccountId("x"), "key-t1" }, "payload-t1"));
+  CHECK(Count(EventKind::eTaskStarted) == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a prepared place is freed when its lease lapses")
+{
+  platform::TaskStart start = StartOf("t1", 1);
+  start.mGang = "g";
+  start.mGangSize = 2;
+  start.mAccelerators = { 0, 1 };
+  mPorts.StartTask(mAddress, start, 1s, mStatus.Slot());
+  Run(4s);
+  REQUIRE((*mStatus.mValue)->mState == TaskState::ePrepared);
+  Result<TaskStatus> second;
+  start.mAttempt = base::AttemptId("t2");
+  mPorts.StartTask(mAddress, start, 1s, second.Slot());
+  Run(1s);
+  CHECK(second.Failed(ErrorCode::eBusy));
+  Run(1s);
+  // A commit after the lease must not start the task.
+  mPorts.ActOnTask(
+    mAddress, base::AttemptId("t1"), TaskAction::eCommit, {}, mStatus.Slot());
+  Run(1s);
+  CHECK((*mStatus.mValue)->mState == TaskState::eStopped);
+  CHECK(Count(EventKind::eTaskStarted) == 0);
+}
+
+// A frozen process does nothing, but what it had sent before arrives.
+TEST_CASE_FIXTURE(Fixture, "events of a frozen instance wait for its thaw")
+{
+  int timer = 0;
+  mPorts.After(100ms, [&] { ++timer; });
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 5s, mStatus.Slot());
+  mWorld.Freeze("a1");
+  base::Time before = mPorts.Now();
+  Run(3s);
+  CHECK(Count(EventKind::eTaskStarted) == 1);
+  CHECK(timer == 0);
+  CHECK_FALSE(mStatus.mValue);
+  CHECK(mPorts.Now() - before == 3s);
+  mWorld.Thaw("a1");
+  CHECK(timer == 1);
+  CHECK(mStatus.mValue);
+}
+
+// The owner has checked its lease and is stopped just before it sends.
+TEST_CASE_FIXTURE(Fixture, "a start about to be sent leaves at the thaw")
+{
+  mWorld.FreezeAtStart("a1");
+  Result<std::vector<platform::Row>> read;
+  mPorts.Read({ "a" }, read.Slot());
+  Run(10ms);
+  CHECK(read.mValue);
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 20s, mStatus.Slot());
+  Run(10s);
+  CHECK(Count(EventKind::eTaskStarted) == 0);
+  mWorld.Thaw("a1");
+  Run(5s);
+  CHECK(Count(EventKind::eTaskStarted) == 1);
+  CHECK(mStatus.mCalls == 1);
+}
+
+TEST_CASE_FIXTURE(Fixture, "callbacks and timers of a killed instance vanish")
+{
+  int timer = 0;
+  mPorts.After(100ms, [&] { ++timer; });
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 5s, mStatus.Slot());
+  mWorld.Kill("a1");
+  Run(10s);
+  CHECK(timer == 0);
+  CHECK(mStatus.mCalls == 0);
+  CHECK(Count(EventKind::eTaskStarted) == 1);
+  // Nothing can be sent any more, and a given number of messages can be.
+  mPorts.StartTask(mAddress, StartOf("t2", 1), 5s, mStatus.Slot());
+  FakePorts& other = *mWorld.StartInstance("a2").mPorts;
+  mWorld.KillAtMessage("a2", 2);
+  other.StartTask(mAddress, StartOf("t3", 1), 5s, mStatus.Slot());
+  other.StartTask(mAddress, StartOf("t4", 1), 5s, mStatus.Slot());
+  Run(10s);
+  CHECK(Count(EventKind::eTaskStarted) == 2);
+  CHECK_FALSE(mWorld.FindInstance("a2")->mAlive);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a call ends with exactly one outcome")
+{
+  for (auto [left, right] :
+       { std::pair("a1", "store"), std::pair("north", "north") }) {
+    mWorld.Cut(left, right);
+    Result<std::vector<platform::Row>> read;
+    mPorts.Read({ "a" }, read.Slot());
+    Run(5s);
+    CHECK(read.mCalls == 1);
+    CHECK_FALSE(*read.mValue);
+    mWorld.Heal(left, right);
+  }
+  Result<std::vector<platform::Row>> read;
+  mPorts.Read({ "a" }, read.Slot());
+  Run(5s);
+  CHECK(read.mCalls == 1);
+  CHECK(*read.mValue);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a write can take effect while its answer is lost")
+{
+  mWorld.SetStore(StoreMode::eLosesAnswers, 1.0);
+  Result<platform::TransactionResult> commit;
+  mPorts.Commit({ { { "a", 0, "1" } }, {} }, commit.Slot());
+  Run(5s);
+  CHECK(commit.Failed(ErrorCode::eOutcomeUnknown));
+  CHECK(mWorld.Store().VersionOf("a") == 1);
+  mWorld.SetStore(StoreMode::eDown);
+  mPorts.Commit({ { { "b", 0, "1" } }, {} }, commit.Slot());
+  Run(5s);
+  CHECK(commit.mCalls == 2);
+  CHECK(mWorld.Store().VersionOf("b") == 0);
+}
+
+TEST_CASE_FIXTURE(Fixture, "the member list lags behind")
+{
+  Run(2s);
+  REQUIRE(mWorld.Members().mMembers.size() == 2);
+  mWorld.StartInstance("b1");
+  CHECK(mWorld.Members().mMembers.size() == 2);
+  mWorld.Kill("a1");
+  mWorld.LeaveServer("a-s1");
+  Run(1500ms);
+  auto members = mWorld.Members().mMembers;
+  REQUIRE(members.size() == 3);
+  CHECK(members[2].mState == platform::MemberState::eLeaving);
+  Run(5s);
+  CHECK(mWorld.Members().mMembers.size() == 2);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a dead server loses its tasks and stays silent")
+{
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 5s, mStatus.Slot());
+  Run(100ms);
+  mWorld.KillServer("a-s1");
+  Run(10s);
+  CHECK(mStatus.Failed(ErrorCode::eOutcomeUnknown));
+  CHECK(Count(EventKind::eTaskEnded) == 1);
+  mPorts.AwaitTask(mAddress, base::AttemptId("t1"), 0s, mStatus.Slot());
+  Run(10s);
+  CHECK(mStatus.mCalls == 2);
+  CHECK_FALSE(*mStatus.mValue);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a broken server fails every task")
+{
+  mWorld.BreakServer("a-s1", true);
+  mPorts.StartTask(mAddress, StartOf("t1", 1), 5s, mStatus.Slot());
+  Run(1s);
+  CHECK((*mStatus.mValue)->mState == TaskState::eFailed);
+}
+
+// Each mixed answer is one of another attempt or shorter than it says.
+TEST_CASE_FIXTURE(Fixture, "mixed answers can be recognised")
+{
+  mWorld.MixAnswers("a-s1", 1.0);
+  for (int i = 0; i < 20; ++i) {
+    std::string attempt = "t" + std::to_string(i);
+    mPorts.StartTask(mAddress, StartOf(attempt, 1), 5s, mStatus.Slot());
+    Run(2s);
+    const TaskStatus& status = **mStatus.mValue;
+    bool foreign = status.mAttempt.Value() != attempt;
+    bool cut = status.mAnswer.size() != status.mAnswerBytes;
+    CHECK((foreign || cut));
+  }
+}
+
+TEST_CASE_FIXTURE(Fixture, "a call between regions takes 40 ms and is counted")
+{
+  std::uint64_t before = mWorld.CrossRegionBytes();
+  FakePorts& other = *mWorld.StartInstance("c1").mPorts;
+  Run(100ms);
+  // The two empty polls of c1 cross the regions, those of a1 do not.
+  CHECK(mWorld.CrossRegionBytes() - before == 800);
+  base::Time sent = other.Now();
+  base::Time answered;
+  other.Read({ "a" }, [&](auto) { answered = other.Now(); });
+  Run(100ms);
+  CHECK(answered - sent >= 40ms);
+  CHECK(answered - sent <= 44ms);
+}
+
+// A run must be repeatable from its seed.
+TEST_CASE("the same seed gives the same run")
+{
+  auto run = [](std::uint64_t aSeed) {
+    WorldOptions options = TestOptions();
+    options.mSeed = aSeed;
+    FakeWorld world(options);
+    world.AddServer("a-s1");
+    FakePorts& ports = *world.StartInstance("a1").mPorts;
+    world.Cut("a1", "store");
+    std::vector<std::int64_t> times;
+    for (int i = 0; i < 20; ++i) {
+      ports.Read({ "a" }, [&](auto) {
+        times.push_back(world.Clock().Now().time_since_epoch().count());
+      });
+    }
+    world.Clock().RunFor(10s);
+    return std::pair(times, world.Clock().Random());
+  };
+  CHECK(run(1) == run(1));
+  CHECK(run(1) != run(2));
+}
+
+} // namespace
+} // namespace flamingoloom::testing::fakes
