--- /dev/null
+++ b/flamingoloom/control/centre_changes.h
@@ -0,0 +1,259 @@
+// Operators' changes: takes a data centre out, brings it back, and says when
+// the change is in force everywhere. Not thread-safe.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "flamingoloom/control/context.h"
+#include "flamingoloom/control/owned_centre.h"
+#include "flamingoloom/ownership/records.h"
+
+namespace flamingoloom::control {
+
+template <platform::Ports P>
+class CentreChanges
+{
+public:
+  using Centres = std::map<base::DataCentreId, std::unique_ptr<OwnedCentre<P>>>;
+
+  CentreChanges(Context<P>& aContext, Centres& aCentres)
+    : mContext(aContext)
+    , mCentres(aCentres)
+  {
+  }
+
+  // Writes the change, then waits until it is acknowledged or mDrainWait has
+  // passed; the view says which. eConflict when another operator was first,
+  // eOutcomeUnknown when the store did not say whether it took the change.
+  void Change(const DataCentreChange& aChange, DataCentreDone aDone)
+  {
+    if (!mCentres.contains(aChange.mDataCentre)) {
+      aDone(base::MakeError(base::ErrorCode::eInvalid,
+                            "change data centre",
+                            "operator",
+                            "unknown data centre",
+                            "/dataCentre"));
+      return;
+    }
+    auto call = std::make_shared<Call>();
+    call->mChange = aChange;
+    call->mNonce = mContext.UniqueId();
+    call->mUntil = mContext.Now() + mContext.mOptions.mDrainWait;
+    call->mDone = std::move(aDone);
+    Write(call);
+  }
+
+  // The state of all data centres, as far as their owners can be reached.
+  void List(platform::Done<std::vector<DataCentreView>> aDone)
+  {
+    auto views = std::make_shared<std::vector<DataCentreView>>();
+    auto open = std::make_shared<std::size_t>(mCentres.size() + 1);
+    auto finish = [views, open, aDone] {
+      if (--*open == 0) {
+        aDone(*views);
+      }
+    };
+    views->resize(mCentres.size());
+    std::size_t index = 0;
+    for (auto& [name, centre] : mCentres) {
+      (*views)[index] = KnownView(*centre);
+      AskOwner(*centre,
+               centre->mKeeper.State().DataCentreVersion(),
+               [views, index, finish](
+                 const base::Expected<platform::DataCentreStatus>& aStatus) {
+                 TakeStatus((*views)[index], aStatus);
+                 finish();
+               });
+      ++index;
+    }
+    finish();
+  }
+
+private:
+  struct Call
+  {
+    DataCentreChange mChange;
+    std::string mNonce;
+    // Version of the row that holds the change.
+    std::uint64_t mVersion = 0;
+    base::Time mUntil{};
+    DataCentreDone mDone;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+  using StatusDone = platform::Done<platform::DataCentreStatus>;
+
+  static constexpr base::Duration kRetryAfter = std::chrono::milliseconds(200);
+
+  void Write(const CallPtr& aCall)
+  {
+    const DataCentreChange& change = aCall->mChange;
+    ownership::DataCentreRecord record{ change.mState == DataCentreState::eOut,
+                                        change.mOperator,
+                                        aCall->mNonce };
+    std::string key = ownership::DataCentreKey(change.mDataCentre);
+    platform::Transaction transaction;
+    transaction.mWrites = {
+      { key, change.mExpectedVersion, ownership::Encode(record) }
+    };
+    mContext.mPorts.Commit(
+      transaction,
+      [this,
+       aCall](const base::Expected<platform::TransactionResult>& aOutcome) {
+        if (aOutcome && aOutcome->Committed()) {
+          aCall->mVersion = aOutcome->mVersions.front().mVersion;
+          AwaitAcknowledgement(aCall);
+        } else if (aOutcome) {
+          ReadBack(aCall, {});
+        } else {
+          ReadBack(aCall, aOutcome.error());
+        }
+      });
+  }
+
+  // Finds out who wrote the row: this call, whose answer was lost, or another
+  // operator.
+  void ReadBack(const CallPtr& aCall, const base::Error& aCause)
+  {
+    std::string key = ownership::DataCentreKey(aCall->mChange.mDataCentre);
+    mContext.mPorts.Read(
+      { key },
+      [this, aCall, aCause](
+        const base::Expected<std::vector<platform::Row>>& aRows) {
+        if (!aRows) {
+          RetryOrGive(aCall, aRows.error());
+          return;
+        }
+        platform::Row row = aRows->empty() ? platform::Row{} : aRows->front();
+        auto record = ownership::DecodeDataCentre(row.mValue)
+                        .value_or(ownership::DataCentreRecord{});
+        if (record.mNonce == aCall->mNonce) {
+          aCall->mVersion = row.mVersion;
+          AwaitAcknowledgement(aCall);
+        } else if (row.mVersion == aCall->mChange.mExpectedVersion) {
+          RetryOrGive(aCall, aCause);
+        } else {
+          aCall->mDone(Conflict(record, row.mVersion));
+        }
+      });
+  }
+
+  static tl::unexpected<base::Error> Conflict(
+    const ownership::DataCentreRecord& aWinner,
+    std::uint64_t aVersion)
+  {
+    return base::MakeError(
+      base::ErrorCode::eConflict,
+      "change data centre",
+      "table",
+      fmt::format("operator {} has set it to {} (version {})",
+                  aWinner.mOperator,
+                  aWinner.mOut ? "out" : "in",
+                  aVersion),
+      "/expectedVersion");
+  }
+
+  void RetryOrGive(const CallPtr& aCall, const base::Error& aCause)
+  {
+    if (mContext.Now() >= aCall->mUntil) {
+      aCall->mDone(base::MakeError(base::ErrorCode::eOutcomeUnknown,
+                                   "change data centre",
+                                   "table",
+                                   aCause.ToString()));
+      return;
+    }
+    mContext.mPorts.After(kRetryAfter, [this, aCall] { Write(aCall); });
+  }
+
+  void AwaitAcknowledgement(const CallPtr& aCall)
+  {
+    OwnedCentre<P>& centre = *mCentres.at(aCall->mChange.mDataCentre);
+    AskOwner(
+      centre,
+      aCall->mVersion,
+      [this, aCall](const base::Expected<platform::DataCentreStatus>& aStatus) {
+        OnStatus(aCall, aStatus);
+      });
+  }
+
+  void OnStatus(const CallPtr& aCall,
+                const base::Expected<platform::DataCentreStatus>& aStatus)
+  {
+    DataCentreView view = KnownView(*mCentres.at(aCall->mChange.mDataCentre));
+    view.mState = aCall->mChange.mState;
+    view.mOperator = aCall->mChange.mOperator;
+    view.mVersion = aCall->mVersion;
+    TakeStatus(view, aStatus);
+    if (view.mAcknowledged || mContext.Now() >= aCall->mUntil) {
+      aCall->mDone(view);
+      return;
+    }
+    mContext.mPorts.After(kRetryAfter,
+                          [this, aCall] { AwaitAcknowledgement(aCall); });
+  }
+
+  // Acknowledged only by an owner that speaks of this row or a later one.
+  static void TakeStatus(
+    DataCentreView& aView,
+    const base::Expected<platform::DataCentreStatus>& aStatus)
+  {
+    if (!aStatus) {
+      aView.mAcknowledged = false;
+      aView.mReason =
+        "the owner cannot be reached: " + aStatus.error().ToString();
+    } else if (aStatus->mRowVersion != aView.mVersion) {
+      aView.mAcknowledged = false;
+      aView.mReason = "the owner has not read this change";
+    } else {
+      aView.mAcknowledged = aStatus->mAcknowledged;
+      aView.mReason = aStatus->mReason;
+    }
+  }
+
+  DataCentreView KnownView(OwnedCentre<P>& aCentre)
+  {
+    const ownership::Lease& lease = aCentre.mKeeper.State();
+    DataCentreView view;
+    view.mDataCentre = aCentre.mKeeper.Name();
+    view.mState = lease.IsOut() ? DataCentreState::eOut : DataCentreState::eIn;
+    view.mOperator = lease.DataCentre().mOperator;
+    view.mVersion = lease.DataCentreVersion();
+    if (lease.Current()) {
+      view.mOwner = lease.Current()->mOwner;
+      view.mEpoch = lease.Current()->mEpoch;
+    }
+    return view;
+  }
+
+  void AskOwner(OwnedCentre<P>& aCentre,
+                std::uint64_t aVersion,
+                StatusDone aDone)
+  {
+    if (aCentre.mKeeper.Holds()) {
+      if (aCentre.mKeeper.State().DataCentreVersion() < aVersion) {
+        aCentre.mKeeper.Read();
+      }
+      aDone(aCentre.mKeeper.Status());
+      return;
+    }
+    auto owner = aCentre.Owner(mContext.mIdentity.mId);
+    if (!owner) {
+      aDone(base::MakeError(base::ErrorCode::eUnavailable,
+                            "ask owner",
+                            aCentre.mKeeper.Name().Value(),
+                            "no owner is known"));
+      return;
+    }
+    mContext.mPorts.NotifyDataCentre(
+      *owner, { aCentre.mKeeper.Name(), aVersion }, std::move(aDone));
+  }
+
+  Context<P>& mContext;
+  Centres& mCentres;
+};
+
+} // namespace flamingoloom::control
--- /dev/null
+++ b/flamingoloom/control/centre_jobs.h
@@ -0,0 +1,651 @@
+// The recorded requests of one owned data centre: loads them after a
+// take-over, queues, places and starts them, and writes each change of state
+// before acting on it. Not thread-safe.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "flamingoloom/control/attempt_runner.h"
+#include "flamingoloom/control/capacity.h"
+#include "flamingoloom/control/centre_keeper.h"
+#include "flamingoloom/control/context.h"
+#include "flamingoloom/control/record_store.h"
+
+namespace flamingoloom::control {
+
+template <platform::Ports P>
+class CentreJobs
+{
+public:
+  CentreJobs(Context<P>& aContext,
+             RecordStore<P>& aStore,
+             CentreKeeper<P>& aKeeper)
+    : mContext(aContext)
+    , mStore(aStore)
+    , mKeeper(aKeeper)
+    , mCapacity(aContext.mOptions.mRecordedSlots)
+  {
+  }
+
+  // aChoose names another data centre for a queued record; aOnMoved is called
+  // after the record has moved there.
+  void SetMover(
+    std::function<std::optional<base::DataCentreId>(const ledger::Record&)>
+      aChoose,
+    std::function<void(const base::RequestId&, const base::DataCentreId&)>
+      aOnMoved)
+  {
+    mChooseOther = std::move(aChoose);
+    mOnMoved = std::move(aOnMoved);
+  }
+
+  // A new epoch is held: requests that other owners left are loaded.
+  void OnEpoch()
+  {
+    if (!mOwned) {
+      mOwned = true;
+      ++mGeneration;
+      Load();
+    }
+  }
+
+  // The data centre has another owner, or none: everything is left as it is.
+  void OnLost()
+  {
+    mOwned = false;
+    mLoaded = false;
+    ++mGeneration;
+    for (auto& [request, job] : mJobs) {
+      if (job->mRunner) {
+        job->mRunner->Abandon();
+      }
+      Answer(*job,
+             base::MakeError(base::ErrorCode::eUnavailable,
+                             "await request",
+                             mContext.mIdentity.mId.Value(),
+                             "the data centre has another owner"));
+    }
+    mJobs.clear();
+    mCapacity.Clear();
+  }
+
+  bool IsLoaded() const { return mOwned && mLoaded; }
+
+  // A record may be new; reads it if it is not known.
+  void Notice(const base::RequestId& aRequest)
+  {
+    if (!mOwned || mJobs.contains(aRequest)) {
+      return;
+    }
+    mStore.Find(aRequest,
+                [this, generation = mGeneration](
+                  const base::Expected<std::optional<StoredRecord>>& aFound) {
+                  if (generation == mGeneration && aFound && *aFound) {
+                    Add(**aFound);
+                    Pump();
+                  }
+                });
+  }
+
+  void CancelRequest(const base::RequestId& aRequest)
+  {
+    auto found = mJobs.find(aRequest);
+    if (found == mJobs.end()) {
+      return;
+    }
+    Job& job = *found->second;
+    job.mCancelled = true;
+    if (job.mRunner) {
+      job.mRunner->Stop(platform::TaskAction::eStop);
+    } else if (!job.mWriting) {
+      Change(found->second,
+             ledger::Cancel(job.mStored.mRecord, "cancelled by the caller"));
+    }
+  }
+
+  // Answers when the record is terminal or after aWait.
+  void Await(const base::RequestId& aRequest,
+             base::Duration aWait,
+             platform::Done<platform::RequestProgress> aDone)
+  {
+    auto found = mJobs.find(aRequest);
+    if (found == mJobs.end()) {
+      aDone(base::MakeError(base::ErrorCode::eNotFound,
+                            "await request",
+                            mContext.mIdentity.mId.Value(),
+                            "the request is not open here"));
+      return;
+    }
+    std::uint64_t id = ++mWaiterIds;
+    found->second->mWaiters[id] = std::move(aDone);
+    mContext.mPorts.After(aWait, [this, aRequest, id] {
+      auto job = mJobs.find(aRequest);
+      if (job == mJobs.end() || !job->second->mWaiters.contains(id)) {
+        return;
+      }
+      auto done = std::move(job->second->mWaiters[id]);
+      job->second->mWaiters.erase(id);
+      done(platform::RequestProgress{});
+    });
+  }
+
+  // Does what is due now.
+  void Step()
+  {
+    if (!mOwned) {
+      return;
+    }
+    if (mContext.Now() >= mNextScan) {
+      Load();
+    }
+    Pump();
+  }
+
+  // No record is being written and no start is on its way, so that a new
+  // owner finds each request as it is.
+  bool IsQuiet() const
+  {
+    base::Time now = mContext.Now();
+    return std::none_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+      const Job& job = *aEntry.second;
+      return job.mWriting ||
+             (job.mRunner && now - job.mRunner->LaunchedAt() < kStartArrives);
+    });
+  }
+
+  std::size_t OpenCount() const { return mJobs.size(); }
+
+  // Open records with the states that views show.
+  std::vector<ledger::Record> Records() const
+  {
+    std::vector<ledger::Record> records;
+    for (const auto& [request, job] : mJobs) {
+      records.push_back(job->mStored.mRecord);
+    }
+    return records;
+  }
+
+private:
+  struct Job
+  {
+    StoredRecord mStored;
+    std::uint64_t mArrival = 0;
+    base::Time mSince{};
+    bool mWriting = false;
+    bool mCancelled = false;
+    // Not tried again before this time.
+    base::Time mNotBefore{};
+    std::shared_ptr<AttemptRunner<P>> mRunner;
+    std::map<std::uint64_t, platform::Done<platform::RequestProgress>> mWaiters;
+  };
+  using JobPtr = std::shared_ptr<Job>;
+
+  static constexpr base::Duration kScanRetry = std::chrono::milliseconds(300);
+  static constexpr base::Duration kRequeueDelay =
+    std::chrono::milliseconds(300);
+  // A start that was sent so long ago has reached its server or never will.
+  static constexpr base::Duration kStartArrives = std::chrono::seconds(1);
+  static constexpr std::size_t kLargestAnswerInRow = 4096;
+
+  std::function<bool()> MayWrite()
+  {
+    return [this, generation = mGeneration] {
+      return generation == mGeneration && mKeeper.Holds();
+    };
+  }
+
+  // --- Loading -----------------------------------------------------------
+
+  void Load()
+  {
+    mNextScan = mContext.Now() + mContext.mOptions.mRescanEvery;
+    mContext.mPorts.Scan(
+      ledger::OpenPrefix(mKeeper.Name()),
+      [this, generation = mGeneration](
+        const base::Expected<std::vector<platform::Row>>& aRows) {
+        if (generation != mGeneration) {
+          return;
+        }
+        if (!aRows) {
+          ++mContext.mCounters.mStoreFailures;
+          mNextScan = mContext.Now() + kScanRetry;
+          return;
+        }
+        ReadIndexes(*aRows);
+      });
+  }
+
+  // The rows of the keys are needed to end the requests.
+  void ReadIndexes(const std::vector<platform::Row>& aRows)
+  {
+    std::vector<StoredRecord> opened;
+    std::vector<std::string> keys;
+    for (const platform::Row& row : aRows) {
+      auto record = ledger::Decode(row.mValue);
+      if (record && !mJobs.contains(record->mRequest)) {
+        keys.push_back(ledger::IndexKey(record->mRequest));
+        opened.push_back({ *record, row.mVersion, 0 });
+      }
+    }
+    if (opened.empty()) {
+      mLoaded = true;
+      Pump();
+      return;
+    }
+    mContext.mPorts.Read(
+      keys,
+      [this, generation = mGeneration, opened](
+        const base::Expected<std::vector<platform::Row>>& aRows) {
+        if (generation != mGeneration) {
+          return;
+        }
+        if (!aRows) {
+          ++mContext.mCounters.mStoreFailures;
+          mNextScan = mContext.Now() + kScanRetry;
+          return;
+        }
+        AddLoaded(opened, *aRows);
+      });
+  }
+
+  void AddLoaded(std::vector<StoredRecord> aOpened,
+                 const std::vector<platform::Row>& aIndexes)
+  {
+    std::map<std::string, std::uint64_t> versions;
+    for (const platform::Row& row : aIndexes) {
+      versions[row.mKey] = row.mVersion;
+    }
+    for (StoredRecord& stored : aOpened) {
+      stored.mIndexVersion =
+        versions[ledger::IndexKey(stored.mRecord.mRequest)];
+      Add(stored);
+    }
+    mLoaded = true;
+    Pump();
+  }
+
+  void Add(const StoredRecord& aStored)
+  {
+    const ledger::Record& record = aStored.mRecord;
+    if (record.IsTerminal() || record.mDataCentre != mKeeper.Name() ||
+        mJobs.contains(record.mRequest)) {
+      return;
+    }
+    auto job = std::make_shared<Job>();
+    job->mStored = aStored;
+    job->mArrival = ++mArrivals;
+    job->mSince = mContext.Now();
+    mJobs[record.mRequest] = job;
+    if (record.mState == ledger::RecordState::eStarting) {
+      mCapacity.Occupy(record.mRequest, record.mAttempt->mPlaces);
+    }
+  }
+
+  // --- Starting ----------------------------------------------------------
+
+  void Pump()
+  {
+    if (!mLoaded || !mContext.mConfig || mPumping) {
+      return;
+    }
+    mPumping = true;
+    mCapacity.SetServers(mKeeper.StartableServers());
+    for (const JobPtr& job : InOrder()) {
+      StepJob(job);
+    }
+    mPumping = false;
+  }
+
+  // Urgent kinds first, then by arrival.
+  std::vector<JobPtr> InOrder() const
+  {
+    std::vector<JobPtr> jobs;
+    for (const auto& [request, job] : mJobs) {
+      if (!job->mWriting && !job->mRunner) {
+        jobs.push_back(job);
+      }
+    }
+    auto order = [this](const JobPtr& aJob) {
+      const config::JobKind* kind =
+        mContext.mConfig->Kind(aJob->mStored.mRecord.mKind);
+      int priority = kind ? static_cast<int>(kind->mPriority) : 0;
+      return std::tuple(-priority, aJob->mArrival);
+    };
+    std::sort(jobs.begin(), jobs.end(), [&](const auto& aA, const auto& aB) {
+      return order(aA) < order(aB);
+    });
+    return jobs;
+  }
+
+  void StepJob(const JobPtr& aJob)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    if (record.mState == ledger::RecordState::eStarting) {
+      TryAdopt(aJob);
+      return;
+    }
+    if (mContext.Now() < aJob->mNotBefore || mContext.IsLeaving()) {
+      return;
+    }
+    const config::JobKind* kind = mContext.mConfig->Kind(record.mKind);
+    if (!kind) {
+      EndWithoutRun(aJob, "the job kind no longer exists");
+    } else if (mKeeper.State().IsOut()) {
+      MoveAway(aJob);
+    } else if (kind->mDeadline > base::Duration{} &&
+               mContext.Now() - aJob->mSince > kind->mDeadline) {
+      EndWithoutRun(aJob, "could not be started within its deadline");
+    } else if (mKeeper.MayStart(mKeeper.State().HeldEpoch())) {
+      TryStart(aJob, *kind);
+    }
+  }
+
+  // Refused when it never ran, else failed: it may have run before.
+  void EndWithoutRun(const JobPtr& aJob, const std::string& aReason)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    if (record.mMayHaveRun) {
+      Change(aJob, ledger::Cancel(record, aReason));
+      return;
+    }
+    auto refused = ledger::Refuse(record, aReason);
+    if (!mContext.mOptions.mMechanisms.mDurableRefusal && refused) {
+      Answer(*aJob,
+             platform::RequestProgress{ true, ledger::Encode(*refused) });
+      return;
+    }
+    Change(aJob, refused);
+  }
+
+  void TryAdopt(const JobPtr& aJob)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    // Until the servers are fenced, messages of the former owner can still
+    // start tasks. A server that is listed no more cannot be fenced; asking it
+    // fails, and the attempt counts as lost.
+    for (const ledger::TaskPlace& place : record.mAttempt->mPlaces) {
+      if (mContext.mMembers.Find(place.mServer.mId.Value()) &&
+          !mKeeper.IsFenced(place.mServer.mId)) {
+        return;
+      }
+    }
+    MakeRunner(aJob);
+    aJob->mRunner->Adopt();
+  }
+
+  void MakeRunner(const JobPtr& aJob)
+  {
+    aJob->mRunner = std::make_shared<AttemptRunner<P>>(
+      mContext,
+      aJob->mStored.mRecord,
+      [this, generation = mGeneration](base::Epoch aEpoch) {
+        return generation == mGeneration && mKeeper.MayStart(aEpoch);
+      },
+      [this, generation = mGeneration, aJob](const AttemptOutcome& aOutcome) {
+        if (generation == mGeneration) {
+          OnOutcome(aJob, aOutcome);
+        }
+      });
+  }
+
+  void TryStart(const JobPtr& aJob, const config::JobKind& aKind)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    auto places =
+      mCapacity.Place(record.mRequest, aKind, record.mFailedServers);
+    if (!places) {
+      return;
+    }
+    ledger::Attempt attempt{ base::AttemptId(mContext.UniqueId()),
+                             mKeeper.State().HeldEpoch(),
+                             std::move(*places) };
+    auto next = ledger::Start(record, std::move(attempt));
+    if (!mContext.mOptions.mMechanisms.mDurableIntent && next) {
+      aJob->mStored.mRecord = *next;
+      MakeRunner(aJob);
+      aJob->mRunner->Launch();
+      return;
+    }
+    Change(aJob, next, [this, aJob] {
+      MakeRunner(aJob);
+      aJob->mRunner->Launch();
+    });
+  }
+
+  // --- Ending ------------------------------------------------------------
+
+  void OnOutcome(const JobPtr& aJob, const AttemptOutcome& aOutcome)
+  {
+    aJob->mRunner.reset();
+    mCapacity.Release(aJob->mStored.mRecord.mRequest);
+    using Kind = AttemptOutcome::Kind;
+    if (aJob->mCancelled && aOutcome.mKind != Kind::eFinished) {
+      Change(aJob,
+             ledger::Cancel(aJob->mStored.mRecord, "cancelled by the caller"));
+      return;
+    }
+    switch (aOutcome.mKind) {
+      case Kind::eFinished:
+        StoreAnswer(aJob, aOutcome.mAnswer);
+        return;
+      case Kind::eNotRun:
+        Repeat(aJob, aOutcome, true);
+        return;
+      case Kind::eStopped:
+        Repeat(aJob, aOutcome, false);
+        return;
+      case Kind::eFailed:
+        OnFailed(aJob, aOutcome);
+        return;
+      case Kind::eLost:
+        ++mContext.mCounters.mAttemptsLost;
+        OnUncertain(aJob, aOutcome);
+        return;
+    }
+  }
+
+  bool IsIdempotent(const ledger::Record& aRecord) const
+  {
+    const config::JobKind* kind = mContext.mConfig->Kind(aRecord.mKind);
+    return kind && kind->mIdempotent;
+  }
+
+  void OnFailed(const JobPtr& aJob, const AttemptOutcome& aOutcome)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    std::size_t failures = record.mFailedServers.size() + 1;
+    bool triesLeft =
+      failures < static_cast<std::size_t>(mContext.mOptions.mMostAttempts);
+    if (IsIdempotent(record) && triesLeft) {
+      Repeat(aJob, aOutcome, false);
+    } else {
+      Change(aJob, ledger::Fail(record, aOutcome.mReason));
+    }
+  }
+
+  void OnUncertain(const JobPtr& aJob, const AttemptOutcome& aOutcome)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    if (IsIdempotent(record)) {
+      Repeat(aJob, aOutcome, false);
+    } else if (!mContext.mOptions.mMechanisms.mNeverRepeat) {
+      Repeat(aJob, aOutcome, true);
+    } else {
+      ++mContext.mCounters.mUnknownOutcomes;
+      Change(aJob, ledger::MarkUnknown(record, aOutcome.mReason));
+    }
+  }
+
+  void Repeat(const JobPtr& aJob,
+              const AttemptOutcome& aOutcome,
+              bool aCertainlyNotRun)
+  {
+    const ledger::Record& record = aJob->mStored.mRecord;
+    ledger::Requeue requeue;
+    requeue.mCertainlyNotRun = aCertainlyNotRun;
+    requeue.mIdempotent = IsIdempotent(record);
+    requeue.mReason = aOutcome.mReason;
+    // A server that was never reached has not failed the job, so only a task
+    // that ran counts against the job.
+    if (aOutcome.mKind == AttemptOutcome::Kind::eFailed) {
+      requeue.mFailedServer = aOutcome.mServer;
+    }
+    aJob->mNotBefore = mContext.Now() + kRequeueDelay;
+    Change(aJob, ledger::Apply(record, requeue));
+  }
+
+  void StoreAnswer(const JobPtr& aJob, const std::string& aAnswer)
+  {
+    auto next = ledger::Finish(aJob->mStored.mRecord, aAnswer);
+    if (!next || aAnswer.size() <= kLargestAnswerInRow) {
+      Change(aJob, next);
+      return;
+    }
+    aJob->mWriting = true;
+    mContext.mPorts.PutObject(
+      aAnswer,
+      [this, generation = mGeneration, aJob, aAnswer, next](
+        const base::Expected<std::string>& aDigest) mutable {
+        if (generation != mGeneration) {
+          return;
+        }
+        if (!aDigest) {
+          ++mContext.mCounters.mStoreFailures;
+          mContext.mPorts.After(kScanRetry, [this, aJob, aAnswer, generation] {
+            if (generation == mGeneration) {
+              StoreAnswer(aJob, aAnswer);
+            }
+          });
+          return;
+        }
+        next->mAnswer.clear();
+        next->mAnswerInStore = true;
+        Change(aJob, next);
+      });
+  }
+
+  // --- Moving ------------------------------------------------------------
+
+  void MoveAway(const JobPtr& aJob)
+  {
+    if (!mChooseOther) {
+      return;
+    }
+    auto to = mChooseOther(aJob->mStored.mRecord);
+    if (!to) {
+      return;
+    }
+    ++mContext.mCounters.mMovedRequests;
+    base::RequestId request = aJob->mStored.mRecord.mRequest;
+    Change(aJob,
+           ledger::Move(aJob->mStored.mRecord, *to),
+           [this, request, to = *to] { mOnMoved(request, to); });
+  }
+
+  // --- Writing -----------------------------------------------------------
+
+  // Writes aNext and continues with aThen, or drops the job when another
+  // writer has changed it.
+  void Change(const JobPtr& aJob,
+              const base::Expected<ledger::Record>& aNext,
+              std::function<void()> aThen = {})
+  {
+    if (!aNext) {
+      // A transition that the ledger forbids; the record stays as it is.
+      aJob->mNotBefore = mContext.Now() + mContext.mOptions.mRescanEvery;
+      return;
+    }
+    aJob->mWriting = true;
+    mStore.Replace(aJob->mStored,
+                   *aNext,
+                   MayWrite(),
+                   [this, generation = mGeneration, aJob, aThen](
+                     const base::Expected<StoredRecord>& aStored) {
+                     if (generation == mGeneration) {
+                       OnWritten(aJob, aStored, aThen);
+                     }
+                   });
+  }
+
+  void OnWritten(const JobPtr& aJob,
+                 const base::Expected<StoredRecord>& aStored,
+                 const std::function<void()>& aThen)
+  {
+    aJob->mWriting = false;
+    if (!aStored) {
+      base::RequestId request = aJob->mStored.mRecord.mRequest;
+      Drop(aJob);
+      // Another owner's late write is taken as found.
+      if (mOwned) {
+        Notice(request);
+      }
+      return;
+    }
+    aJob->mStored = *aStored;
+    const ledger::Record& record = aJob->mStored.mRecord;
+    if (record.IsTerminal()) {
+      Answer(*aJob, platform::RequestProgress{ true, ledger::Encode(record) });
+      Drop(aJob);
+    } else if (record.mDataCentre != mKeeper.Name()) {
+      Drop(aJob);
+    } else if (record.mState == ledger::RecordState::eAccepted) {
+      mCapacity.Release(record.mRequest);
+    }
+    if (aThen) {
+      aThen();
+    }
+    if (aJob->mCancelled && !record.IsTerminal()) {
+      CancelRequest(record.mRequest);
+    }
+    Pump();
+  }
+
+  void Drop(const JobPtr& aJob)
+  {
+    mCapacity.Release(aJob->mStored.mRecord.mRequest);
+    Answer(*aJob,
+           base::MakeError(base::ErrorCode::eNotFound,
+                           "await request",
+                           mContext.mIdentity.mId.Value(),
+                           "the request is no longer open here"));
+    mJobs.erase(aJob->mStored.mRecord.mRequest);
+  }
+
+  void Answer(Job& aJob,
+              const base::Expected<platform::RequestProgress>& aProgress)
+  {
+    auto waiters = std::exchange(aJob.mWaiters, {});
+    for (auto& [id, done] : waiters) {
+      done(aProgress);
+    }
+  }
+
+  Context<P>& mContext;
+  RecordStore<P>& mStore;
+  CentreKeeper<P>& mKeeper;
+  Capacity mCapacity;
+  std::map<base::RequestId, JobPtr> mJobs;
+  std::function<std::optional<base::DataCentreId>(const ledger::Record&)>
+    mChooseOther;
+  std::function<void(const base::RequestId&, const base::DataCentreId&)>
+    mOnMoved;
+  bool mOwned = false;
+  bool mLoaded = false;
+  bool mPumping = false;
+  // Rises with each change of ownership, so that callbacks of an earlier
+  // ownership are ignored.
+  std::uint64_t mGeneration = 0;
+  std::uint64_t mArrivals = 0;
+  std::uint64_t mWaiterIds = 0;
+  base::Time mNextScan{};
+};
+
+} // namespace flamingoloom::control
--- /dev/null
+++ b/flamingoloom/control/config_row.cpp
@@ -0,0 +1,38 @@
+#include "flamingoloom/control/config_row.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace flamingoloom::control {
+
+using nlohmann::json;
+
+std::string HistoryKey(std::uint64_t aVersion)
+{
+  // Padded, so that rows are listed in the order of their versions.
+  return fmt::format("config/history/{:012}", aVersion);
+}
+
+std::string EncodeConfigRow(const ConfigRow& aRow)
+{
+  return json{
+    { "version", aRow.mVersion },
+    { "digest", aRow.mDigest },
+    { "nonce", aRow.mNonce }
+  }.dump();
+}
+
+base::Expected<ConfigRow> DecodeConfigRow(const std::string& aText)
+{
+  try {
+    json row = json::parse(aText);
+    return ConfigRow{ row.at("version"), row.at("digest"), row.at("nonce") };
+  } catch (const json::exception& error) {
+    return base::MakeError(base::ErrorCode::eInvalid,
+                           "decode configuration row",
+                           "table",
+                           error.what());
+  }
+}
+
+} // namespace flamingoloom::control
--- /dev/null
+++ b/flamingoloom/control/context.h
@@ -0,0 +1,93 @@
+// What the parts of an instance share: its ports, identity, configuration,
+// members and counters. Not thread-safe; all parts of an instance run on one
+// thread.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "flamingoloom/config/configuration.h"
+#include "flamingoloom/control/api.h"
+#include "flamingoloom/control/options.h"
+#include "flamingoloom/ledger/group_commit.h"
+#include "flamingoloom/ownership/membership.h"
+#include "flamingoloom/platform/ports.h"
+
+namespace flamingoloom::control {
+
+// Counts since the start of the instance.
+struct Counters
+{
+  std::uint64_t mQuickRequests = 0;
+  std::uint64_t mQuickRefused = 0;
+  std::uint64_t mQuickRetries = 0;
+  std::uint64_t mRecordedRequests = 0;
+  std::uint64_t mJoinedRequests = 0;
+  std::uint64_t mAttempts = 0;
+  std::uint64_t mAttemptsFailed = 0;
+  std::uint64_t mAttemptsLost = 0;
+  std::uint64_t mUnknownOutcomes = 0;
+  std::uint64_t mBadAnswers = 0;
+  std::uint64_t mTakeOvers = 0;
+  std::uint64_t mLeasesLost = 0;
+  std::uint64_t mLeaseExtensions = 0;
+  std::uint64_t mStaleEpochs = 0;
+  std::uint64_t mMovedRequests = 0;
+  std::uint64_t mPreemptions = 0;
+  std::uint64_t mStoreFailures = 0;
+  std::uint64_t mConfigChanges = 0;
+};
+
+template <platform::Ports P>
+class Context
+{
+public:
+  Context(P& aPorts, InstanceIdentity aIdentity, InstanceOptions aOptions)
+    : mPorts(aPorts)
+    , mIdentity(std::move(aIdentity))
+    , mOptions(std::move(aOptions))
+    , mGroupCommit(aPorts)
+  {
+  }
+
+  base::Time Now() { return mPorts.Now(); }
+
+  // An id that no other call of any instance returns.
+  std::string UniqueId()
+  {
+    return fmt::format(
+      "{}-{:x}-{:x}", mIdentity.mId.Value(), ++mIds, mPorts.Random());
+  }
+
+  bool IsLeaving() const { return mLeaving; }
+
+  // 0 for the same data centre, 1 for the same region, 2 for another region.
+  int Distance(const base::DataCentreId& aDataCentre) const
+  {
+    if (aDataCentre == mIdentity.mDataCentre) {
+      return 0;
+    }
+    const config::DataCentre* centre =
+      mConfig ? mConfig->Centre(aDataCentre) : nullptr;
+    return centre && centre->mRegion == mIdentity.mRegion ? 1 : 2;
+  }
+
+  P& mPorts;
+  const InstanceIdentity mIdentity;
+  const InstanceOptions mOptions;
+  // Null until the first configuration has arrived.
+  std::shared_ptr<const config::Configuration> mConfig;
+  ownership::Membership mMembers;
+  ledger::GroupCommit<P> mGroupCommit;
+  Counters mCounters;
+  bool mLeaving = false;
+
+private:
+  std::uint64_t mIds = 0;
+};
+
+} // namespace flamingoloom::control
--- /dev/null
+++ b/flamingoloom/control/instance.h
@@ -0,0 +1,567 @@
+// One instance of flamingoloom: composes ownership, jobs, small requests and
+// configuration over its ports.
+//
+//   Instance<MyPorts> instance(ports, identity, InstanceOptions{});
+//   instance.Start();
+//   instance.Submit(request, [](base::Expected<CallerAnswer> aAnswer) { ... });
+//
+// All instances are equal. Not thread-safe: every call, and every callback of
+// the ports, happens on one thread. The instance must outlive the callbacks.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "flamingoloom/control/centre_changes.h"
+#include "flamingoloom/control/centre_jobs.h"
+#include "flamingoloom/control/centre_keeper.h"
+#include "flamingoloom/control/config_keeper.h"
+#include "flamingoloom/control/context.h"
+#include "flamingoloom/control/owned_centre.h"
+#include "flamingoloom/control/quick_requests.h"
+#include "flamingoloom/control/record_store.h"
+#include "flamingoloom/control/recorded_requests.h"
+
+namespace flamingoloom::control {
+
+template <platform::Ports P, class Routing = dispatch::WeightedRouting>
+class Instance
+{
+public:
+  Instance(P& aPorts, InstanceIdentity aIdentity, InstanceOptions aOptions)
+    : mContext(aPorts, std::move(aIdentity), std::move(aOptions))
+    , mStore(mContext)
+    , mConfig(mContext, [this] { OnConfigChange(); })
+    , mQuick(mContext)
+    , mRecorded(mContext, mStore, MakeLinks())
+    , mChanges(mContext, mCentres)
+  {
+  }
+  Instance(const Instance&) = delete;
+  Instance& operator=(const Instance&) = delete;
+
+  // Begins to follow the platform and the peers. Call once.
+  void Start()
+  {
+    ListMembers();
+    Watch();
+    Tick();
+  }
+
+  // --- Callers -----------------------------------------------------------
+
+  // Errors: eLeaving, eUnavailable without a configuration, eInvalid with the
+  // field at fault, eConflict for a key that was used with another body.
+  void Submit(const CallerRequest& aRequest, AnswerDone aDone)
+  {
+    if (auto error = CheckRequest(aRequest)) {
+      aDone(tl::unexpected(*error));
+      return;
+    }
+    const config::JobKind& kind = *mContext.mConfig->Kind(aRequest.mKind);
+    if (NeedsRecord(kind)) {
+      mRecorded.Submit(aRequest, std::move(aDone));
+    } else {
+      mQuick.Submit(aRequest, kind, std::move(aDone));
+    }
+  }
+
+  // The state of a recorded request; waits up to aWait for its end.
+  void Await(const base::RequestId& aRequest,
+             base::Duration aWait,
+             AnswerDone aDone)
+  {
+    mRecorded.Await(aRequest, aWait, std::move(aDone));
+  }
+
+  void Cancel(const base::RequestId& aRequest, AnswerDone aDone)
+  {
+    mRecorded.CancelRequest(aRequest, std::move(aDone));
+  }
+
+  // --- Operators ---------------------------------------------------------
+
+  void ChangeDataCentre(const DataCentreChange& aChange, DataCentreDone aDone)
+  {
+    mChanges.Change(aChange, std::move(aDone));
+  }
+
+  void DataCentres(platform::Done<std::vector<DataCentreView>> aDone)
+  {
+    mChanges.List(std::move(aDone));
+  }
+
+  void PutConfiguration(std::uint64_t aExpectedVersion,
+                        config::Configuration aConfiguration,
+                        ConfigDone aDone)
+  {
+    mConfig.Put(aExpectedVersion, std::move(aConfiguration), std::move(aDone));
+  }
+
+  // Planned stop: takes no new requests, hands over what it owns, finishes
+  // what is in progress, then calls aDone.
+  void Leave(std::function<void()> aDone)
+  {
+    mContext.mLeaving = true;
+    AnnounceLeaving();
+    mOnLeft = std::move(aDone);
+  }
+
+  std::uint64_t ConfigVersion() const { return mConfig.Version(); }
+  const std::string& ConfigDocument() const { return mConfig.Document(); }
+
+  // Has a configuration and a member list and is not leaving.
+  bool IsReady() const
+  {
+    return mContext.mConfig && mContext.mMembers.HasList() &&
+           !mContext.mLeaving;
+  }
+
+  Context<P>& State() { return mContext; }
+  const std::map<base::DataCentreId, std::unique_ptr<OwnedCentre<P>>>& Centres()
+    const
+  {
+    return mCentres;
+  }
+  std::size_t InProgress() const
+  {
+    return mQuick.InProgress() + mRecorded.InProgress();
+  }
+
+  // --- Peers -------------------------------------------------------------
+
+  void OnRequestCredits(const platform::CreditRequest& aRequest,
+                        platform::Done<platform::CreditGrant> aDone)
+  {
+    OwnedCentre<P>* centre = FindCentre(aRequest.mDataCentre);
+    if (!centre || !centre->mJobs.IsLoaded()) {
+      aDone(NotOwner("grant credits", aRequest.mDataCentre));
+      return;
+    }
+    aDone(centre->mKeeper.GrantCredits(aRequest));
+  }
+
+  void OnNotifyRequest(const platform::RequestNotice& aNotice,
+                       platform::Done<platform::Nothing> aDone)
+  {
+    OwnedCentre<P>* centre = FindCentre(aNotice.mDataCentre);
+    if (!centre || !centre->mKeeper.Holds()) {
+      aDone(NotOwner("take request", aNotice.mDataCentre));
+      return;
+    }
+    if (aNotice.mCancel) {
+      centre->mJobs.CancelRequest(aNotice.mRequest);
+    } else {
+      centre->mJobs.Notice(aNotice.mRequest);
+    }
+    aDone(platform::Nothing{});
+  }
+
+  void OnAwaitRequest(const platform::RequestNotice& aNotice,
+                      base::Duration aWait,
+                      platform::Done<platform::RequestProgress> aDone)
+  {
+    OwnedCentre<P>* centre = FindCentre(aNotice.mDataCentre);
+    if (!centre || !centre->mKeeper.Holds()) {
+      aDone(NotOwner("await request", aNotice.mDataCentre));
+      return;
+    }
+    centre->mJobs.Await(aNotice.mRequest, aWait, std::move(aDone));
+  }
+
+  void OnNotifyDataCentre(const platform::DataCentreNotice& aNotice,
+                          platform::Done<platform::DataCentreStatus> aDone)
+  {
+    OwnedCentre<P>* centre = FindCentre(aNotice.mDataCentre);
+    if (!centre || !centre->mKeeper.Holds()) {
+      aDone(NotOwner("take out", aNotice.mDataCentre));
+      return;
+    }
+    if (centre->mKeeper.State().DataCentreVersion() < aNotice.mRowVersion) {
+      centre->mKeeper.Read();
+    }
+    aDone(centre->mKeeper.Status());
+  }
+
+  void OnRequestPromise(const platform::PromiseRequest&,
+                        platform::Done<platform::Nothing> aDone)
+  {
+    aDone(base::MakeError(base::ErrorCode::eDenied,
+                          "promise",
+                          mContext.mIdentity.mId.Value(),
+                          "promises are not in use"));
+  }
+
+  void OnAnnounceConfig(const platform::ConfigNotice& aNotice,
+                        platform::Done<platform::Nothing> aDone)
+  {
+    mConfig.OnAnnounced(aNotice.mVersion);
+    aDone(platform::Nothing{});
+  }
+
+  void OnAnnounceLeaving(const platform::LeavingNotice& aNotice,
+                         platform::Done<platform::Nothing> aDone)
+  {
+    mContext.mMembers.MarkLeaving(aNotice.mMember);
+    aDone(platform::Nothing{});
+  }
+
+  // The topic "config" gives the document in force.
+  void OnQueryStatus(const std::string& aTopic,
+                     platform::Done<std::string> aDone)
+  {
+    if (aTopic == "config" && !mConfig.Document().empty()) {
+      aDone(mConfig.Document());
+      return;
+    }
+    aDone(base::MakeError(base::ErrorCode::eNotFound,
+                          "query status",
+                          mContext.mIdentity.mId.Value(),
+                          "no such topic: " + aTopic,
+                          "topic"));
+  }
+
+private:
+  static bool NeedsRecord(const config::JobKind& aKind)
+  {
+    return aKind.mDurable || !aKind.mIdempotent || aKind.mTasks > 1 ||
+           aKind.mAcceleratorsPerTask > 0;
+  }
+
+  std::optional<base::Error> CheckRequest(const CallerRequest& aRequest) const
+  {
+    auto fail = [](base::ErrorCode aCode,
+                   const char* aMessage,
+                   const char* aField) {
+      return base::Error{ aCode, "accept request", "caller", aMessage, aField };
+    };
+    if (mContext.mLeaving) {
+      return fail(base::ErrorCode::eLeaving, "the instance is leaving", "");
+    }
+    if (!mContext.mConfig) {
+      return fail(
+        base::ErrorCode::eUnavailable, "there is no configuration yet", "");
+    }
+    if (!mContext.mConfig->Account(aRequest.mAccount)) {
+      return fail(
+        base::ErrorCode::eInvalid, "unknown client account", "/account");
+    }
+    const config::JobKind* kind = mContext.mConfig->Kind(aRequest.mKind);
+    if (!kind) {
+      return fail(base::ErrorCode::eInvalid, "unknown job kind", "/kind");
+    }
+    if (NeedsRecord(*kind) && aRequest.mKey.empty()) {
+      return fail(base::ErrorCode::eInvalid,
+                  "this job kind needs an idempotency key",
+                  "Idempotency-Key");
+    }
+    return std::nullopt;
+  }
+
+  tl::unexpected<base::Error> NotOwner(
+    const std::string& aStep,
+    const base::DataCentreId& aDataCentre) const
+  {
+    return base::MakeError(base::ErrorCode::eUnavailable,
+                           aStep,
+                           mContext.mIdentity.mId.Value(),
+                           "does not own " + aDataCentre.Value());
+  }
+
+  OwnedCentre<P>* FindCentre(const base::DataCentreId& aDataCentre) const
+  {
+    auto found = mCentres.find(aDataCentre);
+    return found == mCentres.end() ? nullptr : found->second.get();
+  }
+
+  // --- Following ---------------------------------------------------------
+
+  void OnConfigChange()
+  {
+    for (const config::DataCentre& centre : mContext.mConfig->mDataCentres) {
+      if (!mCentres.contains(centre.mId)) {
+        auto owned =
+          std::make_unique<OwnedCentre<P>>(mContext, mStore, centre.mId);
+        owned->mJobs.SetMover(
+          [this, from = centre.mId](const ledger::Record& aRecord) {
+            return ChooseCentre(aRecord.mRequest.mAccount, aRecord.mKind, from);
+          },
+          [this](const base::RequestId& aRequest,
+                 const base::DataCentreId& aTo) {
+            Notify({ aTo, aRequest, false });
+          });
+        mCentres[centre.mId] = std::move(owned);
+      }
+    }
+  }
+
+  void ListMembers()
+  {
+    mContext.mPorts.ListMembers(
+      [this](const base::Expected<platform::MemberList>& aList) {
+        // Without an answer the last list is kept.
+        if (aList) {
+          mContext.mMembers.Update(mContext.Now(), *aList);
+        }
+      });
+    mContext.mPorts.After(mContext.mOptions.mMembersEvery,
+                          [this] { ListMembers(); });
+  }
+
+  // Reads in one call all rows that every instance follows.
+  void Watch()
+  {
+    std::vector<std::string> keys{ kConfigKey };
+    for (const auto& [name, centre] : mCentres) {
+      keys.push_back(ownership::LeaseKey(name));
+      keys.push_back(ownership::DataCentreKey(name));
+    }
+    mContext.mPorts.Read(
+      keys, [this](const base::Expected<std::vector<platform::Row>>& aRows) {
+        if (aRows) {
+          OnWatched(*aRows);
+        } else {
+          ++mContext.mCounters.mStoreFailures;
+          mConfig.AskPeers();
+        }
+      });
+    mContext.mPorts.After(mContext.mOptions.mWatchEvery, [this] { Watch(); });
+  }
+
+  void OnWatched(const std::vector<platform::Row>& aRows)
+  {
+    std::map<std::string, platform::Row> rows;
+    for (const platform::Row& row : aRows) {
+      rows[row.mKey] = row;
+    }
+    auto find = [&](const std::string& aKey) -> std::optional<platform::Row> {
+      auto found = rows.find(aKey);
+      return found == rows.end() ? std::nullopt : std::optional(found->second);
+    };
+    if (auto row = find(kConfigKey)) {
+      mConfig.Observe(*row);
+    }
+    for (auto& [name, centre] : mCentres) {
+      centre->mKeeper.Observe(find(ownership::LeaseKey(name)),
+                              find(ownership::DataCentreKey(name)));
+    }
+  }
+
+  void Tick()
+  {
+    for (auto& [name, centre] : mCentres) {
+      centre->mKeeper.Step();
+      centre->mJobs.Step();
+    }
+    mQuick.Step();
+    if (mContext.Now() >= mNextCredits) {
+      mNextCredits = mContext.Now() + mContext.mOptions.mCreditEvery;
+      AskForCredits();
+    }
+    if (mContext.mLeaving) {
+      StepLeaving();
+    }
+    mContext.mPorts.After(mContext.mOptions.mTickEvery, [this] { Tick(); });
+  }
+
+  // --- Credits -----------------------------------------------------------
+
+  void AskForCredits()
+  {
+    bool near = mQuick.HasNearCredits();
+    for (auto& [name, centre] : mCentres) {
+      // The slow link carries credits only when there are none nearer.
+      if (mContext.Distance(name) == 2 && near) {
+        continue;
+      }
+      AskForCredits(*centre);
+    }
+  }
+
+  void AskForCredits(OwnedCentre<P>& aCentre)
+  {
+    platform::CreditRequest request{ mContext.mIdentity.mId,
+                                     aCentre.mKeeper.Name(),
+                                     mQuick.Wanted() };
+    base::Time askedAt = mContext.Now();
+    auto put = [this,
+                askedAt](const base::Expected<platform::CreditGrant>& aGrant) {
+      if (aGrant) {
+        mQuick.Put(*aGrant, askedAt);
+      }
+    };
+    if (aCentre.mKeeper.Holds()) {
+      OnRequestCredits(request, put);
+    } else if (auto owner = OwnerOf(aCentre.mKeeper.Name())) {
+      mContext.mPorts.RequestCredits(*owner, request, put);
+    }
+  }
+
+  // --- Owners ------------------------------------------------------------
+
+  // The last known owner of a data centre, if it is another instance.
+  std::optional<platform::PeerAddress> OwnerOf(
+    const base::DataCentreId& aDataCentre) const
+  {
+    OwnedCentre<P>* centre = FindCentre(aDataCentre);
+    return centre ? centre->Owner(mContext.mIdentity.mId) : std::nullopt;
+  }
+
+  void Notify(const platform::RequestNotice& aNotice)
+  {
+    OwnedCentre<P>* centre = FindCentre(aNotice.mDataCentre);
+    if (centre && centre->mKeeper.Holds()) {
+      OnNotifyRequest(aNotice, [](const auto&) {});
+    } else if (auto owner = OwnerOf(aNotice.mDataCentre)) {
+      mContext.mPorts.NotifyRequest(*owner, aNotice, [](const auto&) {});
+    }
+  }
+
+  void AwaitAtOwner(const platform::RequestNotice& aNotice,
+                    base::Duration aWait,
+                    platform::Done<platform::RequestProgress> aDone)
+  {
+    OwnedCentre<P>* centre = FindCentre(aNotice.mDataCentre);
+    if (centre && centre->mKeeper.Holds()) {
+      OnAwaitRequest(aNotice, aWait, std::move(aDone));
+    } else if (auto owner = OwnerOf(aNotice.mDataCentre)) {
+      mContext.mPorts.AwaitRequest(*owner, aNotice, aWait, std::move(aDone));
+    } else {
+      aDone(NotOwner("await request", aNotice.mDataCentre));
+    }
+  }
+
+  typename RecordedRequests<P>::Links MakeLinks()
+  {
+    return { [this](const CallerRequest& aRequest) {
+              return ChooseCentre(aRequest.mAccount, aRequest.mKind, {});
+            },
+             [this](const platform::RequestNotice& aNotice) {
+               Notify(aNotice);
+             },
+             [this](const platform::RequestNotice& aNotice,
+                    base::Duration aWait,
+                    platform::Done<platform::RequestProgress> aDone) {
+               AwaitAtOwner(aNotice, aWait, std::move(aDone));
+             } };
+  }
+
+  // The data centre for a recorded request: those where the account has a
+  // guarantee of the kind's size go first, then the near ones, then chance.
+  std::optional<base::DataCentreId> ChooseCentre(
+    const base::AccountId& aAccount,
+    const base::KindId& aKind,
+    const base::DataCentreId& aNot)
+  {
+    const config::JobKind* kind =
+      mContext.mConfig ? mContext.mConfig->Kind(aKind) : nullptr;
+    std::optional<std::tuple<bool, int, std::uint64_t>> best;
+    std::optional<base::DataCentreId> chosen;
+    for (auto& [name, centre] : mCentres) {
+      if (name == aNot || centre->mKeeper.State().IsOut() ||
+          !mContext.mConfig->Centre(name)) {
+        continue;
+      }
+      std::tuple order(!HasGuarantee(aAccount, kind, name),
+                       mContext.Distance(name),
+                       mContext.mPorts.Random());
+      if (!best || order < *best) {
+        best = order;
+        chosen = name;
+      }
+    }
+    return chosen;
+  }
+
+  bool HasGuarantee(const base::AccountId& aAccount,
+                    const config::JobKind* aKind,
+                    const base::DataCentreId& aDataCentre) const
+  {
+    if (!aKind || aKind->Accelerators() == 0) {
+      return false;
+    }
+    for (const config::DataCentreGuarantee& assigned :
+         mContext.mConfig->mAssignments) {
+      if (assigned.mDataCentre == aDataCentre &&
+          assigned.mGuarantee.mAccount == aAccount &&
+          assigned.mGuarantee.mShape >= aKind->Accelerators()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // --- Leaving -----------------------------------------------------------
+
+  void AnnounceLeaving()
+  {
+    std::string self = mContext.mIdentity.mId.Value();
+    mContext.mMembers.MarkLeaving(self);
+    for (const platform::Member& peer : mContext.mMembers.Instances()) {
+      if (peer.mId != self) {
+        mContext.mPorts.AnnounceLeaving(
+          { base::InstanceId(peer.mId), peer.mPeerAddress },
+          { self },
+          [](const auto&) {});
+      }
+    }
+  }
+
+  void StepLeaving()
+  {
+    for (auto& [name, centre] : mCentres) {
+      if (centre->mKeeper.Holds() && centre->mJobs.IsQuiet() &&
+          !centre->mReleasing) {
+        centre->mReleasing = true;
+        centre->mKeeper.Release(SuccessorFor(name), [owned = centre.get()] {
+          owned->mReleasing = false;
+        });
+      }
+    }
+    if (HasLeft() && mOnLeft) {
+      std::exchange(mOnLeft, nullptr)();
+    }
+  }
+
+  bool HasLeft()
+  {
+    for (auto& [name, centre] : mCentres) {
+      if (centre->mKeeper.Holds() || centre->mReleasing) {
+        return false;
+      }
+    }
+    return InProgress() == 0 || !mContext.mOptions.mMechanisms.mGracefulStop;
+  }
+
+  // The live instance that would take over first.
+  base::InstanceId SuccessorFor(const base::DataCentreId& aDataCentre) const
+  {
+    const config::DataCentre* centre = mContext.mConfig->Centre(aDataCentre);
+    base::RegionId region = centre ? centre->mRegion : base::RegionId();
+    for (const platform::Member& peer : mContext.mMembers.Instances()) {
+      base::InstanceId id(peer.mId);
+      auto standing = mContext.mMembers.StandingOf(id, aDataCentre, region);
+      if (standing.mEligible && standing.mRank == 0) {
+        return id;
+      }
+    }
+    return {};
+  }
+
+  Context<P> mContext;
+  RecordStore<P> mStore;
+  ConfigKeeper<P> mConfig;
+  std::map<base::DataCentreId, std::unique_ptr<OwnedCentre<P>>> mCentres;
+  QuickRequests<P, Routing> mQuick;
+  RecordedRequests<P> mRecorded;
+  CentreChanges<P> mChanges;
+  base::Time mNextCredits{};
+  std::function<void()> mOnLeft;
+};
+
+} // namespace flamingoloom::control
--- /dev/null
+++ b/flamingoloom/control/record_answer.h
@@ -0,0 +1,12 @@
+// Translates a terminal record to the caller's answer. Thread-safe.
+#pragma once
+
+#include "flamingoloom/control/api.h"
+#include "flamingoloom/ledger/record.h"
+
+namespace flamingoloom::control {
+
+// Requires a terminal record with its whole answer.
+CallerAnswer AnswerFromRecord(const ledger::Record& aRecord);
+
+} // namespace flamingoloom::control
--- a/flamingoloom/ledger/record.h
+++ b/flamingoloom/ledger/record.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "flamingoloom/base/error.h"
@@ -132,4 +133,19 @@
 std::string Encode(const Record& aRecord);
 base::Expected<Record> Decode(const std::string& aText);
 
+// What the row of a key holds while the request's record is open.
+struct OpenIndex
+{
+  base::DataCentreId mDataCentre;
+  std::string mBodySha256;
+  std::string mNonce;
+
+  friend bool operator==(const OpenIndex&, const OpenIndex&) = default;
+};
+
+std::string Encode(const OpenIndex& aIndex);
+// Either the place of the open record or the terminal record itself.
+base::Expected<std::variant<OpenIndex, Record>> DecodeIndex(
+  const std::string& aText);
+
 } // namespace flamingoloom::ledger
--- a/flamingoloom/ledger/record_json.cpp
+++ b/flamingoloom/ledger/record_json.cpp
@@ -100,6 +100,16 @@
   return row.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+std::string Encode(const OpenIndex& aIndex)
+{
+  return json{
+    { "open", true },
+    { "dataCentre", aIndex.mDataCentre.Value() },
+    { "bodySha256", aIndex.mBodySha256 },
+    { "nonce", aIndex.mNonce }
+  }.dump();
+}
+
 base::Expected<Record> Decode(const std::string& aText)
 {
   try {
@@ -112,4 +122,21 @@
   }
 }
 
+base::Expected<std::variant<OpenIndex, Record>> DecodeIndex(
+  const std::string& aText)
+{
+  try {
+    json row = json::parse(aText);
+    if (!row.value("open", false)) {
+      return RecordFromJson(row);
+    }
+    return OpenIndex{ base::DataCentreId(row.at("dataCentre")),
+                      row.at("bodySha256"),
+                      row.at("nonce") };
+  } catch (const json::exception& error) {
+    return base::MakeError(
+      base::ErrorCode::eInvalid, "decode request index", "table", error.what());
+  }
+}
+
 } // namespace flamingoloom::ledger
--- a/flamingoloom/platform/ports.h
+++ b/flamingoloom/platform/ports.h
@@ -361,6 +361,8 @@
   aPorts.RequestPromise(aPeer, PromiseRequest{}, Done<Nothing>{});
   aPorts.AnnounceConfig(aPeer, ConfigNotice{}, Done<Nothing>{});
   aPorts.AnnounceLeaving(aPeer, LeavingNotice{}, Done<Nothing>{});
+  // A JSON document about the peer; the text is the topic.
+  aPorts.QueryStatus(aPeer, aText, Done<std::string>{});
 };
 // clang-format on
 
--- a/testing/fakes/dummy_instance.h
+++ b/testing/fakes/dummy_instance.h
@@ -198,6 +198,11 @@
   {
     aDone(platform::Nothing{});
   }
+  void OnQueryStatus(const std::string&, platform::Done<std::string> aDone)
+  {
+    aDone(base::MakeError(
+      base::ErrorCode::eNotFound, "query status", "dummy", "no such topic"));
+  }
 
 private:
   struct Entry
--- a/testing/fakes/fake_ports.cpp
+++ b/testing/fakes/fake_ports.cpp
@@ -463,4 +463,11 @@
   CallPeer(aPeer, "announce leaving", kCallTimeout, std::move(aDone), aNotice);
 }
 
+void FakePorts::QueryStatus(const platform::PeerAddress& aPeer,
+                            const std::string& aTopic,
+                            platform::Done<std::string> aDone)
+{
+  CallPeer(aPeer, "query status", kCallTimeout, std::move(aDone), aTopic);
+}
+
 } // namespace flamingoloom::testing::fakes
--- a/testing/fakes/fake_ports.h
+++ b/testing/fakes/fake_ports.h
@@ -83,6 +83,9 @@
   void AnnounceLeaving(const platform::PeerAddress& aPeer,
                        platform::LeavingNotice aNotice,
                        platform::Done<platform::Nothing> aDone);
+  void QueryStatus(const platform::PeerAddress& aPeer,
+                   const std::string& aTopic,
+                   platform::Done<std::string> aDone);
 
 private:
   // Hands a message to the network, unless the instance is dead, dies or is
--- a/testing/fakes/fake_server.cpp
+++ b/testing/fakes/fake_server.cpp
@@ -152,6 +152,13 @@
     bool prepared = task.mState == TaskState::ePrepared;
     switch (aAction) {
       case TaskAction::eCommit:
+        if (prepared && task.mStart.mEpoch < mEpochs[task.mStart.mDataCentre]) {
+          aDone(MakeError(ErrorCode::eStaleEpoch,
+                          "commit task",
+                          mMember.mId,
+                          "fenced since"));
+          return;
+        }
         if (prepared) {
           Run(task);
         }
--- a/testing/fakes/system_under_test.h
+++ b/testing/fakes/system_under_test.h
@@ -11,6 +11,7 @@
 #include <concepts>
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 #include "flamingoloom/control/api.h"
@@ -51,6 +52,7 @@
                              platform::Done<platform::Nothing>{});
   aInstance.OnAnnounceLeaving(platform::LeavingNotice{},
                               platform::Done<platform::Nothing>{});
+  aInstance.OnQueryStatus(std::string{}, platform::Done<std::string>{});
 };
 // clang-format on
 
@@ -92,6 +94,7 @@
                      platform::Done<platform::Nothing> aDone) = 0;
   virtual void Serve(platform::LeavingNotice aValue,
                      platform::Done<platform::Nothing> aDone) = 0;
+  virtual void Serve(std::string aTopic, platform::Done<std::string> aDone) = 0;
 };
 
 template <SystemUnderTest I>
@@ -177,6 +180,10 @@
   {
     mInstance.OnAnnounceLeaving(std::move(aValue), std::move(aDone));
   }
+  void Serve(std::string aTopic, platform::Done<std::string> aDone) override
+  {
+    mInstance.OnQueryStatus(std::move(aTopic), std::move(aDone));
+  }
 
 private:
   I mInstance;
