--- a/flamingoloom/control/context.h
+++ b/flamingoloom/control/context.h
@@ -46,10 +46,10 @@
 class Context
 {
 public:
-  Context(P& aPorts, InstanceIdentity aIdentity, InstanceOptions aOptions)
+  Context(P& aPorts, InstanceIdentity aIdentity, const InstanceOptions& aOptions)
     : mPorts(aPorts)
     , mIdentity(std::move(aIdentity))
-    , mOptions(std::move(aOptions))
+    , mOptions(aOptions)
     , mGroupCommit(aPorts)
   {
   }
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -33,8 +33,8 @@
 class Instance
 {
 public:
-  Instance(P& aPorts, InstanceIdentity aIdentity, InstanceOptions aOptions)
-    : mContext(aPorts, std::move(aIdentity), std::move(aOptions))
+  Instance(P& aPorts, InstanceIdentity aIdentity, const InstanceOptions& aOptions)
+    : mContext(aPorts, std::move(aIdentity), aOptions)
     , mStore(mContext)
     , mConfig(mContext, [this] { OnConfigChange(); })
     , mQuick(mContext)
