HTTP clients for the platform and the backend servers

Cause: a daemon reaches the table service, object store, member list and backend servers through the calls of the Ports concept. Ruled out: one pool of threads for everything, in which starts that wait for long tasks hold up fences and lease renewals; mapping every 503 without an error body to eUnavailable, as a proxy also answers 503 after it has passed a request on.

--- /dev/null
+++ b/flamingoloom/platform/http_clients.h
@@ -0,0 +1,93 @@
+// The ports towards the platform and the backend servers over HTTP: the part
+// of the Ports concept that a daemon adds peers and time to.
+//
+// All calls return at once. Worker threads do the HTTP calls, and callbacks
+// are handed to the executor. Thread-safe.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/platform/backend_client.h"
+#include "flamingoloom/platform/call_counters.h"
+#include "flamingoloom/platform/http_caller.h"
+#include "flamingoloom/platform/member_client.h"
+#include "flamingoloom/platform/ports.h"
+#include "flamingoloom/platform/store_client.h"
+
+namespace flamingoloom::platform {
+
+struct HttpClientOptions
+{
+  // "ip:port" of the table service, object store and member list.
+  std::string mPlatformAddress;
+  // Of each call that has no wait of its own.
+  base::Duration mTimeout = std::chrono::seconds(2);
+  // Lease that a renewal of a gang's place asks for.
+  base::Duration mGangLease = std::chrono::seconds(5);
+
+  PoolLimits mStore = { .mThreads = 8, .mConnectionsPerAddress = 8 };
+  PoolLimits mMembers = { .mThreads = 2, .mConnectionsPerAddress = 2 };
+  PoolLimits mControl = { .mThreads = 32, .mConnectionsPerAddress = 2 };
+  // A start holds its thread and connection until the task ends. A backend
+  // server of today has 8 slots, and there are 48.
+  PoolLimits mStart = { .mThreads = 384, .mConnectionsPerAddress = 8 };
+  PoolLimits mAwait = { .mThreads = 96, .mConnectionsPerAddress = 2 };
+};
+
+class HttpClients
+{
+public:
+  HttpClients(const HttpClientOptions& aOptions, const Executor& aExecutor);
+
+  // Every callback has been handed to the executor when it returns. Calls
+  // that were being sent end with eOutcomeUnknown, others with eUnavailable.
+  ~HttpClients() = default;
+  HttpClients(const HttpClients&) = delete;
+  HttpClients& operator=(const HttpClients&) = delete;
+
+  void Commit(const Transaction& aTransaction, Done<TransactionResult> aDone);
+  void Read(const std::vector<std::string>& aKeys,
+            Done<std::vector<Row>> aDone);
+  void Scan(const std::string& aPrefix, Done<std::vector<Row>> aDone);
+  void PutObject(const std::string& aObject, Done<std::string> aDone);
+  void GetObject(const std::string& aDigest, Done<std::string> aDone);
+
+  void ListMembers(Done<MemberList> aDone);
+  void AnnounceMember(const Member& aMember, Done<Nothing> aDone);
+
+  void Fence(const ServerAddress& aServer,
+             const base::DataCentreId& aDataCentre,
+             base::Epoch aEpoch,
+             Done<base::Epoch> aDone);
+  void StartTask(const ServerAddress& aServer,
+                 const TaskStart& aStart,
+                 base::Duration aWait,
+                 Done<TaskStatus> aDone);
+  void ActOnTask(const ServerAddress& aServer,
+                 const base::AttemptId& aAttempt,
+                 TaskAction aAction,
+                 base::Duration aWait,
+                 Done<TaskStatus> aDone);
+  void AwaitTask(const ServerAddress& aServer,
+                 const base::AttemptId& aAttempt,
+                 base::Duration aWait,
+                 Done<TaskStatus> aDone);
+
+  // By peer address.
+  std::map<std::string, PeerCounters> Counters() const;
+
+private:
+  CallCounters mCounters;
+  HttpCaller mStoreCaller;
+  HttpCaller mMemberCaller;
+  HttpCaller mControlCaller;
+  HttpCaller mStartCaller;
+  HttpCaller mAwaitCaller;
+  StoreClient mStore;
+  MemberClient mMembers;
+  BackendClient mBackend;
+};
+
+} // namespace flamingoloom::platform
--- a/testing/standins/platform_server.cpp
+++ b/testing/standins/platform_server.cpp
@@ -162,7 +162,7 @@
 {
   mServer.Routes().Post(
     "/fault", [this](const auto& aRequest, auto& aResponse) {
-      static const std::map<std::string, StoreFault> kStoreFaults = {
+      const std::map<std::string, StoreFault> storeFaults = {
         { "up", StoreFault::eUp },
         { "down", StoreFault::eDown },
         { "slow", StoreFault::eSlow },
@@ -177,8 +177,8 @@
       bool isValid = true;
       for (const auto& [name, value] : *body) {
         if (name == "store" && value.is_string() &&
-            kStoreFaults.contains(value.template get<std::string>())) {
-          faults.mStore = kStoreFaults.at(value.template get<std::string>());
+            storeFaults.contains(value.template get<std::string>())) {
+          faults.mStore = storeFaults.at(value.template get<std::string>());
         } else if (name == "listLagMs" && value.is_number_integer()) {
           faults.mListLag =
             std::chrono::milliseconds(value.template get<long>());
