--- a/flamingoloom/config/configuration_schema.cpp
+++ b/flamingoloom/config/configuration_schema.cpp
@@ -18,14 +18,14 @@
       "description": "a name of 1 to 63 letters, digits, '.', '_' or '-'"
     },
     "flag": {"type": "boolean", "description": "true or false"},
-    "count": {
-      "type": "integer", "minimum": 0, "maximum": 1000000,
-      "description": "a whole number from 0 to 1000000"
-    },
     "positive": {
       "type": "integer", "minimum": 1, "maximum": 1000000,
       "description": "a whole number from 1 to 1000000"
     },
+    "size": {
+      "type": "integer", "minimum": 0, "maximum": 1000,
+      "description": "a whole number from 0 to 1000"
+    },
     "durationUs": {
       "type": "integer", "minimum": 0, "maximum": 31536000000000,
       "description": "a whole number of microseconds, at most one year"
@@ -43,9 +43,9 @@
       "properties": {
         "id": {"$ref": "#/definitions/id"},
         "region": {"$ref": "#/definitions/id"},
-        "racks": {"$ref": "#/definitions/count"},
-        "serversPerRack": {"$ref": "#/definitions/count"},
-        "acceleratorsPerServer": {"$ref": "#/definitions/count"}
+        "racks": {"$ref": "#/definitions/size"},
+        "serversPerRack": {"$ref": "#/definitions/size"},
+        "acceleratorsPerServer": {"$ref": "#/definitions/size"}
       }
     },
     "account": {
@@ -87,8 +87,11 @@
         "targetUs": {"$ref": "#/definitions/durationUs"},
         "deadlineUs": {"$ref": "#/definitions/durationUs"},
         "declaredRunTimeUs": {"$ref": "#/definitions/durationUs"},
-        "tasks": {"$ref": "#/definitions/positive"},
-        "acceleratorsPerTask": {"$ref": "#/definitions/count"},
+        "tasks": {
+          "type": "integer", "minimum": 1, "maximum": 1000,
+          "description": "a whole number from 1 to 1000"
+        },
+        "acceleratorsPerTask": {"$ref": "#/definitions/size"},
         "adjacent": {"$ref": "#/definitions/flag"},
         "objective": {
           "type": "number", "minimum": 0, "maximum": 1,
--- /dev/null
+++ b/flamingoloom/config/difference_test.cpp
@@ -0,0 +1,96 @@
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "flamingoloom/config/difference.h"
+#include "flamingoloom/config/example_answers.h"
+#include "flamingoloom/config/generate.h"
+
+namespace flamingoloom::config {
+namespace {
+
+Configuration Example()
+{
+  return Generate(ExampleAnswers(), "test", placement::PlanGuarantees).value();
+}
+
+std::string Text(const std::vector<std::string>& aLines)
+{
+  return fmt::format("{}\n", fmt::join(aLines, "\n"));
+}
+
+} // namespace
+
+// Guards against differences that are invented.
+TEST_CASE("equal configurations differ in nothing, whatever their version")
+{
+  auto newer = Example();
+  newer.mVersion = 7;
+  CHECK(Difference(Example(), newer).empty());
+}
+
+// Guards against a change that an operator applies without having seen it.
+TEST_CASE("each change is a sentence")
+{
+  auto changed = Example();
+  changed.mDeployment = "Other";
+  changed.mDataCentres[0].mRacks = 2;
+  changed.mAccounts[0].mKeySha256 = std::string(64, 'b');
+  changed.mAccounts.pop_back();
+  changed.mGuarantees[0].mCount = 3;
+  changed.mKinds[0].mTarget = std::chrono::milliseconds(400);
+  changed.mKinds[2].mId = base::KindId("invoice-batch");
+  changed.mAssignments.clear();
+  CHECK(Text(Difference(Example(), changed)) ==
+        "The installation is now called \"Other\" (was \"Example\").\n"
+        "data centre dc-1: racks is now 2 (was 1).\n"
+        "client account small was removed.\n"
+        "client account large: the key was replaced.\n"
+        "guarantee of blocks of 32 for client account large: blocks is now 3 "
+        "(was 1).\n"
+        "kind of job invoice was removed.\n"
+        "kind of job quote: answer expected within is now 400 ms (was 500 "
+        "ms).\n"
+        "kind of job invoice-batch is new.\n"
+        "reservation of blocks of 32 for client account large in data centre "
+        "dc-1 was removed.\n"
+        "reservation of blocks of 4 for client account small in data centre "
+        "dc-1 was removed.\n"
+        "reservation of blocks of 32 for client account large in data centre "
+        "dc-2 was removed.\n"
+        "reservation of blocks of 4 for client account small in data centre "
+        "dc-2 was removed.\n");
+}
+
+// Guards against a property that Difference forgets.
+TEST_CASE("every property of every entry is compared")
+{
+  const std::vector<std::function<void(Configuration&)>> changes = {
+    [](auto& aNew) { aNew.mDataCentres[0].mRegion = base::RegionId("x"); },
+    [](auto& aNew) { aNew.mDataCentres[0].mServersPerRack = 1; },
+    [](auto& aNew) { aNew.mDataCentres[0].mAcceleratorsPerServer = 1; },
+    [](auto& aNew) { aNew.mAccounts[0].mWeight = 9; },
+    [](auto& aNew) { aNew.mAccounts[0].mQuota = 9; },
+    [](auto& aNew) { aNew.mAccounts[0].mKeySha256 = ""; },
+    [](auto& aNew) { aNew.mKinds[0].mIdempotent ^= true; },
+    [](auto& aNew) { aNew.mKinds[0].mDurable ^= true; },
+    [](auto& aNew) { aNew.mKinds[0].mCheckpointable ^= true; },
+    [](auto& aNew) { aNew.mKinds[0].mPreemptible ^= true; },
+    [](auto& aNew) { aNew.mKinds[0].mPriority = Priority::eOvernight; },
+    [](auto& aNew) { aNew.mKinds[0].mDeadline = base::Duration(1); },
+    [](auto& aNew) { aNew.mKinds[0].mDeclaredRunTime = base::Duration(1); },
+    [](auto& aNew) { aNew.mKinds[0].mTasks = 9; },
+    [](auto& aNew) { aNew.mKinds[0].mAcceleratorsPerTask = 9; },
+    [](auto& aNew) { aNew.mKinds[0].mAdjacent ^= true; },
+    [](auto& aNew) { aNew.mKinds[0].mObjective = 0.5; },
+    [](auto& aNew) { aNew.mAssignments[0].mGuarantee.mCount = 9; },
+  };
+  for (const auto& change : changes) {
+    auto changed = Example();
+    change(changed);
+    CHECK(Difference(Example(), changed).size() == 1);
+  }
+}
+
+} // namespace flamingoloom::config
