Placement that keeps the guarantees, with preemption and backfill

Cause: the owner of a data centre needs one decision for each job: place, preempt and place, wait, or never. Ruled out: counting the accelerators that a client account uses against its guarantee. Work smaller than the guaranteed shape could then end up in a position where its end leaves no block of that shape. A guaranteed block is therefore claimed as a whole while its account uses any part of it. Ruled out: checking the deficit with the servers in service only. A claim made during an outage could block a larger guarantee after the servers return, so the check is also made as if all servers were in service. Conclusion: placement searches on a copy of the capacity and applies the plan only when the whole gang has its blocks.

--- a/flamingoloom/placement/block_tree.cpp
+++ b/flamingoloom/placement/block_tree.cpp
@@ -113,6 +113,13 @@
   return (free[0] & mask[0]) == mask[0] && (free[1] & mask[1]) == mask[1];
 }
 
+bool BlockTree::IsAllocated(int aPosition) const
+{
+  const Words& allocated = TreeOf(aPosition).mAllocated;
+  const int offset = aPosition % kLargestShape;
+  return (allocated[offset / kWordBits] >> (offset % kWordBits) & 1) != 0;
+}
+
 int BlockTree::FreeWithin(const Block& aBlock) const
 {
   const Words free = TreeOf(aBlock.mPosition).Free();
--- a/flamingoloom/placement/block_tree.h
+++ b/flamingoloom/placement/block_tree.h
@@ -52,6 +52,8 @@
   explicit BlockTree(const Layout& aLayout);
 
   bool IsFree(const Block& aBlock) const;
+  // Whether the position is allocated, even if it is disabled.
+  bool IsAllocated(int aPosition) const;
   // Free accelerators of the block.
   int FreeWithin(const Block& aBlock) const;
   // The maximal free blocks of the whole tree, by level.
@@ -60,9 +62,9 @@
   LevelCounts FreeBlocksWithout(const Block& aBlock) const;
   int FreeAccelerators() const;
 
-  // Precondition: no position of the block is allocated.
+  // Positions that are allocated already stay so.
   void Allocate(const Block& aBlock);
-  // Precondition: all positions of the block are allocated.
+  // Positions that are not allocated stay so.
   void Release(const Block& aBlock);
   // A disabled position is not free, whether it is allocated or not.
   void Disable(int aPosition);
--- /dev/null
+++ b/flamingoloom/placement/centre_state.cpp
@@ -0,0 +1,432 @@
+#include "flamingoloom/placement/centre_state.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace flamingoloom::placement {
+
+namespace {
+
+constexpr char kAdoptStep[] = "adopt allocation";
+
+// The parts of aBlock outside of aTaken, as blocks.
+void AddRemainder(const Block& aBlock,
+                  const std::vector<Block>& aTaken,
+                  std::vector<HeldBlock>& aRemainder)
+{
+  bool overlaps = false;
+  for (const Block& taken : aTaken) {
+    if (taken.Contains(aBlock)) {
+      return;
+    }
+    overlaps = overlaps || aBlock.Contains(taken);
+  }
+  if (!overlaps) {
+    aRemainder.push_back({ aBlock, Hold::eReclaimable });
+    return;
+  }
+  const int level = aBlock.mLevel - 1;
+  AddRemainder({ aBlock.mPosition, level }, aTaken, aRemainder);
+  AddRemainder(
+    { aBlock.mPosition + ShapeAt(level), level }, aTaken, aRemainder);
+}
+
+} // namespace
+
+CentreState::CentreState(const CentreCapacity& aCapacity)
+  : mLayout(aCapacity)
+  , mCapacity(mLayout)
+  , mTable(mLayout.Positions())
+  , mServers(mLayout.Servers(), ServerState::eInService)
+{
+}
+
+int CentreState::AccountNumber(const base::AccountId& aAccount)
+{
+  const auto found = std::ranges::find(mAccounts, aAccount);
+  if (found != mAccounts.end()) {
+    return static_cast<int>(found - mAccounts.begin());
+  }
+  mAccounts.push_back(aAccount);
+  return static_cast<int>(mAccounts.size()) - 1;
+}
+
+LevelCounts CentreState::GuaranteedTo(const base::AccountId& aAccount) const
+{
+  const auto found = std::ranges::find(mAccounts, aAccount);
+  const auto account = static_cast<std::size_t>(found - mAccounts.begin());
+  return account < mGuarantees.size() ? mGuarantees[account] : LevelCounts{};
+}
+
+std::optional<NeverReason> CentreState::WhyNever(const Job& aJob) const
+{
+  if (aJob.mTasks < 1 || aJob.mAcceleratorsPerTask < 0) {
+    return NeverReason::eInvalidSize;
+  }
+  if (aJob.mAcceleratorsPerTask == 0) {
+    return std::nullopt;
+  }
+  // Compared before the product is formed, which could overflow.
+  if (aJob.mAcceleratorsPerTask > kLargestShape ||
+      aJob.mTasks > mLayout.Accelerators() ||
+      aJob.BlockSize() > kLargestShape) {
+    return NeverReason::eTooLarge;
+  }
+  const int level = LevelOf(ShapeOf(aJob.BlockSize()));
+  const LevelCounts whole = mLayout.Blocks();
+  if (BlocksAt(whole, level) < aJob.Blocks()) {
+    return NeverReason::eTooLarge;
+  }
+  const LevelCounts own = GuaranteedTo(aJob.mRequest.mAccount);
+  const int beyond = aJob.Blocks() - BlocksAt(own, level);
+  LevelCounts wanted = mGuaranteed;
+  wanted[level] += std::max(0, beyond);
+  if (beyond > 0 && !aJob.mProperties.IsReclaimable() &&
+      !Packs(whole, wanted)) {
+    return NeverReason::eGuarantees;
+  }
+  return std::nullopt;
+}
+
+WaitReason CentreState::WhyWait(const Job& aJob,
+                                const std::vector<Block>& aReserved) const
+{
+  const int level = LevelOf(ShapeOf(aJob.BlockSize()));
+  BlockTree open = mCapacity.Free();
+  if (BlocksAt(open.FreeBlocks(), level) < aJob.Blocks()) {
+    return WaitReason::eNoFreeBlock;
+  }
+  for (const Block& block : aReserved) {
+    open.Allocate(block);
+  }
+  if (BlocksAt(open.FreeBlocks(), level) < aJob.Blocks()) {
+    return WaitReason::eReserved;
+  }
+  return mCapacity.CurrentDeficit().IsZero() ? WaitReason::eGuarantees
+                                             : WaitReason::eDeficit;
+}
+
+void CentreState::SetGuarantees(std::span<const Demand> aGuarantees)
+{
+  mGuarantees.clear();
+  mGuaranteed = {};
+  for (const Demand& guarantee : aGuarantees) {
+    const int shape = ShapeOf(guarantee.mShape);
+    if (shape == 0 || guarantee.mCount < 1) {
+      continue;
+    }
+    const std::size_t account = AccountNumber(guarantee.mAccount);
+    mGuarantees.resize(std::max(mGuarantees.size(), account + 1));
+    mGuarantees[account][LevelOf(shape)] += guarantee.mCount;
+    mGuaranteed[LevelOf(shape)] += guarantee.mCount;
+  }
+  mCapacity.SetGuarantees(mGuarantees);
+  ReclassifyHeldBlocks();
+}
+
+void CentreState::ReclassifyHeldBlocks()
+{
+  for (const auto& [request, slot] : mTable.Slots()) {
+    const AllocationTable::Entry entry = mTable.At(slot);
+    for (const HeldBlock& held : entry.mHeld) {
+      const bool lostClaim = held.mHold == Hold::eWithinGuarantee &&
+                             !mCapacity.IsClaimed(held.mBlock);
+      const bool beyond = lostClaim || held.mHold == Hold::eBeyondGuarantee;
+      if (lostClaim) {
+        mTable.SetHold(slot, held.mBlock, Hold::eBeyondGuarantee);
+      }
+      const int level = held.mBlock.mLevel;
+      if (beyond && mCapacity.Outstanding(entry.mAccount)[level] > 0) {
+        mCapacity.CoverByClaim(entry.mAccount, held.mBlock);
+        mTable.SetHold(slot, held.mBlock, Hold::eWithinGuarantee);
+      }
+    }
+  }
+}
+
+std::optional<Block> CentreState::ToBlock(const Range& aRange) const
+{
+  const int last = aRange.mFirst + aRange.mCount - 1;
+  if (aRange.mFirst < 0 || last >= mLayout.Accelerators() ||
+      aRange.mCount < 1 || ShapeOf(aRange.mCount) != aRange.mCount) {
+    return std::nullopt;
+  }
+  const Block block{ mLayout.PositionOf(aRange.mFirst),
+                     LevelOf(aRange.mCount) };
+  const bool aligned = block.mPosition % block.Size() == 0 &&
+                       mLayout.PositionOf(last) == block.End() - 1;
+  return aligned ? std::optional(block) : std::nullopt;
+}
+
+Range CentreState::ToRange(const Block& aBlock) const
+{
+  return { mLayout.IndexOf(aBlock.mPosition), aBlock.Size() };
+}
+
+std::vector<Range> CentreState::ToRanges(
+  const std::vector<HeldBlock>& aHeld) const
+{
+  std::vector<Range> ranges;
+  ranges.reserve(aHeld.size());
+  for (const HeldBlock& held : aHeld) {
+    ranges.push_back(ToRange(held.mBlock));
+  }
+  return ranges;
+}
+
+std::vector<Block> CentreState::ToBlocks(
+  const std::vector<Range>& aRanges) const
+{
+  std::vector<Block> blocks;
+  for (const Range& range : aRanges) {
+    if (const auto block = ToBlock(range)) {
+      blocks.push_back(*block);
+    }
+  }
+  return blocks;
+}
+
+base::Expected<std::vector<Block>> CentreState::ReadBlocks(
+  const Allocation& aAllocation) const
+{
+  const std::string& key = aAllocation.mRequest.mKey;
+  if (mTable.Find(aAllocation.mRequest) != AllocationTable::kNone) {
+    return base::MakeError(base::ErrorCode::eConflict,
+                           kAdoptStep,
+                           {},
+                           "request " + key + " already holds blocks");
+  }
+  std::vector<Block> blocks;
+  std::set<int> positions;
+  for (const Range& range : aAllocation.mBlocks) {
+    const auto block = ToBlock(range);
+    if (!block) {
+      return base::MakeError(base::ErrorCode::eInvalid,
+                             kAdoptStep,
+                             {},
+                             "request " + key +
+                               " names accelerators that form no block");
+    }
+    for (int i = block->mPosition; i < block->End(); ++i) {
+      if (mTable.OwnerOf(i) != AllocationTable::kNone ||
+          !positions.insert(i).second) {
+        return base::MakeError(base::ErrorCode::eConflict,
+                               kAdoptStep,
+                               {},
+                               "request " + key + " names accelerators in use");
+      }
+    }
+    blocks.push_back(*block);
+  }
+  return blocks;
+}
+
+// Claims the smallest outstanding shape that contains the block and no work
+// that cannot be preempted.
+bool CentreState::ClaimAround(const Block& aBlock, int aAccount)
+{
+  for (int level = aBlock.mLevel; level < kLevels; ++level) {
+    const Block around = aBlock.Enclosing(level);
+    if (mCapacity.Outstanding(aAccount)[level] > 0 &&
+        mCapacity.Unclaimed().IsFree(around)) {
+      mCapacity.AddClaim(aAccount, around);
+      return true;
+    }
+  }
+  return false;
+}
+
+HeldBlock CentreState::AdoptBlock(const Block& aBlock,
+                                  int aAccount,
+                                  bool aReclaimable)
+{
+  HeldBlock held{ aBlock, Hold::eReclaimable };
+  if (!aReclaimable) {
+    const bool claimed =
+      mCapacity.IsClaimedBy(aBlock, aAccount) || ClaimAround(aBlock, aAccount);
+    held.mHold = claimed ? Hold::eWithinGuarantee : Hold::eBeyondGuarantee;
+  }
+  mCapacity.Take(held.mBlock, held.mHold);
+  return held;
+}
+
+base::Expected<void> CentreState::Adopt(const Allocation& aAllocation)
+{
+  const auto blocks = ReadBlocks(aAllocation);
+  if (!blocks) {
+    return tl::unexpected(blocks.error());
+  }
+  AllocationTable::Entry entry{ aAllocation.mRequest,
+                                aAllocation.mProperties,
+                                AccountNumber(aAllocation.mRequest.mAccount),
+                                {},
+                                aAllocation.mStarted,
+                                aAllocation.mExpectedEnd,
+                                aAllocation.mStopping };
+  const bool reclaimable = entry.mStopping || entry.mProperties.IsReclaimable();
+  for (const Block& block : *blocks) {
+    entry.mHeld.push_back(AdoptBlock(block, entry.mAccount, reclaimable));
+  }
+  mTable.Add(std::move(entry));
+  return {};
+}
+
+void CentreState::ReleaseBlocks(Slot aSlot)
+{
+  // The table's entry still holds the blocks while claims are covered again,
+  // so the allocation itself must not be chosen for that.
+  const std::vector<HeldBlock> all = mTable.At(aSlot).mHeld;
+  mTable.ReplaceBlocks(aSlot, {});
+  for (const HeldBlock& held : all) {
+    if (const auto ended = mCapacity.Release(held.mBlock, held.mHold)) {
+      CoverWithEndedClaim(*ended);
+    }
+  }
+}
+
+void CentreState::CoverWithEndedClaim(const Claim& aClaim)
+{
+  for (const auto& [request, slot] : mTable.Slots()) {
+    const AllocationTable::Entry& entry = mTable.At(slot);
+    for (const HeldBlock& held : entry.mHeld) {
+      if (entry.mAccount == aClaim.mAccount &&
+          held.mHold == Hold::eBeyondGuarantee &&
+          held.mBlock.mLevel == aClaim.mBlock.mLevel) {
+        mCapacity.CoverByClaim(entry.mAccount, held.mBlock);
+        mTable.SetHold(slot, held.mBlock, Hold::eWithinGuarantee);
+        return;
+      }
+    }
+  }
+}
+
+bool CentreState::Finish(const base::RequestId& aRequest)
+{
+  const Slot slot = mTable.Find(aRequest);
+  if (slot == AllocationTable::kNone) {
+    return false;
+  }
+  ReleaseBlocks(slot);
+  mTable.Remove(slot);
+  return true;
+}
+
+Preemption CentreState::StopExcept(Slot aSlot, const std::vector<Block>& aTaken)
+{
+  const AllocationTable::Entry& entry = mTable.At(aSlot);
+  Preemption preemption{ entry.mRequest,
+                         entry.mProperties.mCheckpointable
+                           ? PreemptionMethod::eCheckpoint
+                           : PreemptionMethod::eStop,
+                         ToRanges(entry.mHeld) };
+  std::vector<HeldBlock> remainder;
+  for (const HeldBlock& held : entry.mHeld) {
+    AddRemainder(held.mBlock, aTaken, remainder);
+  }
+  ReleaseBlocks(aSlot);
+  for (const HeldBlock& held : remainder) {
+    mCapacity.Take(held.mBlock, held.mHold);
+  }
+  mTable.ReplaceBlocks(aSlot, std::move(remainder));
+  mTable.MarkStopping(aSlot);
+  return preemption;
+}
+
+void CentreState::SetServer(int aServer, ServerState aState)
+{
+  if (mServers[aServer] == aState) {
+    return;
+  }
+  mServers[aServer] = aState;
+  const int first = mLayout.FirstPositionOfServer(aServer);
+  for (int i = 0; i < mLayout.AcceleratorsPerServer(); ++i) {
+    if (aState == ServerState::eOut) {
+      mCapacity.Disable(first + i);
+    } else {
+      mCapacity.Enable(first + i);
+    }
+  }
+}
+
+void CentreState::DrainServer(int aServer)
+{
+  SetServer(aServer, ServerState::eOut);
+}
+
+void CentreState::ReturnServer(int aServer)
+{
+  SetServer(aServer, ServerState::eInService);
+}
+
+std::vector<Preemption> CentreState::LoseServer(int aServer)
+{
+  SetServer(aServer, ServerState::eOut);
+  std::vector<Block> lost;
+  std::set<Slot> slots;
+  const int first = mLayout.FirstPositionOfServer(aServer);
+  for (int i = 0; i < mLayout.AcceleratorsPerServer(); ++i) {
+    lost.push_back({ first + i, 0 });
+    if (const Slot slot = mTable.OwnerOf(first + i);
+        slot != AllocationTable::kNone) {
+      slots.insert(slot);
+    }
+  }
+  std::vector<Preemption> stopped;
+  for (const Slot slot : slots) {
+    stopped.push_back(StopExcept(slot, lost));
+    stopped.back().mMethod = PreemptionMethod::eStop;
+  }
+  return stopped;
+}
+
+double CentreState::Fragmentation(int aWaitingShape) const
+{
+  int level = kLevels - 1;
+  while (level >= 0 && mGuaranteed[level] == 0 &&
+         ShapeAt(level) > aWaitingShape) {
+    --level;
+  }
+  const int free = FreeAccelerators();
+  if (level < 0 || free == 0) {
+    return 0;
+  }
+  const int usable = BlocksAt(FreeBlocks(), level) * ShapeAt(level);
+  return 1.0 - static_cast<double>(usable) / free;
+}
+
+Allocation CentreState::ToAllocation(Slot aSlot) const
+{
+  const AllocationTable::Entry& entry = mTable.At(aSlot);
+  return { entry.mRequest, entry.mProperties,  ToRanges(entry.mHeld),
+           entry.mStarted, entry.mExpectedEnd, entry.mStopping };
+}
+
+std::vector<Allocation> CentreState::Allocations() const
+{
+  std::vector<Allocation> all;
+  all.reserve(mTable.size());
+  for (const auto& [request, slot] : mTable.Slots()) {
+    all.push_back(ToAllocation(slot));
+  }
+  return all;
+}
+
+std::optional<Allocation> CentreState::FindAllocation(
+  const base::RequestId& aRequest) const
+{
+  const Slot slot = mTable.Find(aRequest);
+  if (slot == AllocationTable::kNone) {
+    return std::nullopt;
+  }
+  return ToAllocation(slot);
+}
+
+std::size_t CentreState::MemoryBytes() const
+{
+  return sizeof(*this) + mCapacity.MemoryBytes() + mTable.MemoryBytes() +
+         mGuarantees.capacity() * sizeof(LevelCounts) +
+         mServers.capacity() * sizeof(ServerState);
+}
+
+} // namespace flamingoloom::placement
--- /dev/null
+++ b/flamingoloom/placement/guarantee_check.h
@@ -0,0 +1,54 @@
+// Whether a change may be made in view of the guarantees' deficit.
+//
+// The check is a policy of BasicPlacement, so that a test can switch it off and
+// show that guarantees are then lost.
+#pragma once
+
+#include <concepts>
+
+#include "flamingoloom/placement/capacity_state.h"
+
+namespace flamingoloom::placement {
+
+template <class T>
+concept GuaranteeCheck = requires(const Deficit& aDeficit)
+{
+  {
+    T::AllowsWithin(aDeficit, aDeficit)
+    } -> std::same_as<bool>;
+  {
+    T::AllowsBeyond(aDeficit)
+    } -> std::same_as<bool>;
+};
+
+struct EnforceGuarantees
+{
+  // Work within a guarantee must not raise the deficit of any shape.
+  static bool AllowsWithin(const Deficit& aBefore, const Deficit& aAfter)
+  {
+    return NoneRises(aBefore.mNow, aAfter.mNow) &&
+           NoneRises(aBefore.mWithAllServers, aAfter.mWithAllServers);
+  }
+  // Work beyond guarantees that cannot be preempted must leave no deficit.
+  static bool AllowsBeyond(const Deficit& aAfter) { return aAfter.IsZero(); }
+
+private:
+  static bool NoneRises(const LevelCounts& aBefore, const LevelCounts& aAfter)
+  {
+    for (int level = 0; level < kLevels; ++level) {
+      if (aAfter[level] > aBefore[level]) {
+        return false;
+      }
+    }
+    return true;
+  }
+};
+
+// For tests and measurements only.
+struct IgnoreGuarantees
+{
+  static bool AllowsWithin(const Deficit&, const Deficit&) { return true; }
+  static bool AllowsBeyond(const Deficit&) { return true; }
+};
+
+} // namespace flamingoloom::placement
--- /dev/null
+++ b/flamingoloom/placement/placement.h
@@ -0,0 +1,205 @@
+// Decides where work runs in one data centre. Used by the data centre's owner.
+//
+//   Placement placement(capacity);
+//   placement.SetGuarantees(guarantees);
+//   Decision decision = placement.Place(job, now);
+//   if (auto* placed = std::get_if<Placed>(&decision)) {
+//     ... preempt placed->mPreempted, then start on placed->mBlocks
+//   }
+//   ... when the work has ended:
+//   placement.Finish(job.mRequest);
+//
+// After every operation, all guaranteed shapes that are not in use by their own
+// client account can be packed together into what is free or held by work that
+// can be preempted. Only losses and drains of servers and new guarantees can
+// break this; DeficitNow() then tells what is missing.
+//
+// A client account uses its guarantee with any work, also with work smaller
+// than the guaranteed shape: the whole block then counts as in use. Work that
+// can be preempted is placed on any free blocks first, without use of the
+// guarantee. If there are none it is placed within the guarantee, where it
+// cannot be preempted.
+//
+// A value type without I/O and clock; one thread at a time.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "flamingoloom/placement/centre_state.h"
+#include "flamingoloom/placement/placement_search.h"
+#include "flamingoloom/placement/reservation.h"
+
+namespace flamingoloom::placement {
+
+template <FitPolicy Fit, GuaranteeCheck Check = EnforceGuarantees>
+class BasicPlacement : public CentreState
+{
+public:
+  // Precondition: the sizes of the capacity are at least 1.
+  explicit BasicPlacement(const CentreCapacity& aCapacity, Fit aFit = Fit())
+    : CentreState(aCapacity)
+    , mFit(std::move(aFit))
+  {
+  }
+
+  // Places all blocks of the job or none. Blocks of aReservation are left out
+  // when the job is expected to end after the reservation begins, except for
+  // work within its guarantee that has no other place. A job without
+  // accelerators is placed without blocks.
+  Decision Place(const Job& aJob,
+                 base::Time aNow,
+                 const Reservation* aReservation = nullptr);
+
+  // The earliest time at which the job fits without preemption when running
+  // work ends as expected, with the blocks that it would get. Work that
+  // overruns is expected to take as long again as it has overrun. None when
+  // the job does not fit even then.
+  std::optional<Reservation> Reserve(const Job& aJob, base::Time aNow);
+
+private:
+  using Search = internal::PlacementSearch<Fit, Check>;
+
+  std::optional<internal::Plan> FindPlan(const Job& aJob,
+                                         base::Time aNow,
+                                         const std::vector<Block>& aReserved);
+  std::optional<internal::Plan> FindPlanAt(
+    const Job& aJob,
+    const std::vector<ExpectedEnd>& aEnds,
+    std::size_t aEnded);
+  Placed Apply(const Job& aJob, const internal::Plan& aPlan, base::Time aNow);
+
+  Fit mFit;
+};
+
+using Placement = BasicPlacement<BestFit>;
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+Decision BasicPlacement<Fit, Check>::Place(const Job& aJob,
+                                           base::Time aNow,
+                                           const Reservation* aReservation)
+{
+  if (const auto never = WhyNever(aJob)) {
+    return NeverFits{ *never };
+  }
+  if (mTable.Find(aJob.mRequest) != AllocationTable::kNone) {
+    return MustWait{ WaitReason::eStillHeld };
+  }
+  std::vector<Block> reserved;
+  if (aReservation && aReservation->AppliesTo(aJob, aNow)) {
+    reserved = ToBlocks(aReservation->mBlocks);
+  }
+  if (const auto plan = FindPlan(aJob, aNow, reserved)) {
+    return Apply(aJob, *plan, aNow);
+  }
+  return MustWait{ WhyWait(aJob, reserved) };
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+std::optional<internal::Plan> BasicPlacement<Fit, Check>::FindPlan(
+  const Job& aJob,
+  base::Time aNow,
+  const std::vector<Block>& aReserved)
+{
+  const int account = AccountNumber(aJob.mRequest.mAccount);
+  const int level = LevelOf(ShapeOf(std::max(1, aJob.BlockSize())));
+  const int count = aJob.BlockSize() == 0 ? 0 : aJob.Blocks();
+  const auto search = [&] {
+    return Search(mCapacity, mTable, aReserved, account, aNow, mFit);
+  };
+  if (aJob.mProperties.IsReclaimable()) {
+    if (auto plan = search().FindReclaimable(count, level)) {
+      return plan;
+    }
+  }
+  return search().FindFirm(count, level, true);
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+Placed BasicPlacement<Fit, Check>::Apply(const Job& aJob,
+                                         const internal::Plan& aPlan,
+                                         base::Time aNow)
+{
+  std::vector<Block> taken;
+  for (const internal::Choice& choice : aPlan.mChoices) {
+    taken.push_back(choice.mBlock);
+  }
+  Placed placed;
+  for (const Slot victim : aPlan.mVictims) {
+    placed.mPreempted.push_back(StopExcept(victim, taken));
+  }
+  const int account = AccountNumber(aJob.mRequest.mAccount);
+  std::vector<HeldBlock> held;
+  for (const internal::Choice& choice : aPlan.mChoices) {
+    if (choice.mNewClaim) {
+      mCapacity.AddClaim(account, *choice.mNewClaim);
+    }
+    mCapacity.Take(choice.mBlock, choice.mHold);
+    held.push_back({ choice.mBlock, choice.mHold });
+  }
+  placed.mBlocks = ToRanges(held);
+  mTable.Add({ aJob.mRequest,
+               aJob.mProperties,
+               account,
+               std::move(held),
+               aNow,
+               aNow + aJob.mExpectedRunTime,
+               false });
+  return placed;
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+std::optional<Reservation> BasicPlacement<Fit, Check>::Reserve(const Job& aJob,
+                                                               base::Time aNow)
+{
+  const std::vector<ExpectedEnd> ends = ExpectedEnds(mTable, aNow);
+  // Later ends only add room, so the first sufficient one is found by halving.
+  std::size_t low = 0;
+  std::size_t high = ends.size();
+  auto plan = FindPlanAt(aJob, ends, high);
+  if (!plan) {
+    return std::nullopt;
+  }
+  while (low < high) {
+    const std::size_t middle = (low + high) / 2;
+    if (auto earlier = FindPlanAt(aJob, ends, middle)) {
+      plan = std::move(earlier);
+      high = middle;
+    } else {
+      low = middle + 1;
+    }
+  }
+  Reservation reservation{ aJob.mRequest,
+                           {},
+                           high == 0 ? aNow : ends[high - 1].mTime };
+  for (const internal::Choice& choice : plan->mChoices) {
+    reservation.mBlocks.push_back(ToRange(choice.mBlock));
+  }
+  return reservation;
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+std::optional<internal::Plan> BasicPlacement<Fit, Check>::FindPlanAt(
+  const Job& aJob,
+  const std::vector<ExpectedEnd>& aEnds,
+  std::size_t aEnded)
+{
+  CapacityState capacity = mCapacity;
+  for (std::size_t i = 0; i < aEnded; ++i) {
+    for (const HeldBlock& held : mTable.At(aEnds[i].mSlot).mHeld) {
+      capacity.Release(held.mBlock, held.mHold);
+    }
+  }
+  const int account = AccountNumber(aJob.mRequest.mAccount);
+  const int level = LevelOf(ShapeOf(std::max(1, aJob.BlockSize())));
+  Search search(capacity, mTable, {}, account, base::Time{}, mFit);
+  if (aJob.mProperties.IsReclaimable()) {
+    return search.FindReclaimable(aJob.Blocks(), level);
+  }
+  return search.FindFirm(aJob.Blocks(), level, false);
+}
+
+} // namespace flamingoloom::placement
--- /dev/null
+++ b/flamingoloom/placement/preemption.cpp
@@ -0,0 +1,59 @@
+#include "flamingoloom/placement/preemption.h"
+
+#include <algorithm>
+
+namespace flamingoloom::placement {
+
+namespace {
+
+std::int64_t WorkOf(const AllocationTable::Entry& aEntry, base::Time aNow)
+{
+  std::int64_t accelerators = 0;
+  for (const HeldBlock& held : aEntry.mHeld) {
+    accelerators += held.mBlock.Size();
+  }
+  return accelerators * (aNow - aEntry.mStarted).count();
+}
+
+} // namespace
+
+std::vector<AllocationTable::Slot> OwnersWithin(
+  const AllocationTable& aTable,
+  const Block& aBlock,
+  const std::vector<AllocationTable::Slot>& aIgnored)
+{
+  std::vector<AllocationTable::Slot> owners;
+  AllocationTable::Slot previous = AllocationTable::kNone;
+  for (int i = aBlock.mPosition; i < aBlock.End(); ++i) {
+    const AllocationTable::Slot owner = aTable.OwnerOf(i);
+    if (owner != previous && owner != AllocationTable::kNone &&
+        std::ranges::find(owners, owner) == owners.end() &&
+        std::ranges::find(aIgnored, owner) == aIgnored.end()) {
+      owners.push_back(owner);
+    }
+    previous = owner;
+  }
+  return owners;
+}
+
+PreemptionCost CostOf(const AllocationTable& aTable,
+                      const std::vector<AllocationTable::Slot>& aVictims,
+                      int aAccount,
+                      base::Time aNow)
+{
+  PreemptionCost cost;
+  for (const AllocationTable::Slot slot : aVictims) {
+    const AllocationTable::Entry& entry = aTable.At(slot);
+    if (entry.mStopping) {
+      continue;
+    }
+    const std::int64_t work = WorkOf(entry, aNow);
+    cost.mOwnVictims += entry.mAccount == aAccount ? 1 : 0;
+    cost.mLostWork += entry.mProperties.mCheckpointable ? 0 : work;
+    cost.mInterruptedWork += entry.mProperties.mCheckpointable ? work : 0;
+    ++cost.mVictims;
+  }
+  return cost;
+}
+
+} // namespace flamingoloom::placement
