Placement with guarantees in the owner's jobs; runtime and log of the daemon

Cause: the owner placed gangs by first fit, without guarantees. Ruled out: joining the runtime's actor in its destructor: under the test scheduler nobody runs the actor and the test waited for ever, so only Stop waits.

--- a/flamingoloom/control/centre_jobs.h
+++ b/flamingoloom/control/centre_jobs.h
@@ -8,16 +8,19 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
 
+#include "flamingoloom/control/accelerator_table.h"
 #include "flamingoloom/control/attempt_runner.h"
-#include "flamingoloom/control/capacity.h"
 #include "flamingoloom/control/centre_keeper.h"
 #include "flamingoloom/control/context.h"
 #include "flamingoloom/control/record_store.h"
+#include "flamingoloom/control/slot_table.h"
+#include "flamingoloom/dispatch/failure_tracker.h"
 
 namespace flamingoloom::control {
 
@@ -31,7 +34,7 @@
     : mContext(aContext)
     , mStore(aStore)
     , mKeeper(aKeeper)
-    , mCapacity(aContext.mOptions.mRecordedSlots)
+    , mSlots(aContext.mOptions.mRecordedSlots)
   {
   }
 
@@ -53,6 +56,7 @@
     if (!mOwned) {
       mOwned = true;
       ++mGeneration;
+      OnConfigChange();
       Load();
     }
   }
@@ -74,7 +78,8 @@
                              "the data centre has another owner"));
     }
     mJobs.clear();
-    mCapacity.Clear();
+    mSlots.Clear();
+    mAccelerators.Clear();
   }
 
   bool IsLoaded() const { return mOwned && mLoaded; }
@@ -137,6 +142,14 @@
     });
   }
 
+  // The configuration in force has changed.
+  void OnConfigChange()
+  {
+    if (mOwned) {
+      mAccelerators.Configure(*mContext.mConfig, mKeeper.Name());
+    }
+  }
+
   // Does what is due now.
   void Step()
   {
@@ -183,6 +196,9 @@
     bool mCancelled = false;
     // Not tried again before this time.
     base::Time mNotBefore{};
+    // Placed, but these requests must give up their accelerators first.
+    std::vector<ledger::TaskPlace> mPlaces;
+    std::set<base::RequestId> mWaitsFor;
     std::shared_ptr<AttemptRunner<P>> mRunner;
     std::map<std::uint64_t, platform::Done<platform::RequestProgress>> mWaiters;
   };
@@ -285,7 +301,38 @@
     job->mSince = mContext.Now();
     mJobs[record.mRequest] = job;
     if (record.mState == ledger::RecordState::eStarting) {
-      mCapacity.Occupy(record.mRequest, record.mAttempt->mPlaces);
+      AdoptPlaces(record);
+    }
+  }
+
+  void AdoptPlaces(const ledger::Record& aRecord)
+  {
+    const config::JobKind* kind = FindKind(aRecord);
+    if (!kind || kind->mAcceleratorsPerTask == 0) {
+      mSlots.Adopt(aRecord.mRequest, aRecord.mAttempt->mPlaces);
+      return;
+    }
+    // Places that cannot be adopted look free here, but their servers refuse a
+    // second task on them.
+    mAccelerators.Adopt(aRecord, *kind, mContext.Now());
+  }
+
+  const config::JobKind* FindKind(const ledger::Record& aRecord) const
+  {
+    return mContext.mConfig ? mContext.mConfig->Kind(aRecord.mKind) : nullptr;
+  }
+
+  void ReleasePlaces(const base::RequestId& aRequest)
+  {
+    mSlots.Finish(aRequest);
+    mAccelerators.Finish(aRequest);
+    auto job = mJobs.find(aRequest);
+    if (job != mJobs.end()) {
+      job->second->mPlaces.clear();
+      job->second->mWaitsFor.clear();
+    }
+    for (auto& [request, waiting] : mJobs) {
+      waiting->mWaitsFor.erase(aRequest);
     }
   }
 
@@ -297,13 +344,94 @@
       return;
     }
     mPumping = true;
-    mCapacity.SetServers(mKeeper.StartableServers());
-    for (const JobPtr& job : InOrder()) {
+    SetServers();
+    std::vector<JobPtr> jobs = InOrder();
+    for (const JobPtr& job : jobs) {
       StepJob(job);
     }
+    PlaceGangs(jobs);
     mPumping = false;
   }
 
+  // Servers that fail everything get a try now and then.
+  void SetServers()
+  {
+    std::vector<platform::Member> usable = mKeeper.StartableServers();
+    std::erase_if(usable, [this](const platform::Member& aServer) {
+      base::ServerId id(aServer.mId);
+      return mFailures.IsEjected(id) && !mFailures.MayProbe(id, mContext.Now());
+    });
+    mSlots.SetServers(usable);
+    mAccelerators.SetServers(mContext.mMembers.ListedServers(mKeeper.Name()),
+                             usable);
+  }
+
+  bool CanStart()
+  {
+    return !mContext.IsLeaving() &&
+           mKeeper.MayStart(mKeeper.State().HeldEpoch());
+  }
+
+  // Decides about all waiting jobs that need accelerators together, so that a
+  // large gang can be given a reservation.
+  void PlaceGangs(const std::vector<JobPtr>& aJobs)
+  {
+    if (!CanStart()) {
+      return;
+    }
+    std::vector<placement::Job> waiting;
+    for (const JobPtr& job : aJobs) {
+      const config::JobKind* kind = FindKind(job->mStored.mRecord);
+      if (kind && kind->mAcceleratorsPerTask > 0 && IsWaiting(*job)) {
+        waiting.push_back(MakeJob(
+          job->mStored.mRecord.mRequest, *kind, kind->mDeclaredRunTime));
+      }
+    }
+    for (PlacedJob& placed : mAccelerators.Decide(waiting, mContext.Now())) {
+      OnPlaced(placed);
+    }
+  }
+
+  bool IsWaiting(const Job& aJob)
+  {
+    return aJob.mStored.mRecord.mState == ledger::RecordState::eAccepted &&
+           !aJob.mWriting && !aJob.mRunner && aJob.mPlaces.empty() &&
+           mContext.Now() >= aJob.mNotBefore;
+  }
+
+  void OnPlaced(PlacedJob& aPlaced)
+  {
+    JobPtr job = mJobs.at(aPlaced.mRequest);
+    job->mPlaces = std::move(aPlaced.mPlaces);
+    for (const placement::Preemption& victim : aPlaced.mPreempted) {
+      Preempt(job, victim);
+    }
+    if (job->mWaitsFor.empty()) {
+      Start(job, std::exchange(job->mPlaces, {}));
+    }
+  }
+
+  void Preempt(const JobPtr& aFor, const placement::Preemption& aVictim)
+  {
+    auto victim = mJobs.find(aVictim.mRequest);
+    if (victim == mJobs.end()) {
+      return;
+    }
+    ++mContext.mCounters.mPreemptions;
+    if (!victim->second->mRunner) {
+      // It holds places, but has not been sent yet.
+      victim->second->mPlaces.clear();
+      victim->second->mWaitsFor.clear();
+      mAccelerators.Finish(aVictim.mRequest);
+      return;
+    }
+    aFor->mWaitsFor.insert(aVictim.mRequest);
+    victim->second->mRunner->Stop(aVictim.mMethod ==
+                                      placement::PreemptionMethod::eCheckpoint
+                                    ? platform::TaskAction::eCheckpoint
+                                    : platform::TaskAction::eStop);
+  }
+
   // Urgent kinds first, then by arrival.
   std::vector<JobPtr> InOrder() const
   {
@@ -314,8 +442,7 @@
       }
     }
     auto order = [this](const JobPtr& aJob) {
-      const config::JobKind* kind =
-        mContext.mConfig->Kind(aJob->mStored.mRecord.mKind);
+      const config::JobKind* kind = FindKind(aJob->mStored.mRecord);
       int priority = kind ? static_cast<int>(kind->mPriority) : 0;
       return std::tuple(-priority, aJob->mArrival);
     };
@@ -335,7 +462,7 @@
     if (mContext.Now() < aJob->mNotBefore || mContext.IsLeaving()) {
       return;
     }
-    const config::JobKind* kind = mContext.mConfig->Kind(record.mKind);
+    const config::JobKind* kind = FindKind(record);
     if (!kind) {
       EndWithoutRun(aJob, "the job kind no longer exists");
     } else if (mKeeper.State().IsOut()) {
@@ -343,8 +470,16 @@
     } else if (kind->mDeadline > base::Duration{} &&
                mContext.Now() - aJob->mSince > kind->mDeadline) {
       EndWithoutRun(aJob, "could not be started within its deadline");
-    } else if (mKeeper.MayStart(mKeeper.State().HeldEpoch())) {
-      TryStart(aJob, *kind);
+    } else if (!CanStart()) {
+      return;
+    } else if (kind->mAcceleratorsPerTask == 0) {
+      auto places =
+        mSlots.Place(record.mRequest, kind->mTasks, record.mFailedServers);
+      if (places) {
+        Start(aJob, std::move(*places));
+      }
+    } else if (!aJob->mPlaces.empty() && aJob->mWaitsFor.empty()) {
+      Start(aJob, std::exchange(aJob->mPlaces, {}));
     }
   }
 
@@ -396,17 +531,12 @@
       });
   }
 
-  void TryStart(const JobPtr& aJob, const config::JobKind& aKind)
+  void Start(const JobPtr& aJob, std::vector<ledger::TaskPlace> aPlaces)
   {
     const ledger::Record& record = aJob->mStored.mRecord;
-    auto places =
-      mCapacity.Place(record.mRequest, aKind, record.mFailedServers);
-    if (!places) {
-      return;
-    }
     ledger::Attempt attempt{ base::AttemptId(mContext.UniqueId()),
                              mKeeper.State().HeldEpoch(),
-                             std::move(*places) };
+                             std::move(aPlaces) };
     auto next = ledger::Start(record, std::move(attempt));
     if (!mContext.mOptions.mMechanisms.mDurableIntent && next) {
       aJob->mStored.mRecord = *next;
@@ -425,7 +555,8 @@
   void OnOutcome(const JobPtr& aJob, const AttemptOutcome& aOutcome)
   {
     aJob->mRunner.reset();
-    mCapacity.Release(aJob->mStored.mRecord.mRequest);
+    ReleasePlaces(aJob->mStored.mRecord.mRequest);
+    NoteEvidence(aOutcome);
     using Kind = AttemptOutcome::Kind;
     if (aJob->mCancelled && aOutcome.mKind != Kind::eFinished) {
       Change(aJob,
@@ -452,9 +583,22 @@
     }
   }
 
+  void NoteEvidence(const AttemptOutcome& aOutcome)
+  {
+    using Kind = AttemptOutcome::Kind;
+    if (!aOutcome.mServer) {
+      return;
+    }
+    if (aOutcome.mKind == Kind::eFinished) {
+      mFailures.OnSuccess(*aOutcome.mServer);
+    } else if (aOutcome.mKind != Kind::eStopped) {
+      mFailures.OnFailure(*aOutcome.mServer, mContext.Now());
+    }
+  }
+
   bool IsIdempotent(const ledger::Record& aRecord) const
   {
-    const config::JobKind* kind = mContext.mConfig->Kind(aRecord.mKind);
+    const config::JobKind* kind = FindKind(aRecord);
     return kind && kind->mIdempotent;
   }
 
@@ -597,7 +741,7 @@
     } else if (record.mDataCentre != mKeeper.Name()) {
       Drop(aJob);
     } else if (record.mState == ledger::RecordState::eAccepted) {
-      mCapacity.Release(record.mRequest);
+      ReleasePlaces(record.mRequest);
     }
     if (aThen) {
       aThen();
@@ -610,7 +754,7 @@
 
   void Drop(const JobPtr& aJob)
   {
-    mCapacity.Release(aJob->mStored.mRecord.mRequest);
+    ReleasePlaces(aJob->mStored.mRecord.mRequest);
     Answer(*aJob,
            base::MakeError(base::ErrorCode::eNotFound,
                            "await request",
@@ -631,7 +775,9 @@
   Context<P>& mContext;
   RecordStore<P>& mStore;
   CentreKeeper<P>& mKeeper;
-  Capacity mCapacity;
+  SlotTable mSlots;
+  AcceleratorTable mAccelerators;
+  dispatch::FailureTracker mFailures;
   std::map<base::RequestId, JobPtr> mJobs;
   std::function<std::optional<base::DataCentreId>(const ledger::Record&)>
     mChooseOther;
--- a/flamingoloom/control/centre_keeper.h
+++ b/flamingoloom/control/centre_keeper.h
@@ -276,6 +276,10 @@
       return;
     }
     mNoticedEpoch = epoch;
+    mContext.Log({ holds ? "lease held" : "lease lost",
+                   { { "dataCentre", Name().Value() },
+                     { "epoch", std::to_string(epoch.Value()) },
+                     { "out", mLease.IsOut() ? "true" : "false" } } });
     if (holds) {
       ++mContext.mCounters.mTakeOvers;
       mHooks.mOnEpoch();
--- a/flamingoloom/control/config_keeper.h
+++ b/flamingoloom/control/config_keeper.h
@@ -163,6 +163,8 @@
       std::make_shared<const config::Configuration>(std::move(*parsed));
     mDocument = aText;
     ++mContext.mCounters.mConfigChanges;
+    mContext.Log({ "configuration in force",
+                   { { "version", std::to_string(Version()) } } });
     Announce();
     mOnChange();
   }
--- a/flamingoloom/control/context.h
+++ b/flamingoloom/control/context.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -19,6 +21,14 @@
 
 namespace flamingoloom::control {
 
+// A change of state that operators want to see in the log.
+struct StateChange
+{
+  // Such as "lease taken" or "configuration in force".
+  std::string mName;
+  std::vector<std::pair<std::string, std::string>> mFields;
+};
+
 // Counts since the start of the instance.
 struct Counters
 {
@@ -46,7 +56,9 @@
 class Context
 {
 public:
-  Context(P& aPorts, InstanceIdentity aIdentity, const InstanceOptions& aOptions)
+  Context(P& aPorts,
+          InstanceIdentity aIdentity,
+          const InstanceOptions& aOptions)
     : mPorts(aPorts)
     , mIdentity(std::move(aIdentity))
     , mOptions(aOptions)
@@ -76,6 +88,13 @@
     return centre && centre->mRegion == mIdentity.mRegion ? 1 : 2;
   }
 
+  void Log(StateChange aChange) const
+  {
+    if (mOnStateChange) {
+      mOnStateChange(aChange);
+    }
+  }
+
   P& mPorts;
   const InstanceIdentity mIdentity;
   const InstanceOptions mOptions;
@@ -85,6 +104,8 @@
   ledger::GroupCommit<P> mGroupCommit;
   Counters mCounters;
   bool mLeaving = false;
+  // Where changes of state are reported; may be empty.
+  std::function<void(const StateChange&)> mOnStateChange;
 
 private:
   std::uint64_t mIds = 0;
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -33,7 +33,9 @@
 class Instance
 {
 public:
-  Instance(P& aPorts, InstanceIdentity aIdentity, const InstanceOptions& aOptions)
+  Instance(P& aPorts,
+           InstanceIdentity aIdentity,
+           const InstanceOptions& aOptions)
     : mContext(aPorts, std::move(aIdentity), aOptions)
     , mStore(mContext)
     , mConfig(mContext, [this] { OnConfigChange(); })
@@ -108,6 +110,7 @@
   void Leave(std::function<void()> aDone)
   {
     mContext.mLeaving = true;
+    mContext.Log({ "leaving", {} });
     AnnounceLeaving();
     mOnLeft = std::move(aDone);
   }
@@ -298,6 +301,9 @@
         mCentres[centre.mId] = std::move(owned);
       }
     }
+    for (auto& [name, centre] : mCentres) {
+      centre->mJobs.OnConfigChange();
+    }
   }
 
   void ListMembers()
--- /dev/null
+++ b/flamingoloom/control/slot_table.h
@@ -0,0 +1,51 @@
+// Slots of the backend servers of one data centre that are kept for recorded
+// requests without accelerators. Not thread-safe.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "flamingoloom/base/ids.h"
+#include "flamingoloom/ledger/record.h"
+#include "flamingoloom/platform/ports.h"
+
+namespace flamingoloom::control {
+
+class SlotTable
+{
+public:
+  // aSlots of each server are for recorded requests.
+  explicit SlotTable(int aSlots)
+    : mSlots(aSlots)
+  {
+  }
+
+  // The servers that may get new work. Slots in use elsewhere stay counted
+  // until they are released.
+  void SetServers(const std::vector<platform::Member>& aServers);
+
+  // Takes one slot for each of aTasks on the servers with the least in use,
+  // without those in aAvoid; nothing when there are not enough.
+  std::optional<std::vector<ledger::TaskPlace>> Place(
+    const base::RequestId& aRequest,
+    int aTasks,
+    const std::vector<base::ServerId>& aAvoid);
+
+  // Counts the slots of an attempt that is already running.
+  void Adopt(const base::RequestId& aRequest,
+             const std::vector<ledger::TaskPlace>& aPlaces);
+  void Finish(const base::RequestId& aRequest);
+  void Clear();
+
+private:
+  const platform::Member* LeastUsed(
+    const std::vector<base::ServerId>& aAvoid) const;
+
+  int mSlots;
+  std::vector<platform::Member> mServers;
+  std::map<base::ServerId, int> mUsed;
+  std::map<base::RequestId, std::vector<base::ServerId>> mHeld;
+};
+
+} // namespace flamingoloom::control
--- a/flamingoloom/platform/backend_client.cpp
+++ b/flamingoloom/platform/backend_client.cpp
@@ -45,12 +45,9 @@
 
 } // namespace
 
-BackendClient::BackendClient(Callers aCallers,
-                             base::Duration aTimeout,
-                             base::Duration aGangLease)
+BackendClient::BackendClient(Callers aCallers, base::Duration aTimeout)
   : mCallers(aCallers)
   , mTimeout(aTimeout)
-  , mGangLease(aGangLease)
 {
 }
 
@@ -80,22 +77,21 @@
 void BackendClient::ActOnTask(const ServerAddress& aServer,
                               const base::AttemptId& aAttempt,
                               TaskAction aAction,
-                              base::Duration aWait,
+                              base::Duration aLease,
                               Done<TaskStatus> aDone)
 {
   const std::string action(TaskActionName(aAction));
   json body = json::object();
   if (aAction == TaskAction::eRenew) {
-    body["leaseMs"] = base::ToMilliseconds(mGangLease);
+    body["leaseMs"] = base::ToMilliseconds(aLease);
   }
-  mCallers.mControl.Call<TaskStatus>(
-    MakeCall(aServer,
-             action + " task",
-             "POST",
-             TaskPath(aAttempt) + "/" + action,
-             aWait == base::Duration::zero() ? mTimeout : aWait),
-    body,
-    std::move(aDone));
+  mCallers.mControl.Call<TaskStatus>(MakeCall(aServer,
+                                              action + " task",
+                                              "POST",
+                                              TaskPath(aAttempt) + "/" + action,
+                                              mTimeout),
+                                     body,
+                                     std::move(aDone));
 }
 
 void BackendClient::AwaitTask(const ServerAddress& aServer,
--- a/flamingoloom/platform/backend_client.h
+++ b/flamingoloom/platform/backend_client.h
@@ -20,11 +20,8 @@
   };
 
   // The callers must outlive the client. aTimeout is that of a fence, and the
-  // time beyond its wait that AwaitTask gives an answer to arrive. aGangLease
-  // is what a renewal asks for.
-  BackendClient(Callers aCallers,
-                base::Duration aTimeout,
-                base::Duration aGangLease);
+  // time beyond its wait that AwaitTask gives an answer to arrive.
+  BackendClient(Callers aCallers, base::Duration aTimeout);
 
   void Fence(const ServerAddress& aServer,
              const base::DataCentreId& aDataCentre,
@@ -35,12 +32,11 @@
                  const TaskStart& aStart,
                  base::Duration aWait,
                  Done<TaskStatus> aDone);
-  // eOutcomeUnknown when no answer arrives within aWait; a wait of zero means
-  // the time-out of a fence.
+  // aLease is the new lease of a renewal; other actions ignore it.
   void ActOnTask(const ServerAddress& aServer,
                  const base::AttemptId& aAttempt,
                  TaskAction aAction,
-                 base::Duration aWait,
+                 base::Duration aLease,
                  Done<TaskStatus> aDone);
   // Answers the state of the task when it has ended, or after aWait.
   void AwaitTask(const ServerAddress& aServer,
@@ -51,7 +47,6 @@
 private:
   const Callers mCallers;
   const base::Duration mTimeout;
-  const base::Duration mGangLease;
 };
 
 } // namespace flamingoloom::platform
--- a/flamingoloom/platform/http_clients.cpp
+++ b/flamingoloom/platform/http_clients.cpp
@@ -13,9 +13,7 @@
   , mAwaitCaller(aOptions.mAwait, aExecutor, mCounters)
   , mStore(mStoreCaller, aOptions.mPlatformAddress, aOptions.mTimeout)
   , mMembers(mMemberCaller, aOptions.mPlatformAddress, aOptions.mTimeout)
-  , mBackend({ mControlCaller, mStartCaller, mAwaitCaller },
-             aOptions.mTimeout,
-             aOptions.mGangLease)
+  , mBackend({ mControlCaller, mStartCaller, mAwaitCaller }, aOptions.mTimeout)
 {
 }
 
@@ -75,10 +73,10 @@
 void HttpClients::ActOnTask(const ServerAddress& aServer,
                             const base::AttemptId& aAttempt,
                             TaskAction aAction,
-                            base::Duration aWait,
+                            base::Duration aLease,
                             Done<TaskStatus> aDone)
 {
-  mBackend.ActOnTask(aServer, aAttempt, aAction, aWait, std::move(aDone));
+  mBackend.ActOnTask(aServer, aAttempt, aAction, aLease, std::move(aDone));
 }
 
 void HttpClients::AwaitTask(const ServerAddress& aServer,
--- a/flamingoloom/platform/http_clients.h
+++ b/flamingoloom/platform/http_clients.h
@@ -24,8 +24,6 @@
   std::string mPlatformAddress;
   // Of each call that has no wait of its own.
   base::Duration mTimeout = std::chrono::seconds(2);
-  // Lease that a renewal of a gang's place asks for.
-  base::Duration mGangLease = std::chrono::seconds(5);
 
   PoolLimits mStore = { .mThreads = 8, .mConnectionsPerAddress = 8 };
   PoolLimits mMembers = { .mThreads = 2, .mConnectionsPerAddress = 2 };
@@ -68,7 +66,7 @@
   void ActOnTask(const ServerAddress& aServer,
                  const base::AttemptId& aAttempt,
                  TaskAction aAction,
-                 base::Duration aWait,
+                 base::Duration aLease,
                  Done<TaskStatus> aDone);
   void AwaitTask(const ServerAddress& aServer,
                  const base::AttemptId& aAttempt,
--- a/flamingoloom/platform/ports.h
+++ b/flamingoloom/platform/ports.h
@@ -348,6 +348,7 @@
   // Answers when the task has ended (or is prepared, for a gang), or with
   // eOutcomeUnknown after the wait.
   aPorts.StartTask(aServer, TaskStart{}, aWait, Done<TaskStatus>{});
+  // The duration is the new lease of eRenew; other actions ignore it.
   aPorts.ActOnTask(aServer, aAttempt, TaskAction::eStop, aWait,
                    Done<TaskStatus>{});
   // Answers when the task has ended or after the wait.
--- a/testing/run_tests.sh
+++ b/testing/run_tests.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 log=$build/tests.txt
-ctest --test-dir "$build" --output-on-failure -j "$(nproc)" --timeout 300 \
+ctest --test-dir "$build" --output-on-failure -j "$(nproc)" --timeout 120 \
   >"$log" 2>&1
 grep -E 'Test +#|tests passed' "$log"
 known=()
