Scenario language, runner, fault schedules and scenario files

The runner also plays callers, who ask again with the same key, and operators, who repeat a take-out until it is acknowledged.

--- a/testing/fakes/dummy_instance.h
+++ b/testing/fakes/dummy_instance.h
@@ -20,13 +20,27 @@
 
 namespace flamingoloom::testing::fakes {
 
+// Faults to show that a rule of the checker is reached through a whole run.
+enum class DummyFault
+{
+  eNone,
+  // Tells "refused, not run" when the outcome is unknown.
+  eRefusesUnknown,
+  eUsesLeavingServers,
+  // Stops with requests in progress.
+  eStopsAtOnce,
+};
+
 template <platform::Ports P>
 class DummyInstance
 {
 public:
-  DummyInstance(P& aPorts, control::InstanceIdentity aIdentity)
+  DummyInstance(P& aPorts,
+                control::InstanceIdentity aIdentity,
+                DummyFault aFault = DummyFault::eNone)
     : mPorts(aPorts)
     , mIdentity(std::move(aIdentity))
+    , mFault(aFault)
   {
   }
 
@@ -58,7 +72,7 @@
       mPorts.StartTask(
         Servers()[mPorts.Random() % Servers().size()],
         start,
-        std::chrono::seconds(60),
+        std::chrono::seconds(mFault == DummyFault::eRefusesUnknown ? 2 : 20),
         [this, id](base::Expected<platform::TaskStatus> aStatus) {
           Entry& ended = mRequests[id];
           bool finished =
@@ -67,6 +81,10 @@
                          : aStatus ? control::RequestState::eFailed
                                    : control::RequestState::eUnknown;
           ended.mRan = aStatus ? control::Ran::eYes : control::Ran::eUnknown;
+          if (!aStatus && mFault == DummyFault::eRefusesUnknown) {
+            ended.mState = control::RequestState::eRefused;
+            ended.mRan = control::Ran::eNo;
+          }
           if (aStatus) {
             ended.mAnswer = aStatus->mAnswer;
             ended.mAnswerSha256 = aStatus->mAnswerSha256;
@@ -152,7 +170,7 @@
     bool idle = std::ranges::none_of(mRequests, [](const auto& aEntry) {
       return aEntry.second.mState == control::RequestState::ePending;
     });
-    if (idle) {
+    if (idle || mFault == DummyFault::eStopsAtOnce) {
       aDone();
     } else {
       mPorts.After(std::chrono::milliseconds(100),
@@ -231,7 +249,8 @@
     for (const platform::Member& member : mMembers.mMembers) {
       if (member.mKind == platform::MemberKind::eServer &&
           member.mDataCentre == mIdentity.mDataCentre &&
-          member.mState == platform::MemberState::eLive) {
+          (member.mState == platform::MemberState::eLive ||
+           mFault == DummyFault::eUsesLeavingServers)) {
         servers.push_back({ base::ServerId(member.mId), member.mAddress });
       }
     }
@@ -257,6 +276,7 @@
 
   P& mPorts;
   control::InstanceIdentity mIdentity;
+  DummyFault mFault;
   platform::MemberList mMembers;
   std::uint64_t mRowVersion = 0;
   std::uint64_t mConfigVersion = 0;
--- /dev/null
+++ b/testing/scenario/runner.cpp
@@ -0,0 +1,821 @@
+#include "testing/scenario/runner.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "testing/fakes/fake_world.h"
+#include "testing/scenario/deployment.h"
+
+namespace flamingoloom::testing::scenario {
+
+using namespace std::chrono_literals;
+using base::DataCentreId;
+using base::Duration;
+using base::ErrorCode;
+using base::RequestId;
+using base::Time;
+using control::CallerAnswer;
+using control::DataCentreState;
+using control::RequestState;
+using fakes::Event;
+using fakes::EventKind;
+using fakes::Node;
+
+namespace {
+
+constexpr Duration kSamplePeriod = 50ms;
+constexpr Duration kFirstConfiguration = 1500ms;
+constexpr Duration kOperatorPause = 500ms;
+constexpr Duration kCallerPause = 1s;
+// A caller gives up a connection so long after its wait.
+constexpr Duration kCallerPatience = 3s;
+constexpr Duration kOperatorPatience = 5s;
+
+enum class CallKind
+{
+  eSubmit,
+  eAwait,
+  eCancel,
+};
+
+// One caller with one request.
+struct Caller
+{
+  control::CallerRequest mRequest;
+  std::string mInstance;
+  std::optional<Duration> mStartsWithin;
+  bool mDurable = true;
+  bool mEnded = false;
+  Duration mLatency{};
+
+  RequestId Id() const { return { mRequest.mAccount, mRequest.mKey }; }
+};
+
+struct OpenCall
+{
+  Node* mNode = nullptr;
+  std::shared_ptr<Caller> mCaller;
+  CallKind mKind = CallKind::eSubmit;
+};
+
+struct Change
+{
+  std::uint64_t mNumber = 0;
+  control::DataCentreChange mValue;
+  std::string mInstance;
+  int mTries = 0;
+  bool mAccepted = false;
+  bool mAcknowledged = false;
+  bool mEnded = false;
+};
+
+class Runner
+{
+public:
+  Runner(const Script& aScript, const RunOptions& aOptions)
+    : mScript(aScript)
+    , mOptions(aOptions)
+    , mConfiguration(StandardConfiguration())
+    , mWorld(MakeWorld())
+    , mClock(mWorld.Clock())
+  {
+  }
+
+  RunResult Run()
+  {
+    mWorld.Log().mKinds = mConfiguration.mKinds;
+    for (const std::string& name : StandardServers()) {
+      mWorld.AddServer(name);
+    }
+    for (const std::string& name : StandardInstances()) {
+      mWorld.StartInstance(name);
+    }
+    mClock.After(kFirstConfiguration, [this] { PutConfiguration("a1"); });
+    Sample();
+    Time end;
+    for (const Action& action : mScript.mActions) {
+      end = Time(action.mAt);
+      mClock.At(end, [this, &action] { Apply(action); });
+    }
+    mClock.RunUntil(end);
+    Event ended;
+    ended.mKind = EventKind::eRunEnded;
+    mWorld.Record(std::move(ended));
+    RunResult result;
+    result.mSeed = mOptions.mSeed;
+    result.mViolations = fakes::Check(mWorld.Log(), mOptions.mLimits);
+    result.mHistory = std::move(mWorld.Log());
+    result.mEventsRun = mClock.EventsRun();
+    result.mCrossRegionBytes = mWorld.CrossRegionBytes();
+    return result;
+  }
+
+private:
+  fakes::WorldOptions MakeWorld() const
+  {
+    fakes::WorldOptions options;
+    options.mSeed = mOptions.mSeed;
+    options.mDataCentres = mConfiguration.mDataCentres;
+    options.mFactory = mOptions.mFactory;
+    options.mRunTime = StandardRunTime(mOptions.mSeed);
+    return options;
+  }
+
+  void Apply(const Action& aAction)
+  {
+    using Handler = void (Runner::*)(const Action&);
+    static const std::map<std::string, Handler> sHandlers{
+      { "kill", &Runner::Kill },
+      { "start", &Runner::Start },
+      { "freeze", &Runner::Freeze },
+      { "thaw", &Runner::Thaw },
+      { "cut", &Runner::Cut },
+      { "heal", &Runner::Heal },
+      { "store", &Runner::Store },
+      { "take-out", &Runner::ChangeDataCentre },
+      { "bring-back", &Runner::ChangeDataCentre },
+      { "submit", &Runner::Submit },
+      { "cancel", &Runner::Cancel },
+      { "stop", &Runner::Stop },
+      { "leave-server", &Runner::ChangeServer },
+      { "kill-server", &Runner::ChangeServer },
+      { "start-server", &Runner::ChangeServer },
+      { "break-server", &Runner::ChangeServer },
+      { "repair-server", &Runner::ChangeServer },
+      { "mix-answers", &Runner::ChangeServer },
+      { "put-config", &Runner::PutNewConfiguration },
+      { "expect", &Runner::Expect },
+    };
+    auto handler = sHandlers.find(aAction.mVerb);
+    if (handler == sHandlers.end()) {
+      return;
+    }
+    Action action = aAction;
+    for (std::string& name : action.mNames) {
+      name = Resolve(name);
+    }
+    for (std::string& name : action.mRepeatedAt) {
+      name = Resolve(name);
+    }
+    action.mInstance = Resolve(action.mInstance);
+    (this->*handler->second)(action);
+  }
+
+  // "owner:a" is the instance that owns data centre "a" when the script first
+  // names it, "other:a" the other instance that the run began with there.
+  std::string Resolve(const std::string& aName)
+  {
+    if (!aName.starts_with("owner:") && !aName.starts_with("other:")) {
+      return aName;
+    }
+    std::string dataCentre = aName.substr(aName.find(':') + 1);
+    std::string& owner = mOwners[dataCentre];
+    if (owner.empty()) {
+      owner = OwnerOf(dataCentre);
+    }
+    std::string first = dataCentre + "1";
+    return aName.starts_with("owner:") ? owner
+           : owner == first            ? dataCentre + "2"
+                                       : first;
+  }
+
+  // The lease row contains the owner's name in quotes. Without a row, as with
+  // the dummy, it is the first instance.
+  std::string OwnerOf(const std::string& aDataCentre)
+  {
+    auto rows = mWorld.Store().Read({ "lease/" + aDataCentre });
+    for (const auto& [name, node] : mWorld.Instances()) {
+      if (!rows.empty() &&
+          rows[0].mValue.find('"' + name + '"') != std::string::npos) {
+        return name;
+      }
+    }
+    if (!rows.empty()) {
+      FailExpectation("lease/" + aDataCentre + " names no instance");
+    }
+    return aDataCentre + "1";
+  }
+
+  // --- Faults ----------------------------------------------------------------
+
+  void Kill(const Action& aAction)
+  {
+    if (aAction.mCount > 0) {
+      mWorld.KillAtMessage(aAction.mNames[0], aAction.mCount);
+    } else {
+      mWorld.Kill(aAction.mNames[0]);
+    }
+  }
+  void Start(const Action& aAction) { mWorld.StartInstance(aAction.mNames[0]); }
+  void Freeze(const Action& aAction)
+  {
+    if (aAction.mFlag) {
+      mWorld.FreezeAtStart(aAction.mNames[0]);
+    } else {
+      mWorld.Freeze(aAction.mNames[0]);
+    }
+  }
+  void Thaw(const Action& aAction) { mWorld.Thaw(aAction.mNames[0]); }
+  void Cut(const Action& aAction)
+  {
+    mWorld.Cut(aAction.mNames[0], aAction.mNames[1]);
+  }
+  void Heal(const Action& aAction)
+  {
+    if (aAction.mNames.size() == 2) {
+      mWorld.Heal(aAction.mNames[0], aAction.mNames[1]);
+    } else {
+      mWorld.HealAll();
+    }
+  }
+  void Store(const Action& aAction)
+  {
+    const std::string& mode = aAction.mNames[0];
+    mWorld.SetStore(mode == "down"            ? fakes::StoreMode::eDown
+                    : mode == "slow"          ? fakes::StoreMode::eSlow
+                    : mode == "loses-answers" ? fakes::StoreMode::eLosesAnswers
+                                              : fakes::StoreMode::eUp,
+                    aAction.mProbability);
+  }
+  void Stop(const Action& aAction) { mWorld.StopInstance(aAction.mNames[0]); }
+  void ChangeServer(const Action& aAction)
+  {
+    const std::string& name = aAction.mNames[0];
+    if (aAction.mVerb == "leave-server") {
+      mWorld.LeaveServer(name, !aAction.mFlag);
+    } else if (aAction.mVerb == "kill-server") {
+      mWorld.KillServer(name);
+    } else if (aAction.mVerb == "start-server") {
+      mWorld.AddServer(name);
+    } else if (aAction.mVerb == "mix-answers") {
+      mWorld.MixAnswers(name, aAction.mProbability);
+    } else {
+      mWorld.BreakServer(name, aAction.mVerb == "break-server");
+    }
+  }
+
+  // --- Callers ---------------------------------------------------------------
+
+  // The named instance while it is live, otherwise what a load balancer would
+  // choose: any instance that is not known to have died or to be leaving.
+  Node* Choose(const std::string& aName)
+  {
+    Node* named = mWorld.FindInstance(aName);
+    if (named != nullptr && named->mAlive) {
+      return named;
+    }
+    std::vector<Node*> live;
+    for (const auto& [name, node] : mWorld.Instances()) {
+      if (node->mAlive && node->mLeavingFrom > mClock.Now()) {
+        live.push_back(node.get());
+      }
+    }
+    return live.empty() ? nullptr : live[mClock.Random() % live.size()];
+  }
+
+  void Submit(const Action& aAction)
+  {
+    Caller caller;
+    caller.mRequest.mAccount = base::AccountId(aAction.mAccount);
+    caller.mRequest.mKind = base::KindId(aAction.mNames[0]);
+    caller.mRequest.mKey = aAction.mKey;
+    caller.mRequest.mPayload = aAction.mPayload;
+    caller.mRequest.mWait = aAction.mWait;
+    caller.mStartsWithin = aAction.mStartsWithin;
+    caller.mInstance = aAction.mInstance;
+    caller.mLatency = aAction.mAccount == "paper" ? 1ms : 3ms;
+    const config::JobKind* kind = mConfiguration.Kind(caller.mRequest.mKind);
+    caller.mDurable = kind == nullptr || kind->mDurable;
+    Send(std::make_shared<Caller>(caller), CallKind::eSubmit);
+    mCallers.emplace(caller.Id(), caller);
+    for (const std::string& instance : aAction.mRepeatedAt) {
+      caller.mInstance = instance;
+      Send(std::make_shared<Caller>(caller), CallKind::eSubmit);
+    }
+  }
+
+  void Cancel(const Action& aAction)
+  {
+    const std::string& name = aAction.mNames[0];
+    std::size_t slash = name.find('/');
+    RequestId id{ base::AccountId(name.substr(0, slash)),
+                  name.substr(std::min(slash, name.size() - 1) + 1) };
+    auto known = mCallers.find(id);
+    if (known == mCallers.end()) {
+      return;
+    }
+    Event event;
+    event.mKind = EventKind::eCancelRequested;
+    event.mRequest = id;
+    mWorld.Record(std::move(event));
+    auto caller = std::make_shared<Caller>(known->second);
+    caller->mInstance = aAction.mInstance;
+    caller->mStartsWithin.reset();
+    Send(std::move(caller), CallKind::eCancel);
+  }
+
+  void SendLater(std::shared_ptr<Caller> aCaller, CallKind aKind)
+  {
+    // The caller does not insist on the instance that failed it.
+    aCaller->mInstance.clear();
+    mClock.After(mClock.Between(kCallerPause / 2, kCallerPause),
+                 [this, aCaller, aKind] { Send(aCaller, aKind); });
+  }
+
+  void Send(std::shared_ptr<Caller> aCaller, CallKind aKind)
+  {
+    if (aCaller->mEnded) {
+      return;
+    }
+    Node* node = Choose(aCaller->mInstance);
+    if (node == nullptr) {
+      SendLater(std::move(aCaller), aKind);
+      return;
+    }
+    mClock.After(aCaller->mLatency, [this, aCaller, aKind, node] {
+      Arrive(aCaller, aKind, *node);
+    });
+  }
+
+  void Arrive(const std::shared_ptr<Caller>& aCaller,
+              CallKind aKind,
+              Node& aNode)
+  {
+    if (!aNode.mAlive) {
+      SendLater(aCaller, aKind);
+      return;
+    }
+    std::uint64_t call = ++mLastNumber;
+    mOpenCalls[call] = { &aNode, aCaller, aKind };
+    Event event = CallEvent(EventKind::eSubmitted, call);
+    event.mPayload = aCaller->mRequest.mPayload;
+    event.mBound = std::exchange(aCaller->mStartsWithin, std::nullopt);
+    mWorld.Record(std::move(event));
+    control::AnswerDone done = [this, call, &aNode, count = 0](
+                                 base::Expected<CallerAnswer> aAnswer) mutable {
+      if (aNode.mAlive) {
+        if (++count > 1) {
+          FailExpectation(fmt::format("call {} is answered once", call));
+        }
+        OnAnswer(call, aAnswer);
+      }
+    };
+    mWorld.DeliverTo(aNode, [&aNode, aCaller, aKind, done] {
+      fakes::InstanceApi& instance = *aNode.mInstance;
+      switch (aKind) {
+        case CallKind::eSubmit:
+          instance.Submit(aCaller->mRequest, done);
+          break;
+        case CallKind::eAwait:
+          instance.Await(aCaller->Id(), aCaller->mRequest.mWait, done);
+          break;
+        case CallKind::eCancel:
+          instance.Cancel(aCaller->Id(), done);
+          break;
+      }
+    });
+    mClock.After(aCaller->mRequest.mWait + kCallerPatience,
+                 [this, call] { Abandon(call); });
+  }
+
+  // The caller lost its connection or closes it.
+  void Abandon(std::uint64_t aCall)
+  {
+    auto open = mOpenCalls.find(aCall);
+    if (open == mOpenCalls.end()) {
+      return;
+    }
+    mWorld.Record(CallEvent(EventKind::eCallerLeft, aCall));
+    OpenCall call = open->second;
+    mOpenCalls.erase(open);
+    if (call.mCaller->mDurable && call.mKind != CallKind::eCancel) {
+      SendLater(call.mCaller, CallKind::eSubmit);
+    }
+  }
+
+  Event CallEvent(EventKind aKind, std::uint64_t aCall)
+  {
+    const OpenCall& call = mOpenCalls[aCall];
+    Event event;
+    event.mKind = aKind;
+    event.mCall = aCall;
+    event.mRequest = call.mCaller->Id();
+    event.mJobKind = call.mCaller->mRequest.mKind;
+    event.mInstance = call.mNode->mEndpoint.mName;
+    return event;
+  }
+
+  void OnAnswer(std::uint64_t aCall,
+                const base::Expected<CallerAnswer>& aAnswer)
+  {
+    auto open = mOpenCalls.find(aCall);
+    if (open == mOpenCalls.end()) {
+      return;
+    }
+    OpenCall call = open->second;
+    Caller& caller = *call.mCaller;
+    if (!aAnswer) {
+      OnError(aCall, call, aAnswer.error());
+      return;
+    }
+    Event event = CallEvent(EventKind::eAnswered, aCall);
+    event.mState = aAnswer->mState;
+    event.mRan = aAnswer->mRan;
+    event.mAttempt = aAnswer->mAttempt;
+    event.mAnswer = aAnswer->mAnswer;
+    event.mAnswerSha256 = aAnswer->mAnswerSha256;
+    event.mDetail = aAnswer->mReason;
+    mWorld.Record(std::move(event));
+    mOpenCalls.erase(open);
+    mTold[caller.Id()] = std::string(RequestStateName(aAnswer->mState));
+    if (!caller.mDurable || call.mKind == CallKind::eCancel) {
+      return;
+    }
+    if (aAnswer->mState == RequestState::ePending) {
+      // Half of the callers ask the next time somewhere else.
+      if (mClock.Chance(0.5)) {
+        caller.mInstance.clear();
+      }
+      Send(call.mCaller, CallKind::eAwait);
+    } else if (aAnswer->mState == RequestState::eUnknown) {
+      SendLater(call.mCaller, CallKind::eSubmit);
+    } else {
+      caller.mEnded = true;
+    }
+  }
+
+  void OnError(std::uint64_t aCall,
+               const OpenCall& aOpen,
+               const base::Error& aError)
+  {
+    bool rejected = aError.mCode == ErrorCode::eInvalid ||
+                    aError.mCode == ErrorCode::eDenied ||
+                    aError.mCode == ErrorCode::eConflict;
+    bool notFound = aError.mCode == ErrorCode::eNotFound;
+    Event event = CallEvent(rejected || notFound ? EventKind::eCallerLeft
+                                                 : EventKind::eCallFailed,
+                            aCall);
+    event.mDetail = aError.ToString();
+    mWorld.Record(std::move(event));
+    OpenCall call = aOpen;
+    mOpenCalls.erase(aCall);
+    if (rejected) {
+      mRejected[call.mCaller->Id()].insert(
+        std::string(ErrorCodeName(aError.mCode)));
+    } else if (call.mCaller->mDurable && call.mKind != CallKind::eCancel) {
+      SendLater(call.mCaller, CallKind::eSubmit);
+    }
+  }
+
+  // --- Operators
+  // ---------------------------------------------------------------
+
+  void ChangeDataCentre(const Action& aAction)
+  {
+    auto change = std::make_shared<Change>();
+    change->mNumber = ++mLastNumber;
+    change->mValue.mDataCentre = DataCentreId(aAction.mNames[0]);
+    change->mValue.mState = aAction.mVerb == "take-out" ? DataCentreState::eOut
+                                                        : DataCentreState::eIn;
+    change->mValue.mOperator = aAction.mOperator;
+    change->mValue.mExpectedVersion = RowVersion(*change);
+    change->mInstance = aAction.mInstance;
+    for (auto& earlier : mChanges) {
+      // An operator with another aim ends the repeats of the earlier change.
+      if (earlier->mValue.mDataCentre == change->mValue.mDataCentre &&
+          earlier->mValue.mState != change->mValue.mState) {
+        earlier->mEnded = true;
+      }
+    }
+    mChanges.push_back(change);
+    RecordChange(*change,
+                 change->mValue.mState == DataCentreState::eOut
+                   ? EventKind::eTakeOutRequested
+                   : EventKind::eBringBackRequested);
+    SendChange(change);
+  }
+
+  std::uint64_t RowVersion(const Change& aChange)
+  {
+    return mWorld.Store().VersionOf("datacentre/" +
+                                    aChange.mValue.mDataCentre.Value());
+  }
+
+  void RecordChange(const Change& aChange, EventKind aKind)
+  {
+    Event event;
+    event.mKind = aKind;
+    event.mCall = aChange.mNumber;
+    event.mDataCentre = aChange.mValue.mDataCentre;
+    event.mDetail = aChange.mValue.mOperator;
+    mWorld.Record(std::move(event));
+  }
+
+  void SendChange(const std::shared_ptr<Change>& aChange)
+  {
+    Node* node = Choose(aChange->mInstance);
+    if (aChange->mEnded || node == nullptr) {
+      return;
+    }
+    int attempt = ++aChange->mTries;
+    mWorld.DeliverTo(*node, [this, node, aChange, attempt] {
+      node->mInstance->ChangeDataCentre(
+        aChange->mValue,
+        [this, node, aChange, attempt](
+          base::Expected<control::DataCentreView> aView) {
+          if (node->mAlive && attempt == aChange->mTries) {
+            OnChange(aChange, aView);
+          }
+        });
+    });
+    mClock.After(kOperatorPatience, [this, aChange, attempt] {
+      if (attempt == aChange->mTries) {
+        aChange->mInstance.clear();
+        SendChange(aChange);
+      }
+    });
+  }
+
+  void OnChange(const std::shared_ptr<Change>& aChange,
+                const base::Expected<control::DataCentreView>& aView)
+  {
+    // The patience timer no longer applies.
+    int answered = ++aChange->mTries;
+    bool isOut = aChange->mValue.mState == DataCentreState::eOut;
+    if (aView) {
+      aChange->mAccepted = true;
+      aChange->mValue.mExpectedVersion = aView->mVersion;
+      if (!isOut || aView->mAcknowledged) {
+        aChange->mEnded = true;
+      }
+      if (isOut && aView->mAcknowledged &&
+          aView->mState == DataCentreState::eOut) {
+        aChange->mAcknowledged = true;
+        RecordChange(*aChange, EventKind::eTakeOutAcknowledged);
+      }
+    } else if (aView.error().mCode == ErrorCode::eConflict &&
+               (answered == 2 || aChange->mAccepted)) {
+      // Somebody else was first, or has changed it since.
+      aChange->mEnded = true;
+      if (!aChange->mAccepted) {
+        RecordChange(*aChange,
+                     isOut ? EventKind::eTakeOutRefused
+                           : EventKind::eBringBackRefused);
+      }
+    } else {
+      aChange->mInstance.clear();
+      aChange->mValue.mExpectedVersion = RowVersion(*aChange);
+    }
+    mClock.After(kOperatorPause, [this, aChange, answered] {
+      if (answered == aChange->mTries) {
+        SendChange(aChange);
+      }
+    });
+  }
+
+  void PutNewConfiguration(const Action& aAction)
+  {
+    // Some value must differ, so that the new document is not the old one.
+    mConfiguration.mAccounts[0].mWeight += 1;
+    PutConfiguration(aAction.mInstance);
+  }
+
+  void PutConfiguration(const std::string& aInstance)
+  {
+    Node* node = Choose(aInstance);
+    if (node == nullptr) {
+      return;
+    }
+    auto settled = std::make_shared<bool>(false);
+    mWorld.DeliverTo(*node, [this, node, settled] {
+      node->mInstance->PutConfiguration(
+        node->mInstance->ConfigVersion(),
+        mConfiguration,
+        [this, node, settled](base::Expected<config::Configuration> aResult) {
+          if (!node->mAlive) {
+            return;
+          }
+          if (aResult) {
+            *settled = true;
+            mAccepted = std::max(mAccepted, aResult->mVersion);
+            Event event;
+            event.mKind = EventKind::eConfigAccepted;
+            event.mInstance = node->mEndpoint.mName;
+            event.mVersion = aResult->mVersion;
+            mWorld.Record(std::move(event));
+          }
+        });
+    });
+    mClock.After(kOperatorPatience, [this, settled] {
+      if (!*settled) {
+        PutConfiguration("");
+      }
+    });
+  }
+
+  // --- Observation
+  // ---------------------------------------------------------------
+
+  void Sample()
+  {
+    for (const auto& [name, node] : mWorld.Instances()) {
+      if (node->mAlive) {
+        SampleConfiguration(*node);
+      }
+    }
+    std::vector<std::uint64_t> lost;
+    for (const auto& [call, open] : mOpenCalls) {
+      if (!open.mNode->mAlive) {
+        lost.push_back(call);
+      }
+    }
+    for (std::uint64_t call : lost) {
+      Abandon(call);
+    }
+    mClock.After(kSamplePeriod, [this] { Sample(); });
+  }
+
+  void SampleConfiguration(Node& aNode)
+  {
+    std::uint64_t version = aNode.mInstance->ConfigVersion();
+    std::uint64_t reachable = version;
+    if (!aNode.mFrozen) {
+      if (mWorld.Mode() == fakes::StoreMode::eUp &&
+          mWorld.IsConnected(aNode.mEndpoint, mWorld.StoreEndpoint())) {
+        reachable = std::max(reachable, mAccepted);
+      }
+      for (const auto& [name, peer] : mWorld.Instances()) {
+        if (mOptions.mPeersPassConfiguration && peer->mAlive &&
+            !peer->mFrozen &&
+            mWorld.IsConnected(aNode.mEndpoint, peer->mEndpoint)) {
+          reachable = std::max(reachable, peer->mInstance->ConfigVersion());
+        }
+      }
+    }
+    auto sample = std::pair(version, reachable);
+    auto [last, isNew] = mSamples.emplace(aNode.mEndpoint.mName, sample);
+    if (isNew || last->second != sample) {
+      last->second = sample;
+      Event event;
+      event.mKind = EventKind::eConfigSample;
+      event.mInstance = aNode.mEndpoint.mName;
+      event.mVersion = version;
+      event.mReachable = reachable;
+      mWorld.Record(std::move(event));
+    }
+  }
+
+  void FailExpectation(std::string aText)
+  {
+    Event event;
+    event.mKind = EventKind::eExpectationFailed;
+    event.mDetail = std::move(aText);
+    mWorld.Record(std::move(event));
+  }
+
+  void Expect(const Action& aAction)
+  {
+    const std::vector<std::string>& names = aAction.mNames;
+    if (names[0] == "request" && names.size() > 2) {
+      ExpectRequest(names);
+    } else if (names[0] == "config") {
+      for (const auto& [name, node] : mWorld.Instances()) {
+        if (node->mAlive && node->mInstance->ConfigVersion() < mAccepted) {
+          FailExpectation(
+            fmt::format("{} uses configuration {}, accepted is {}",
+                        name,
+                        node->mInstance->ConfigVersion(),
+                        mAccepted));
+        }
+      }
+      if (mAccepted == 0) {
+        FailExpectation("no configuration was accepted");
+      }
+    } else if ((names[0] == "out" || names[0] == "in") && names.size() == 2) {
+      if (StateOf(names[1]) != names[0]) {
+        FailExpectation(fmt::format(
+          "{} is {}, not {}", names[1], StateOf(names[1]), names[0]));
+      }
+    } else {
+      FailExpectation("unknown expectation " + names[0]);
+    }
+  }
+
+  // What operators know of a data centre: "in", "out" when that was
+  // acknowledged, otherwise "changing".
+  std::string StateOf(const std::string& aDataCentre) const
+  {
+    std::string state = "in";
+    for (const auto& change : mChanges) {
+      if (change->mValue.mDataCentre.Value() == aDataCentre &&
+          change->mAccepted) {
+        state = change->mValue.mState == DataCentreState::eIn ? "in"
+                : change->mAcknowledged                       ? "out"
+                                                              : "changing";
+      }
+    }
+    return state;
+  }
+
+  void ExpectRequest(const std::vector<std::string>& aNames)
+  {
+    std::size_t slash = aNames[1].find('/');
+    RequestId id{ base::AccountId(aNames[1].substr(0, slash)),
+                  aNames[1].substr(std::min(slash, aNames[1].size() - 1) + 1) };
+    std::string told = mTold.contains(id) ? mTold[id] : "not answered";
+    bool holds =
+      std::any_of(aNames.begin() + 2, aNames.end(), [&](const auto& aState) {
+        return aState == told || mRejected[id].contains(aState);
+      });
+    if (!holds) {
+      FailExpectation(fmt::format("{} is {}", aNames[1], told));
+    }
+  }
+
+  const Script& mScript;
+  const RunOptions& mOptions;
+  config::Configuration mConfiguration;
+  fakes::FakeWorld mWorld;
+  fakes::VirtualClock& mClock;
+  std::uint64_t mLastNumber = 0;
+  std::uint64_t mAccepted = 0;
+  std::map<std::uint64_t, OpenCall> mOpenCalls;
+  std::map<RequestId, Caller> mCallers;
+  // What callers were last told, and the errors they got.
+  std::map<RequestId, std::string> mTold;
+  std::map<RequestId, std::set<std::string>> mRejected;
+  std::vector<std::shared_ptr<Change>> mChanges;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> mSamples;
+  std::map<std::string, std::string> mOwners;
+};
+
+double Seconds(Time aTime)
+{
+  return std::chrono::duration<double>(aTime.time_since_epoch()).count();
+}
+
+} // namespace
+
+RunResult RunScript(const Script& aScript, const RunOptions& aOptions)
+{
+  return Runner(aScript, aOptions).Run();
+}
+
+std::string DescribeViolations(const RunResult& aResult)
+{
+  std::string text;
+  for (const fakes::Violation& violation : aResult.mViolations) {
+    text += fmt::format("seed {}: {} at {:.3f}s: {}\n",
+                        aResult.mSeed,
+                        violation.mRule,
+                        Seconds(violation.mTime),
+                        violation.mText);
+  }
+  return text;
+}
+
+std::string DescribeEvents(const RunResult& aResult, const std::string& aText)
+{
+  static constexpr const char* kNames[] = {
+    "submitted",        "answered",         "call failed",
+    "caller left",      "cancel requested", "task started",
+    "task ended",       "take-out",         "take-out acknowledged",
+    "take-out refused", "bring-back",       "bring-back refused",
+    "server leaving",   "config accepted",  "config sample",
+    "stop began",       "stop ended",       "instance ended",
+    "fault began",      "fault ended",      "expectation failed",
+    "run ended"
+  };
+  std::string text;
+  for (const Event& event : aResult.mHistory.mEvents) {
+    std::string line = fmt::format(
+      "{:.6f}s {} {}/{} {} {} {} {} {} epoch {} {} ran {} task {} v{}/{} {}",
+      Seconds(event.mTime),
+      kNames[static_cast<std::size_t>(event.mKind)],
+      event.mRequest.mAccount.Value(),
+      event.mRequest.mKey,
+      event.mJobKind.Value(),
+      event.mInstance,
+      event.mServer.Value(),
+      event.mDataCentre.Value(),
+      event.mAttempt.Value(),
+      event.mEpoch.Value(),
+      RequestStateName(event.mState),
+      RanName(event.mRan),
+      static_cast<int>(event.mTaskState),
+      event.mVersion,
+      event.mReachable,
+      event.mDetail);
+    if (line.find(aText) != std::string::npos) {
+      text += line + "\n";
+    }
+  }
+  return text;
+}
+
+} // namespace flamingoloom::testing::scenario
