Scenario actions without effect are violations

A misspelled instance in a script was ignored, so that the scenario could pass without a fault. Names are now checked when the action takes place, because "owner:a" is known only then; a check in the parser was ruled out for that.

--- a/testing/fakes/fake_store.cpp
+++ b/testing/fakes/fake_store.cpp
@@ -31,7 +31,6 @@
   if (!result.Committed()) {
     return result;
   }
-  ++mCommits;
   for (const platform::Write& write : aTransaction.mWrites) {
     std::uint64_t version = ++mLastVersion;
     if (write.mValue) {
--- a/testing/fakes/fake_store.h
+++ b/testing/fakes/fake_store.h
@@ -33,13 +33,11 @@
 
   // 0 when the row is absent.
   std::uint64_t VersionOf(const std::string& aKey) const;
-  std::uint64_t Commits() const { return mCommits; }
 
 private:
   std::map<std::string, platform::Row> mRows;
   std::map<std::string, std::string> mObjects;
   std::uint64_t mLastVersion = 0;
-  std::uint64_t mCommits = 0;
 };
 
 } // namespace flamingoloom::testing::fakes
--- a/testing/scenario/program.cpp
+++ b/testing/scenario/program.cpp
@@ -87,6 +87,7 @@
   void Count(const RunResult& aResult)
   {
     std::lock_guard lock(mMutex);
+    mCounts["bytes between regions"] += aResult.mCrossRegionBytes;
     for (const fakes::Event& event : aResult.mHistory.mEvents) {
       if (event.mKind == fakes::EventKind::eAnswered) {
         ++mCounts[fmt::format("answers {}", RequestStateName(event.mState))];
--- a/testing/scenario/runner.cpp
+++ b/testing/scenario/runner.cpp
@@ -163,9 +163,66 @@
       name = Resolve(name);
     }
     action.mInstance = Resolve(action.mInstance);
+    CheckNames(action);
     (this->*handler->second)(action);
   }
 
+  // A script that acts on nothing would pass without having tested anything.
+  void CheckNames(const Action& aAction)
+  {
+    static const std::set<std::string> sOnInstances{
+      "kill", "freeze", "thaw", "stop"
+    };
+    static const std::set<std::string> sOnServers{ "leave-server",
+                                                   "kill-server",
+                                                   "break-server",
+                                                   "repair-server",
+                                                   "mix-answers" };
+    auto require = [&](bool aHolds, const std::string& aName) {
+      if (!aHolds) {
+        FailExpectation(
+          fmt::format("\"{} {}\" has an effect", aAction.mVerb, aName));
+      }
+    };
+    auto isMember = [&](const std::string& aName) {
+      return mWorld.FindInstance(aName) != nullptr ||
+             mWorld.FindServer(aName) != nullptr;
+    };
+    std::vector<std::string> members = aAction.mRepeatedAt;
+    if (!aAction.mInstance.empty()) {
+      members.push_back(aAction.mInstance);
+    }
+    if (sOnInstances.contains(aAction.mVerb)) {
+      members.push_back(aAction.mNames[0]);
+    }
+    for (const std::string& name : members) {
+      require(mWorld.FindInstance(name) != nullptr, name);
+    }
+    if (sOnServers.contains(aAction.mVerb)) {
+      require(mWorld.FindServer(aAction.mNames[0]) != nullptr,
+              aAction.mNames[0]);
+    } else if (aAction.mVerb == "start" || aAction.mVerb == "start-server") {
+      require(!isMember(aAction.mNames[0]), aAction.mNames[0]);
+    } else if (aAction.mVerb == "cut" || aAction.mVerb == "heal") {
+      for (const std::string& name : aAction.mNames) {
+        require(isMember(name) || name == "store" || IsRegion(name), name);
+      }
+    } else if (aAction.mVerb == "store") {
+      static const std::set<std::string> sModes{
+        "up", "down", "slow", "loses-answers"
+      };
+      require(sModes.contains(aAction.mNames[0]), aAction.mNames[0]);
+    }
+  }
+
+  bool IsRegion(const std::string& aName) const
+  {
+    return std::ranges::any_of(mConfiguration.mDataCentres,
+                               [&](const config::DataCentre& aEntry) {
+                                 return aEntry.mRegion.Value() == aName;
+                               });
+  }
+
   // "owner:a" is the instance that owns data centre "a" when the script first
   // names it, "other:a" the other instance that the run began with there.
   std::string Resolve(const std::string& aName)
--- a/testing/scenario/runner.h
+++ b/testing/scenario/runner.h
@@ -9,6 +9,9 @@
 //   the version that it was last told.
 // - An operator who puts a configuration expects the version that the
 //   instance uses, and tries again when it was not accepted.
+//
+// The configuration that an instance uses is sampled every 50 ms, so that a
+// time measured for P9 is at most 50 ms too long.
 #pragma once
 
 #include <cstdint>
--- a/testing/scenario/scenario_test.cpp
+++ b/testing/scenario/scenario_test.cpp
@@ -141,6 +141,23 @@
   }
 }
 
+// A misspelled name must not make a scenario pass for want of a fault.
+TEST_CASE("an action without effect is a violation")
+{
+  for (const char* line : { "kill a9",
+                            "start a1",
+                            "thaw x1",
+                            "cut a1 stone",
+                            "store broken",
+                            "leave-server a1",
+                            "submit quote --key q --at a9",
+                            "put-config --at a9" }) {
+    CAPTURE(line);
+    RunResult result = RunDummy(std::string("at 3s ") + line + "\nat 9s end");
+    CHECK(Rules(result) == "expect");
+  }
+}
+
 // Otherwise the losses of an instance are never seen by a caller.
 TEST_CASE("a caller whose instance dies asks again elsewhere")
 {
@@ -240,6 +257,7 @@
       RunResult result = RunDummy(ReadScript(entry.path().filename()));
       for (const fakes::Violation& violation : result.mViolations) {
         CHECK(violation.mText.find("unknown expectation") == std::string::npos);
+        CHECK(violation.mText.find("has an effect") == std::string::npos);
       }
     }
   }
