Summary promises only what holds, and single answers can be checked

Cause: a guarantee of an installation with one data centre is planned for the normal case only, but the summary promised it for the data centre's absence as well; "99% of answers come within" read as a fact, not as a goal. The terminal needs to check one answer at a time and a heading per section.

--- a/flamingoloom/config/answers.cpp
+++ b/flamingoloom/config/answers.cpp
@@ -172,6 +172,21 @@
   return DecodeAnswers(aDocument);
 }
 
+Problems CheckAnswer(std::string_view aSection,
+                     std::string_view aKey,
+                     const json& aValue)
+{
+  const auto all = json::parse(AnswersSchema());
+  json part = all.at("properties").at(std::string(aSection));
+  if (part.contains("items")) {
+    auto entry = part.at("items").at("$ref").get<std::string>().substr(1);
+    part = all.at(json::json_pointer(entry));
+    part = part.at("properties").at(std::string(aKey));
+  }
+  part["definitions"] = all.at("definitions");
+  return CheckSchema(part.dump(), aValue, Source("input"));
+}
+
 Checked<Answers> AnswersFromText(std::string_view aText,
                                  const std::string& aName)
 {
--- a/flamingoloom/config/answers.h
+++ b/flamingoloom/config/answers.h
@@ -96,6 +96,12 @@
 Checked<Answers> AnswersFromText(std::string_view aText,
                                  const std::string& aName);
 
+// Problems of a single answer, such as that to "tasks" in "kinds". Requires
+// that there is such a question.
+Problems CheckAnswer(std::string_view aSection,
+                     std::string_view aKey,
+                     const nlohmann::json& aValue);
+
 // The JSON schema of an answers file.
 std::string_view AnswersSchema();
 
--- a/flamingoloom/config/questions.cpp
+++ b/flamingoloom/config/questions.cpp
@@ -75,8 +75,8 @@
   Question{ "blocks",
             eSize,
             "How many such blocks can it always get?",
-            "They are kept available even while any one data centre is out of "
-            "service.",
+            "With several data centres they are kept available even while any "
+            "one of them is out of service.",
             "1" },
 };
 
@@ -161,21 +161,25 @@
 
 constexpr std::array kSections = {
   Section{ "dataCentres",
+           "Data centres",
            "data centre",
            "Where the backend servers are.",
            kCentreQuestions,
            1 },
   Section{ "accounts",
+           "Client accounts",
            "client account",
            "Who sends jobs.",
            kAccountQuestions,
            1 },
   Section{ "guarantees",
+           "Guarantees",
            "guarantee",
            "What a client account can always get.",
            kGuaranteeQuestions,
            0 },
   Section{ "kinds",
+           "Kinds of job",
            "kind of job",
            "What is run, and what may happen to it.",
            kKindQuestions,
--- a/flamingoloom/config/questions.h
+++ b/flamingoloom/config/questions.h
@@ -43,6 +43,8 @@
 struct Section
 {
   std::string_view mKey;
+  // Heading, such as "Data centres".
+  std::string_view mTitle;
   // What one entry of the list is, such as "data centre".
   std::string_view mEntry;
   std::string_view mExplanation;
--- a/flamingoloom/config/summary.cpp
+++ b/flamingoloom/config/summary.cpp
@@ -38,11 +38,15 @@
                     Plural(guarantee.mShape, "adjacent accelerator")));
     }
   }
-  return blocks.empty()
-           ? "has no guarantee"
-           : fmt::format("can always get {}, also while any one data centre "
-                         "is out of service",
-                         fmt::join(blocks, " and "));
+  if (blocks.empty()) {
+    return "has no guarantee";
+  }
+  // Guarantees of a single data centre cannot outlast it.
+  return fmt::format("can always get {}{}",
+                     fmt::join(blocks, " and "),
+                     aConfiguration.mDataCentres.size() > 1
+                       ? ", also while any one data centre is out of service"
+                       : " while the data centre is in service");
 }
 
 std::string AccountLine(const Configuration& aConfiguration,
@@ -84,7 +88,7 @@
       ? std::string("a late answer is still delivered")
       : fmt::format("refused without running when it cannot end within {}",
                     DurationText(aKind.mDeadline));
-  return fmt::format("{:g}% of answers come within {}, {}",
+  return fmt::format("the goal is {:g}% of answers within {}; {}",
                      aKind.mObjective * kPercent,
                      DurationText(aKind.mTarget),
                      late);
@@ -112,9 +116,10 @@
   if (aKind.mAcceleratorsPerTask == 0) {
     return tasks + " without accelerators";
   }
-  return fmt::format("{} with {} each{}",
+  return fmt::format("{} with {}{}{}",
                      tasks,
                      Plural(aKind.mAcceleratorsPerTask, "accelerator"),
+                     aKind.mTasks == 1 ? "" : " each",
                      aKind.mAdjacent ? ", all next to each other" : "");
 }
 
