Command line tool for operators and callers

Cause: teams set up, change and watch flamingoloom from a terminal or from scripts. Each group of subcommands describes itself as data, and one file turns the descriptions into CLI11, which is slow to compile. Several instances may be given. A request that was sent and got no answer goes to the next instance only when it has no effect of its own or carries an idempotency key; otherwise the exit code says that the outcome is unknown, and a later instance that cannot be reached does not turn it into "nothing took effect". Answers are checked against their declared length and digest. Ruled out: the key as an option, because other users see the list of processes; repeating a change of the configuration or of a data centre, which could conflict with itself; asking for each problem of the answers again at the terminal, because a contradiction concerns several questions (the answers are saved and offered again instead). Conclusion: each subcommand is run in-process against a server on loopback, rightly and wrongly.

--- /dev/null
+++ b/flamingoloom/cli/config_commands.cpp
@@ -0,0 +1,246 @@
+#include "flamingoloom/cli/config_commands.h"
+
+#include <iostream>
+
+#include <fmt/format.h>
+
+#include "flamingoloom/cli/files.h"
+#include "flamingoloom/cli/report_error.h"
+#include "flamingoloom/cli/table.h"
+#include "flamingoloom/config/configuration_json.h"
+#include "flamingoloom/config/difference.h"
+#include "flamingoloom/config/summary.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using base::ErrorCode;
+using base::Expected;
+using config::Configuration;
+using nlohmann::json;
+
+constexpr char kPath[] = "/v1/config";
+
+template <class T>
+Expected<T> Single(config::Checked<T> aChecked)
+{
+  if (aChecked) {
+    return std::move(*aChecked);
+  }
+  return tl::unexpected(config::Combine(aChecked.error()));
+}
+
+// Instances send the configuration either alone or beside other keys.
+Expected<Configuration> Decode(const ApiAnswer& aAnswer)
+{
+  const auto& body = aAnswer.mBody;
+  bool isWrapped = body.is_object() && body.contains("configuration");
+  auto configuration = Single(config::ConfigurationFromJson(
+    isWrapped ? body.at("configuration") : body, aAnswer.mServer));
+  if (!configuration) {
+    configuration.error().mCode = ErrorCode::eBadAnswer;
+  }
+  return configuration;
+}
+
+Expected<Configuration> Current(Context& aContext)
+{
+  return aContext.mClient->SendChecked({ "GET", kPath }).and_then(Decode);
+}
+
+Expected<Configuration> FromFile(const std::string& aPath)
+{
+  return ReadFile(aPath).and_then([&](const std::string& aText) {
+    return Single(config::ConfigurationFromText(aText, aPath));
+  });
+}
+
+void PrintLines(std::ostream& aOut, const std::vector<std::string>& aLines)
+{
+  for (const auto& line : aLines) {
+    aOut << line << "\n";
+  }
+}
+
+Expected<ExitCode> Show(Context& aContext, const Arguments&)
+{
+  return Current(aContext).map([&](const Configuration& aCurrent) {
+    auto& out = aContext.mConsole.mOut;
+    if (aContext.mIsJson) {
+      out << config::ToIndentedText(aCurrent);
+    } else {
+      out << fmt::format(
+        "{}, version {}\n", aCurrent.mDeployment, aCurrent.mVersion);
+      PrintLines(out, config::Summarise(aCurrent));
+    }
+    return ExitCode::eDone;
+  });
+}
+
+void PrintDifference(Context& aContext,
+                     const Configuration& aOld,
+                     const Configuration& aNew)
+{
+  auto lines = config::Difference(aOld, aNew);
+  auto& out = aContext.mConsole.mOut;
+  if (aContext.mIsJson) {
+    PrintJson(out, { { "version", aOld.mVersion }, { "changes", lines } });
+    return;
+  }
+  out << fmt::format(
+    "{} against version {}:\n",
+    lines.empty()
+      ? "no changes"
+      : fmt::format("{} change{}", lines.size(), lines.size() == 1 ? "" : "s"),
+    aOld.mVersion);
+  PrintLines(out, lines);
+}
+
+Expected<ExitCode> Diff(Context& aContext, const Arguments& aArguments)
+{
+  auto wanted = FromFile(aArguments.Text("file"));
+  if (!wanted) {
+    return tl::unexpected(wanted.error());
+  }
+  return Current(aContext).map([&](const Configuration& aCurrent) {
+    PrintDifference(aContext, aCurrent, *wanted);
+    return ExitCode::eDone;
+  });
+}
+
+Expected<ExitCode> History(Context& aContext, const Arguments&)
+{
+  return aContext.mClient->SendChecked({ "GET", "/v1/config/history" })
+    .map([&](const ApiAnswer& aAnswer) {
+      if (aContext.mIsJson) {
+        PrintJson(aContext.mConsole.mOut, aAnswer.mBody);
+      } else {
+        PrintTable(aContext.mConsole.mOut,
+                   RowsOf(aAnswer.mBody),
+                   { "version", "operator", "digest" });
+      }
+      return ExitCode::eDone;
+    });
+}
+
+// The operator confirms the version that the shown difference is against.
+Expected<std::uint64_t> Confirm(Context& aContext, std::uint64_t aVersion)
+{
+  if (!aContext.mConsole.mIsInteractive) {
+    return base::MakeError(
+      ErrorCode::eInvalid,
+      "apply configuration",
+      "command line",
+      fmt::format("give the version that you saw, which is now {}", aVersion),
+      "--expected-version");
+  }
+  aContext.mConsole.mErr << "Apply these changes? (yes/no) " << std::flush;
+  std::string reply;
+  std::getline(aContext.mConsole.mIn, reply);
+  if (reply == "yes" || reply == "y") {
+    return aVersion;
+  }
+  return base::MakeError(ErrorCode::eInvalid,
+                         "apply configuration",
+                         "operator",
+                         "not confirmed; nothing was changed");
+}
+
+// The version to replace. A configuration that does not exist yet has
+// version 0.
+Expected<std::uint64_t> VersionToReplace(Context& aContext,
+                                         const Arguments& aArguments,
+                                         const Configuration& aWanted)
+{
+  if (auto given = aArguments.Number("--expected-version")) {
+    return *given;
+  }
+  auto current = Current(aContext);
+  if (!current && current.error().mCode == ErrorCode::eNotFound) {
+    current = Configuration();
+  }
+  if (!current) {
+    return tl::unexpected(current.error());
+  }
+  PrintDifference(aContext, *current, aWanted);
+  return Confirm(aContext, current->mVersion);
+}
+
+void PrintApplied(Context& aContext, const ApiAnswer& aAnswer)
+{
+  if (aContext.mIsJson) {
+    PrintJson(aContext.mConsole.mOut, aAnswer.mBody);
+    return;
+  }
+  const auto& body = aAnswer.mBody;
+  auto version = body.is_object() ? body.value("version", json()) : json();
+  aContext.mConsole.mOut << fmt::format(
+    "applied{}\n",
+    version.is_null() ? "" : fmt::format(" as version {}", version.dump()));
+}
+
+Expected<ExitCode> Apply(Context& aContext, const Arguments& aArguments)
+{
+  auto wanted = FromFile(aArguments.Text("file"));
+  if (!wanted) {
+    return tl::unexpected(wanted.error());
+  }
+  auto version = VersionToReplace(aContext, aArguments, *wanted);
+  if (!version) {
+    return tl::unexpected(version.error());
+  }
+  ApiRequest request{ "PUT",
+                      kPath,
+                      { { "expectedVersion", *version },
+                        { "configuration", config::ToJson(*wanted) } } };
+  return aContext.mClient->SendChecked(request).map(
+    [&](const ApiAnswer& aAnswer) {
+      PrintApplied(aContext, aAnswer);
+      return ExitCode::eDone;
+    });
+}
+
+const OptionSpec kFile{
+  "file",
+  OptionType::eText,
+  "configuration that the questionnaire wrote",
+  true,
+};
+
+} // namespace
+
+Commands ConfigCommands()
+{
+  return { { { "config", "show" },
+             "Show the configuration in force, in sentences or as JSON",
+             "flamingoloom config show",
+             {},
+             true,
+             Show },
+           { { "config", "diff" },
+             "Show what a configuration file would change",
+             "flamingoloom config diff configuration.json",
+             { kFile },
+             true,
+             Diff },
+           { { "config", "history" },
+             "List the earlier versions of the configuration",
+             "flamingoloom config history",
+             {},
+             true,
+             History },
+           { { "config", "apply" },
+             "Put a configuration file in force on all instances",
+             "flamingoloom config apply configuration.json "
+             "--expected-version 4",
+             { kFile,
+               { "--expected-version",
+                 OptionType::eNumber,
+                 "version to replace; 0 for the first configuration. At a "
+                 "terminal it may be left out: the changes are then shown and "
+                 "confirmed" } },
+             true,
+             Apply } };
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/config_commands.h
@@ -0,0 +1,10 @@
+// Subcommands that show and change the configuration of the instances.
+#pragma once
+
+#include "flamingoloom/cli/command.h"
+
+namespace flamingoloom::cli {
+
+Commands ConfigCommands();
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/config_commands_test.cpp
@@ -0,0 +1,187 @@
+#include <doctest/doctest.h>
+
+#include "flamingoloom/cli/fake_instance.h"
+#include "flamingoloom/cli/run_in_process.h"
+#include "flamingoloom/config/configuration_json.h"
+#include "flamingoloom/config/example_answers.h"
+#include "flamingoloom/config/generate.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using config::Configuration;
+using nlohmann::json;
+
+Configuration Example(std::uint64_t aVersion = 0)
+{
+  auto configuration = config::Generate(
+    config::ExampleAnswers(), "test", placement::PlanGuarantees);
+  configuration->mVersion = aVersion;
+  return *configuration;
+}
+
+Configuration Changed()
+{
+  auto changed = Example();
+  changed.mAccounts[0].mWeight = 5;
+  return changed;
+}
+
+json Error(const std::string& aCode)
+{
+  return { { "error", { { "code", aCode }, { "message", "because" } } } };
+}
+
+RunResult RunTyped(const FakeInstance& aInstance,
+                   const std::string& aFile,
+                   const std::string& aTyped)
+{
+  return RunAtTerminal(
+    { "config", "apply", aFile, "--server", aInstance.Address() }, aTyped);
+}
+
+} // namespace
+
+// Guards against a configuration that is shown differently from the one in
+// force.
+TEST_CASE("config show prints sentences or the document")
+{
+  for (const json& body :
+       { config::ToJson(Example(4)),
+         json{ { "configuration", config::ToJson(Example(4)) } } }) {
+    FakeInstance instance;
+    instance.WillAnswer(200, body);
+    auto text = RunAt({ instance.Address() }, { "config", "show" });
+    CHECK(text.mCode == ExitCode::eDone);
+    CHECK(text.OutHas("version 4"));
+    CHECK(text.OutHas("invoice: runs at most once"));
+    auto document =
+      RunAt({ instance.Address() }, { "config", "show", "--json" });
+    CHECK(config::ConfigurationFromText(document.mOut, "test") == Example(4));
+  }
+}
+
+// Guards against an instance's answer that is shown although it is not valid.
+TEST_CASE("config show refuses what is no configuration")
+{
+  FakeInstance instance;
+  instance.WillAnswer(200, { { "version", 4 } });
+  CHECK(RunAt({ instance.Address() }, { "config", "show" }).mCode ==
+        ExitCode::eUnknown);
+}
+
+// Guards against a comparison in the wrong direction.
+TEST_CASE("config diff shows what the file would change")
+{
+  ScratchFolder folder;
+  auto file = folder.Write("c.json", config::ToText(Changed()));
+  FakeInstance instance;
+  instance.WillAnswer(200, config::ToJson(Example(4)));
+  auto result = RunAt({ instance.Address() }, { "config", "diff", file });
+  CHECK(result.mCode == ExitCode::eDone);
+  CHECK(result.mOut == "1 change against version 4:\n"
+                       "client account large: share is now 5 (was 3).\n");
+}
+
+// Guards against a file that is sent without having been checked.
+TEST_CASE("config diff and apply refuse a wrong file before sending")
+{
+  ScratchFolder folder;
+  FakeInstance instance;
+  instance.WillAnswer(200, config::ToJson(Example(4)));
+  for (const auto& file : { folder.Write("wrong.json", "{\"version\":-1}"),
+                            folder.Path("missing.json") }) {
+    for (const char* verb : { "diff", "apply" }) {
+      auto result = RunAt({ instance.Address() }, { "config", verb, file });
+      CHECK(result.mCode == ExitCode::eInvalid);
+      CHECK(result.ErrHas(file));
+    }
+  }
+  CHECK(instance.Requests().empty());
+}
+
+// Guards against a history that is empty when the instance keeps none.
+TEST_CASE("config history lists versions, or says that there are none")
+{
+  FakeInstance instance;
+  instance.WillAnswer(
+    200,
+    { { "versions", { { { "version", 3 }, { "operator", "sigrun" } } } } });
+  auto result = RunAt({ instance.Address() }, { "config", "history" });
+  CHECK(result.mCode == ExitCode::eDone);
+  CHECK(result.mOut == "version  operator\n3        sigrun\n");
+  FakeInstance without;
+  without.WillAnswer(404, Error("not_found"));
+  CHECK(RunAt({ without.Address() }, { "config", "history" }).mCode ==
+        ExitCode::eNotFound);
+}
+
+// Guards against an operator who replaces a version that he has not seen (P9).
+TEST_CASE("config apply sends the version that the operator saw")
+{
+  ScratchFolder folder;
+  auto file = folder.Write("c.json", config::ToText(Changed()));
+  FakeInstance instance;
+  instance.WillAnswer(200, { { "version", 5 } });
+  auto result = RunAt({ instance.Address() },
+                      { "config", "apply", file, "--expected-version", "4" });
+  CHECK(result.mCode == ExitCode::eDone);
+  CHECK(result.mOut == "applied as version 5\n");
+  REQUIRE(instance.Requests().size() == 1);
+  CHECK(instance.Requests()[0].mMethod == "PUT");
+  CHECK(json::parse(instance.Requests()[0].mBody) ==
+        json{ { "expectedVersion", 4 },
+              { "configuration", config::ToJson(Changed()) } });
+}
+
+// Guards against a change without a version when nobody can confirm it.
+TEST_CASE("config apply needs a version or a person who confirms")
+{
+  ScratchFolder folder;
+  auto file = folder.Write("c.json", config::ToText(Changed()));
+  FakeInstance instance;
+  instance.WillAnswer(200, config::ToJson(Example(4)));
+  auto unattended = RunAt({ instance.Address() }, { "config", "apply", file });
+  CHECK(unattended.mCode == ExitCode::eInvalid);
+  CHECK(unattended.ErrHas("--expected-version"));
+  CHECK(unattended.ErrHas("now 4"));
+  auto refused = RunTyped(instance, file, "no\n");
+  CHECK(refused.mCode == ExitCode::eInvalid);
+  CHECK(refused.OutHas("share is now 5"));
+  for (const auto& request : instance.Requests()) {
+    CHECK(request.mMethod == "GET");
+  }
+  FakeInstance confirmed;
+  confirmed.WillAnswer(200, config::ToJson(Example(4)));
+  confirmed.WillAnswer(200, { { "version", 5 } });
+  CHECK(RunTyped(confirmed, file, "yes\n").mCode == ExitCode::eDone);
+  CHECK(json::parse(confirmed.Requests().at(1).mBody)["expectedVersion"] == 4);
+}
+
+// Guards against a first configuration that cannot be applied because there
+// is none to compare with.
+TEST_CASE("config apply replaces version 0 when there is no configuration")
+{
+  ScratchFolder folder;
+  auto file = folder.Write("c.json", config::ToText(Changed()));
+  FakeInstance instance;
+  instance.WillAnswer(404, Error("not_found"));
+  instance.WillAnswer(200, { { "version", 1 } });
+  CHECK(RunTyped(instance, file, "yes\n").mCode == ExitCode::eDone);
+  CHECK(json::parse(instance.Requests().at(1).mBody)["expectedVersion"] == 0);
+}
+
+// Guards against a lost race that is reported as applied.
+TEST_CASE("config apply reports a conflict")
+{
+  ScratchFolder folder;
+  auto file = folder.Write("c.json", config::ToText(Changed()));
+  FakeInstance instance;
+  instance.WillAnswer(409, Error("conflict"));
+  auto result = RunAt({ instance.Address() },
+                      { "config", "apply", file, "--expected-version", "3" });
+  CHECK(result.mCode == ExitCode::eConflict);
+  CHECK(result.mOut.empty());
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/data_centre_commands.cpp
@@ -0,0 +1,230 @@
+#include "flamingoloom/cli/data_centre_commands.h"
+
+#include <chrono>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "flamingoloom/cli/progress.h"
+#include "flamingoloom/cli/table.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using base::ErrorCode;
+using base::Expected;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr auto kPollPause = 200ms;
+constexpr char kPath[] = "/v1/datacentres";
+
+const std::vector<std::string> kColumns = { "dataCentre",   "state",
+                                            "acknowledged", "version",
+                                            "operator",     "reason" };
+
+Expected<json> List(Context& aContext)
+{
+  return aContext.mClient->SendChecked({ "GET", kPath })
+    .map([](const ApiAnswer& aAnswer) { return RowsOf(aAnswer.mBody); });
+}
+
+// The row of one data centre in the listing.
+Expected<json> Find(Context& aContext, const std::string& aName)
+{
+  auto rows = List(aContext);
+  if (!rows) {
+    return rows;
+  }
+  for (const auto& row : *rows) {
+    if (row.is_object() && row.value("dataCentre", json()) == aName) {
+      return row;
+    }
+  }
+  return base::MakeError(ErrorCode::eNotFound,
+                         "find data centre",
+                         "instance",
+                         fmt::format("there is no data centre \"{}\"", aName),
+                         "data-centre");
+}
+
+bool IsAcknowledged(const json& aRow)
+{
+  return aRow.is_object() && aRow.value("acknowledged", json()) == true;
+}
+
+Expected<std::uint64_t> ExpectedVersion(Context& aContext,
+                                        const Arguments& aArguments)
+{
+  if (auto given = aArguments.Number("--expected-version")) {
+    return *given;
+  }
+  return Find(aContext, aArguments.Text("data-centre"))
+    .and_then([](const json& aRow) -> Expected<std::uint64_t> {
+      const auto version = aRow.value("version", json());
+      if (version.is_number_integer()) {
+        return version.get<std::uint64_t>();
+      }
+      return base::MakeError(ErrorCode::eBadAnswer,
+                             "find data centre",
+                             "instance",
+                             "the listing has no version");
+    });
+}
+
+Expected<std::string> Operator(Context& aContext, const Arguments& aArguments)
+{
+  auto name = aArguments.Text("--operator");
+  if (name.empty()) {
+    name = aContext.mEnvironment("USER").value_or("");
+  }
+  if (!name.empty()) {
+    return name;
+  }
+  return base::MakeError(ErrorCode::eInvalid,
+                         "read operator",
+                         "command line",
+                         "give the name of the operator, which a conflicting "
+                         "operator is shown",
+                         "--operator");
+}
+
+Expected<json> Change(Context& aContext,
+                      const Arguments& aArguments,
+                      const std::string& aState)
+{
+  auto name = Operator(aContext, aArguments);
+  if (!name) {
+    return tl::unexpected(name.error());
+  }
+  auto version = ExpectedVersion(aContext, aArguments);
+  if (!version) {
+    return tl::unexpected(version.error());
+  }
+  ApiRequest request{
+    "POST",
+    fmt::format("{}/{}", kPath, EncodeSegment(aArguments.Text("data-centre"))),
+    { { "state", aState },
+      { "operator", *name },
+      { "expectedVersion", *version } }
+  };
+  return aContext.mClient->SendChecked(request).map(
+    [](const ApiAnswer& aAnswer) { return aAnswer.mBody; });
+}
+
+// Asks until the take-out is acknowledged, the data centre is in again, or
+// the time is over; answers the last state.
+Expected<json> AwaitAcknowledgement(Context& aContext,
+                                    const Arguments& aArguments,
+                                    json aRow)
+{
+  using Clock = std::chrono::steady_clock;
+  const auto name = aArguments.Text("data-centre");
+  const auto end = Clock::now() + aArguments.Duration("--wait");
+  Progress progress(aContext.mConsole.mErr, name + " is not yet acknowledged");
+  while (!IsAcknowledged(aRow) && aRow.value("state", json()) == "out" &&
+         Clock::now() < end) {
+    std::this_thread::sleep_for(kPollPause);
+    auto row = Find(aContext, name);
+    if (!row) {
+      return row;
+    }
+    aRow = *row;
+  }
+  return aRow;
+}
+
+void Print(Context& aContext, const json& aRow)
+{
+  if (aContext.mIsJson) {
+    PrintJson(aContext.mConsole.mOut, aRow);
+  } else {
+    PrintTable(aContext.mConsole.mOut, json::array({ aRow }), kColumns);
+  }
+}
+
+Expected<ExitCode> TakeOut(Context& aContext, const Arguments& aArguments)
+{
+  auto row = Change(aContext, aArguments, "out");
+  if (row && row->is_object()) {
+    row = AwaitAcknowledgement(aContext, aArguments, *row);
+  }
+  if (!row) {
+    return tl::unexpected(row.error());
+  }
+  Print(aContext, *row);
+  if (IsAcknowledged(*row)) {
+    return ExitCode::eDone;
+  }
+  aContext.mConsole.mErr
+    << "work may still start there; next: flamingoloom data-centre status\n";
+  return ExitCode::ePending;
+}
+
+Expected<ExitCode> Return(Context& aContext, const Arguments& aArguments)
+{
+  return Change(aContext, aArguments, "in").map([&](const json& aRow) {
+    Print(aContext, aRow);
+    return ExitCode::eDone;
+  });
+}
+
+Expected<ExitCode> Status(Context& aContext, const Arguments&)
+{
+  return List(aContext).map([&](const json& aRows) {
+    if (aContext.mIsJson) {
+      PrintJson(aContext.mConsole.mOut, aRows);
+    } else {
+      PrintTable(aContext.mConsole.mOut, aRows, kColumns);
+    }
+    return ExitCode::eDone;
+  });
+}
+
+const std::vector<OptionSpec> kChangeOptions = {
+  { "data-centre", OptionType::eText, "name of the data centre", true },
+  { "--operator",
+    OptionType::eText,
+    "who makes the change (default: the environment variable USER)" },
+  { "--expected-version",
+    OptionType::eNumber,
+    "version that you saw; the change is refused when somebody else changed "
+    "the data centre since (default: the current one)" },
+};
+
+Command OutCommand()
+{
+  auto options = kChangeOptions;
+  options.push_back({ "--wait",
+                      OptionType::eDuration,
+                      "how long to wait until no new work can start there",
+                      false,
+                      "30 s" });
+  return { { "data-centre", "out" },
+           "Take a data centre out of service; running work goes on",
+           "flamingoloom data-centre out akureyri-2 --operator sigrun",
+           options,
+           true,
+           TakeOut };
+}
+
+} // namespace
+
+Commands DataCentreCommands()
+{
+  return { OutCommand(),
+           { { "data-centre", "in" },
+             "Return a data centre to service",
+             "flamingoloom data-centre in akureyri-2 --operator sigrun",
+             kChangeOptions,
+             true,
+             Return },
+           { { "data-centre", "status" },
+             "List the data centres and whether they are in service",
+             "flamingoloom data-centre status",
+             {},
+             true,
+             Status } };
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/fake_instance.cpp
@@ -0,0 +1,135 @@
+#include "flamingoloom/cli/fake_instance.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <system_error>
+
+#include <fmt/format.h>
+
+namespace flamingoloom::cli {
+namespace {
+
+std::string Loopback(int aPort)
+{
+  return fmt::format("127.0.0.1:{}", aPort);
+}
+
+// A socket that is bound to a free port on loopback.
+int BindAny(int& aPort)
+{
+  int bound = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (bound < 0 || bind(bound, generic, size) != 0 ||
+      getsockname(bound, generic, &size) != 0) {
+    throw std::system_error(errno, std::generic_category(), "bind");
+  }
+  aPort = ntohs(address.sin_port);
+  return bound;
+}
+
+} // namespace
+
+FakeInstance::FakeInstance()
+{
+  auto handle = [this](const auto& aRequest, auto& aResponse) {
+    Handle(aRequest, aResponse);
+  };
+  mServer.Get(".*", handle);
+  mServer.Post(".*", handle);
+  mServer.Put(".*", handle);
+  mServer.Delete(".*", handle);
+  mPort = mServer.bind_to_any_port("127.0.0.1");
+  mThread = std::thread([this] { mServer.listen_after_bind(); });
+  while (!mServer.is_running()) {
+    std::this_thread::yield();
+  }
+}
+
+FakeInstance::~FakeInstance()
+{
+  mServer.stop();
+  mThread.join();
+}
+
+std::string FakeInstance::Address() const
+{
+  return Loopback(mPort);
+}
+
+void FakeInstance::WillAnswer(int aStatus, nlohmann::json aBody)
+{
+  std::lock_guard lock(mMutex);
+  mAnswers.push_back({ aStatus, aBody.dump() });
+}
+
+std::vector<Received> FakeInstance::Requests() const
+{
+  std::lock_guard lock(mMutex);
+  return mRequests;
+}
+
+void FakeInstance::Handle(const httplib::Request& aRequest,
+                          httplib::Response& aResponse)
+{
+  std::this_thread::sleep_for(mDelay);
+  std::lock_guard lock(mMutex);
+  const auto next = std::min(mRequests.size(), mAnswers.size() - 1);
+  mRequests.push_back({ aRequest.method,
+                        aRequest.target,
+                        aRequest.body,
+                        aRequest.get_header_value("Idempotency-Key"),
+                        aRequest.get_header_value("Authorization") });
+  aResponse.status = mAnswers[next].mStatus;
+  aResponse.set_content(mAnswers[next].mBody, "application/json");
+}
+
+SilentInstance::SilentInstance()
+{
+  mSocket = BindAny(mPort);
+  listen(mSocket, SOMAXCONN);
+  mThread = std::thread([this] { Run(); });
+}
+
+SilentInstance::~SilentInstance()
+{
+  shutdown(mSocket, SHUT_RDWR);
+  mThread.join();
+  close(mSocket);
+}
+
+std::string SilentInstance::Address() const
+{
+  return Loopback(mPort);
+}
+
+void SilentInstance::Run()
+{
+  while (true) {
+    int accepted = accept4(mSocket, nullptr, nullptr, SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    std::array<char, 4096> buffer{};
+    if (recv(accepted, buffer.data(), buffer.size(), 0) > 0) {
+      ++mRequests;
+    }
+    close(accepted);
+  }
+}
+
+std::string DeadAddress()
+{
+  int port = 0;
+  close(BindAny(port));
+  return Loopback(port);
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/main.cpp
@@ -0,0 +1,15 @@
+#include <unistd.h>
+
+#include <iostream>
+
+#include "flamingoloom/cli/command_line.h"
+
+int main(int aCount, char** aValues)
+{
+  flamingoloom::cli::Console console{
+    std::cin, std::cout, std::cerr, isatty(STDIN_FILENO) != 0
+  };
+  std::vector<std::string> arguments(aValues + 1, aValues + aCount);
+  return flamingoloom::cli::ToInt(flamingoloom::cli::Run(
+    arguments, console, flamingoloom::config::ProcessEnvironment()));
+}
--- /dev/null
+++ b/flamingoloom/cli/progress.cpp
@@ -0,0 +1,49 @@
+#include "flamingoloom/cli/progress.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace flamingoloom::cli {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr seconds kFirstMessage{ 1 };
+constexpr seconds kLongestPause{ 10 };
+
+} // namespace
+
+Progress::Progress(std::ostream& aOut, std::string aActivity)
+  : mOut(aOut)
+  , mActivity(std::move(aActivity))
+  , mThread([this] { Run(); })
+{
+}
+
+Progress::~Progress()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mIsDone = true;
+  }
+  mChanged.notify_all();
+  mThread.join();
+}
+
+// The pauses grow, so that a long wait does not fill the terminal.
+void Progress::Run()
+{
+  std::unique_lock lock(mMutex);
+  seconds elapsed{ 0 };
+  seconds pause = kFirstMessage;
+  while (!mChanged.wait_for(lock, pause, [this] { return mIsDone; })) {
+    elapsed += pause;
+    mOut << fmt::format("{}, {} s ...\n", mActivity, elapsed.count())
+         << std::flush;
+    pause = std::min(2 * pause, kLongestPause);
+  }
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/questionnaire_command.cpp
@@ -0,0 +1,267 @@
+#include "flamingoloom/cli/questionnaire_command.h"
+
+#include <fmt/format.h>
+
+#include "flamingoloom/cli/files.h"
+#include "flamingoloom/cli/interview.h"
+#include "flamingoloom/cli/report_error.h"
+#include "flamingoloom/cli/table.h"
+#include "flamingoloom/config/answers.h"
+#include "flamingoloom/config/configuration_json.h"
+#include "flamingoloom/config/difference.h"
+#include "flamingoloom/config/generate.h"
+#include "flamingoloom/config/summary.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using base::Expected;
+using config::Answers;
+using config::Configuration;
+using nlohmann::json;
+
+constexpr char kEarlier[] = "--previous";
+constexpr char kAnswersFile[] = "--answers";
+constexpr char kSaveAnswers[] = "--save-answers";
+constexpr char kDefaultAnswers[] = "answers.json";
+constexpr char kSaveConfiguration[] = "--save-configuration";
+
+// A result, or the exit code after the error has been printed.
+template <class T>
+using Step = tl::expected<T, ExitCode>;
+
+template <class T>
+Step<T> Reported(Context& aContext, const Expected<T>& aResult)
+{
+  if (aResult) {
+    return *aResult;
+  }
+  return tl::unexpected(ReportError(aContext.mConsole.mErr, aResult.error()));
+}
+
+template <class T>
+Step<T> Reported(Context& aContext,
+                 const std::string& aName,
+                 const config::Checked<T>& aResult)
+{
+  if (aResult) {
+    return *aResult;
+  }
+  return tl::unexpected(
+    ReportProblems(aContext.mConsole.mErr, aName, aResult.error()));
+}
+
+Step<Answers> FromFile(Context& aContext, const std::string& aPath)
+{
+  auto text = Reported(aContext, ReadFile(aPath));
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  return Reported(aContext, aPath, config::AnswersFromText(*text, aPath));
+}
+
+// Answers that exist before anything is asked: those of --previous.
+Step<std::optional<Answers>> Previous(Context& aContext,
+                                      const Arguments& aArguments)
+{
+  if (!aArguments.Has(kEarlier)) {
+    return std::nullopt;
+  }
+  return FromFile(aContext, aArguments.Text(kEarlier))
+    .map([](const Answers& aAnswers) { return std::optional(aAnswers); });
+}
+
+Step<Answers> FromTerminal(Context& aContext,
+                           const std::optional<Answers>& aPrevious)
+{
+  auto& console = aContext.mConsole;
+  if (!console.mIsInteractive) {
+    console.mErr << "error: there is no terminal to ask at\n"
+                    "next: give the answers with --answers FILE\n";
+    return tl::unexpected(ExitCode::eUsage);
+  }
+  auto answers =
+    AskAll(console, aPrevious ? config::ToJson(*aPrevious) : json::object());
+  if (!answers) {
+    console.mErr << "\nerror: the input ended before the last question; "
+                    "nothing was written\n"
+                    "next: start again, or give the answers with --answers "
+                    "FILE\n";
+    return tl::unexpected(ExitCode::eUsage);
+  }
+  return Reported(aContext,
+                  "the questionnaire",
+                  config::AnswersFromJson(*answers, "terminal"));
+}
+
+Step<Answers> Obtain(Context& aContext,
+                     const Arguments& aArguments,
+                     const std::optional<Answers>& aPrevious)
+{
+  return aArguments.Has(kAnswersFile)
+           ? FromFile(aContext, aArguments.Text(kAnswersFile))
+           : FromTerminal(aContext, aPrevious);
+}
+
+// Where the answers go; empty when they came from a file and stay there.
+std::string AnswersPath(const Arguments& aArguments)
+{
+  bool isDefault =
+    !aArguments.Has(kSaveAnswers) && !aArguments.Has(kAnswersFile);
+  return isDefault ? kDefaultAnswers : aArguments.Text(kSaveAnswers);
+}
+
+// Written even when the answers contradict each other, so that only the
+// contradictions have to be answered again.
+Step<std::string> SaveAnswers(Context& aContext,
+                              const Arguments& aArguments,
+                              const Answers& aAnswers)
+{
+  const auto path = AnswersPath(aArguments);
+  if (path.empty()) {
+    return path;
+  }
+  auto saved =
+    Reported(aContext, WriteFile(path, config::ToIndentedText(aAnswers)));
+  if (saved) {
+    aContext.mConsole.mErr << fmt::format("answers written to {}\n", path);
+  }
+  return saved;
+}
+
+Step<Configuration> GenerateFrom(Context& aContext,
+                                 const Arguments& aArguments,
+                                 const Answers& aAnswers)
+{
+  auto configuration =
+    config::Generate(aAnswers, "answers", placement::PlanGuarantees);
+  if (!configuration && !aArguments.Has(kAnswersFile)) {
+    aContext.mConsole.mErr << fmt::format(
+      "to change single answers: flamingoloom questionnaire --previous {}\n",
+      AnswersPath(aArguments));
+  }
+  return Reported(aContext, "the questionnaire", configuration);
+}
+
+// What changes against the previous answers; everything is new when these
+// contradict each other.
+std::vector<std::string> Changes(const std::optional<Answers>& aPrevious,
+                                 const Configuration& aNew)
+{
+  if (!aPrevious) {
+    return {};
+  }
+  auto old =
+    config::Generate(*aPrevious, "previous", placement::PlanGuarantees);
+  return config::Difference(old.value_or(Configuration()), aNew);
+}
+
+void PrintText(std::ostream& aOut,
+               const Configuration& aConfiguration,
+               bool aHasPrevious,
+               const std::vector<std::string>& aChanges)
+{
+  aOut << aConfiguration.mDeployment << "\n";
+  for (const auto& line : config::Summarise(aConfiguration)) {
+    aOut << line << "\n";
+  }
+  if (!aHasPrevious) {
+    return;
+  }
+  aOut << (aChanges.empty() ? "\nNothing changes.\n" : "\nChanges:\n");
+  for (const auto& line : aChanges) {
+    aOut << line << "\n";
+  }
+}
+
+void Print(Context& aContext,
+           const Configuration& aConfiguration,
+           const std::optional<Answers>& aPrevious)
+{
+  const auto changes = Changes(aPrevious, aConfiguration);
+  auto& out = aContext.mConsole.mOut;
+  if (aContext.mIsJson) {
+    PrintJson(out,
+              { { "configuration", config::ToJson(aConfiguration) },
+                { "summary", config::Summarise(aConfiguration) },
+                { "changes", changes } });
+  } else {
+    PrintText(out, aConfiguration, aPrevious.has_value(), changes);
+  }
+}
+
+Step<std::string> SaveConfiguration(Context& aContext,
+                                    const Arguments& aArguments,
+                                    const Configuration& aConfiguration)
+{
+  const auto path = aArguments.Text(kSaveConfiguration);
+  auto saved =
+    Reported(aContext, WriteFile(path, config::ToIndentedText(aConfiguration)));
+  if (saved) {
+    aContext.mConsole.mErr << fmt::format(
+      "configuration written to {}\nnext: flamingoloom config apply {}\n",
+      path,
+      path);
+  }
+  return saved;
+}
+
+Step<ExitCode> Answer(Context& aContext, const Arguments& aArguments)
+{
+  auto previous = Previous(aContext, aArguments);
+  if (!previous) {
+    return tl::unexpected(previous.error());
+  }
+  auto answers = Obtain(aContext, aArguments, *previous);
+  if (!answers) {
+    return tl::unexpected(answers.error());
+  }
+  auto saved = SaveAnswers(aContext, aArguments, *answers);
+  if (!saved) {
+    return tl::unexpected(saved.error());
+  }
+  return GenerateFrom(aContext, aArguments, *answers)
+    .and_then([&](const Configuration& aNew) {
+      Print(aContext, aNew, *previous);
+      return SaveConfiguration(aContext, aArguments, aNew);
+    })
+    .map([](const std::string&) { return ExitCode::eDone; });
+}
+
+Expected<ExitCode> Run(Context& aContext, const Arguments& aArguments)
+{
+  auto done = Answer(aContext, aArguments);
+  return done ? *done : done.error();
+}
+
+} // namespace
+
+Commands QuestionnaireCommands()
+{
+  return {
+    { { "questionnaire" },
+      "Ask about jobs, client accounts, guarantees and data centres, "
+      "and write the configuration",
+      "flamingoloom questionnaire --previous answers.json",
+      { { kAnswersFile,
+          OptionType::eText,
+          "file with the answers; nothing is asked" },
+        { kEarlier,
+          OptionType::eText,
+          "file with earlier answers, which are offered again; the "
+          "changes against them are shown" },
+        { kSaveAnswers,
+          OptionType::eText,
+          "file to which the answers are written (default: answers.json, or "
+          "none with --answers)" },
+        { kSaveConfiguration,
+          OptionType::eText,
+          "file to which the configuration is written",
+          false,
+          "configuration.json" } },
+      false,
+      Run }
+  };
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/request_answer.cpp
@@ -0,0 +1,111 @@
+#include "flamingoloom/cli/request_answer.h"
+
+#include <fmt/format.h>
+
+#include "flamingoloom/base/digest.h"
+#include "flamingoloom/cli/table.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using nlohmann::json;
+
+std::string TextAt(const json& aObject, const char* aKey)
+{
+  auto found = aObject.find(aKey);
+  return found != aObject.end() && found->is_string()
+           ? found->get<std::string>()
+           : "";
+}
+
+ExitCode CodeOfState(const std::string& aState)
+{
+  if (aState == "finished") {
+    return ExitCode::eDone;
+  }
+  if (aState == "failed" || aState == "cancelled") {
+    return ExitCode::eFailed;
+  }
+  if (aState == "pending") {
+    return ExitCode::ePending;
+  }
+  return aState == "refused" ? ExitCode::eRefused : ExitCode::eUnknown;
+}
+
+std::string NextStep(ExitCode aCode,
+                     const std::string& aAccount,
+                     const std::string& aKey)
+{
+  switch (aCode) {
+    case ExitCode::ePending:
+      return fmt::format("next: flamingoloom wait {} {}\n", aAccount, aKey);
+    case ExitCode::eUnknown:
+      return fmt::format(
+        "next: ask again later with the same key: flamingoloom wait {} {}\n",
+        aAccount,
+        aKey);
+    case ExitCode::eRefused:
+      return "next: it did not run; it may be submitted again with a new "
+             "idempotency key\n";
+    default:
+      return "";
+  }
+}
+
+} // namespace
+
+bool IsRequestAnswer(const ApiAnswer& aAnswer)
+{
+  return aAnswer.mBody.is_object() && !TextAt(aAnswer.mBody, "state").empty();
+}
+
+bool IsPending(const ApiAnswer& aAnswer)
+{
+  return IsRequestAnswer(aAnswer) &&
+         TextAt(aAnswer.mBody, "state") == "pending";
+}
+
+base::Expected<ApiAnswer> CheckDigest(ApiAnswer aAnswer)
+{
+  const auto& body = aAnswer.mBody;
+  if (TextAt(body, "state") != "finished") {
+    return aAnswer;
+  }
+  const auto payload = TextAt(body, "answer");
+  auto bytes = body.find("answerBytes");
+  bool isComplete = bytes != body.end() && bytes->is_number_integer() &&
+                    bytes->get<std::uint64_t>() == payload.size() &&
+                    TextAt(body, "answerSha256") == base::Sha256Hex(payload);
+  if (isComplete) {
+    return aAnswer;
+  }
+  return base::MakeError(base::ErrorCode::eBadAnswer,
+                         "read answer",
+                         aAnswer.mServer,
+                         "the answer does not have its declared length and "
+                         "digest");
+}
+
+ExitCode PrintRequestAnswer(Context& aContext,
+                            const ApiAnswer& aAnswer,
+                            const std::string& aAccount,
+                            const std::string& aKey)
+{
+  auto& out = aContext.mConsole.mOut;
+  const auto code = CodeOfState(TextAt(aAnswer.mBody, "state"));
+  if (aContext.mIsJson) {
+    PrintJson(out, aAnswer.mBody);
+    return code;
+  }
+  auto summary = aAnswer.mBody;
+  summary.erase("answer");
+  PrintObject(out, summary);
+  const auto payload = TextAt(aAnswer.mBody, "answer");
+  if (!payload.empty()) {
+    out << "\n" << payload << "\n";
+  }
+  aContext.mConsole.mErr << NextStep(code, aAccount, aKey);
+  return code;
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/request_answer.h
@@ -0,0 +1,25 @@
+// The answer to a caller's request, as the instances send it.
+#pragma once
+
+#include "flamingoloom/cli/command.h"
+
+namespace flamingoloom::cli {
+
+// Whether aAnswer carries the state of a request, rather than an error.
+bool IsRequestAnswer(const ApiAnswer& aAnswer);
+
+// True for a request that has not ended yet.
+bool IsPending(const ApiAnswer& aAnswer);
+
+// Fails with eBadAnswer when the payload does not have the length and the
+// digest that the instance declared. Requires IsRequestAnswer.
+base::Expected<ApiAnswer> CheckDigest(ApiAnswer aAnswer);
+
+// Prints the answer and what to do next, and returns the exit code for its
+// state. Requires IsRequestAnswer.
+ExitCode PrintRequestAnswer(Context& aContext,
+                            const ApiAnswer& aAnswer,
+                            const std::string& aAccount,
+                            const std::string& aKey);
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/request_commands.cpp
@@ -0,0 +1,239 @@
+#include "flamingoloom/cli/request_commands.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "flamingoloom/cli/files.h"
+#include "flamingoloom/cli/request_answer.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using base::Duration;
+using base::Expected;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+// Longest time for which one request asks the instance to wait; shorter than
+// the idle time-outs of common load balancers.
+constexpr Duration kLongestWait = 20s;
+// Pause after a "pending" that came without the wait that was asked for.
+constexpr Duration kPollPause = 200ms;
+
+const std::vector<OptionSpec> kRequestOptions = {
+  { "account", OptionType::eText, "client account of the request", true },
+  { "key", OptionType::eText, "idempotency key of the request", true },
+};
+
+std::string NewKey()
+{
+  std::random_device random;
+  return fmt::format("cli-{:08x}{:08x}{:08x}", random(), random(), random());
+}
+
+std::string RequestPath(const Arguments& aArguments)
+{
+  return fmt::format("/v1/requests/{}/{}",
+                     EncodeSegment(aArguments.Text("account")),
+                     EncodeSegment(aArguments.Text("key")));
+}
+
+Expected<std::string> Payload(const Arguments& aArguments)
+{
+  if (!aArguments.Has("--payload-file")) {
+    return aArguments.Text("--payload");
+  }
+  if (aArguments.Has("--payload")) {
+    return base::MakeError(base::ErrorCode::eInvalid,
+                           "read payload",
+                           "command line",
+                           "give --payload or --payload-file, not both",
+                           "--payload");
+  }
+  return ReadFile(aArguments.Text("--payload-file"));
+}
+
+// JSON carries text only.
+Expected<std::string> CheckUtf8(std::string aText)
+{
+  try {
+    static_cast<void>(json(aText).dump());
+    return aText;
+  } catch (const json::exception&) {
+    return base::MakeError(base::ErrorCode::eInvalid,
+                           "read payload",
+                           "command line",
+                           "the payload must be text in UTF-8",
+                           "--payload");
+  }
+}
+
+// An answer with a state, its payload checked; everything else is an error.
+Expected<ApiAnswer> Ask(Context& aContext, const ApiRequest& aRequest)
+{
+  auto answer = aContext.mClient->Send(aRequest);
+  if (!answer) {
+    return answer;
+  }
+  if (IsRequestAnswer(*answer)) {
+    return CheckDigest(std::move(*answer));
+  }
+  return tl::unexpected(ErrorOf(*answer, aRequest));
+}
+
+Expected<ExitCode> Submit(Context& aContext, const Arguments& aArguments)
+{
+  auto payload = Payload(aArguments).and_then(CheckUtf8);
+  if (!payload) {
+    return tl::unexpected(payload.error());
+  }
+  auto key = aArguments.Text("--idempotency-key");
+  if (key.empty()) {
+    key = NewKey();
+    // Printed before sending, so that the caller can ask again when no answer
+    // arrives.
+    aContext.mConsole.mErr << "idempotency key: " << key << "\n" << std::flush;
+  }
+  const auto account = aArguments.Text("--account");
+  const auto wait = aArguments.Duration("--wait");
+  ApiRequest request{ "POST",
+                      "/v1/requests",
+                      { { "account", account },
+                        { "kind", aArguments.Text("--kind") },
+                        { "payload", *payload },
+                        { "waitMs", base::ToMilliseconds(wait) } },
+                      key,
+                      wait };
+  return Ask(aContext, request).map([&](const ApiAnswer& aAnswer) {
+    return PrintRequestAnswer(aContext, aAnswer, account, key);
+  });
+}
+
+Expected<ApiAnswer> AskOnce(Context& aContext,
+                            const Arguments& aArguments,
+                            const std::string& aMethod,
+                            Duration aWait)
+{
+  ApiRequest request;
+  request.mMethod = aMethod;
+  request.mPath = RequestPath(aArguments);
+  if (aMethod == "GET") {
+    request.mPath += fmt::format("?waitMs={}", base::ToMilliseconds(aWait));
+  }
+  request.mWait = aWait;
+  return Ask(aContext, request);
+}
+
+ExitCode Print(Context& aContext,
+               const Arguments& aArguments,
+               const ApiAnswer& aAnswer)
+{
+  return PrintRequestAnswer(
+    aContext, aAnswer, aArguments.Text("account"), aArguments.Text("key"));
+}
+
+Expected<ExitCode> Status(Context& aContext, const Arguments& aArguments)
+{
+  return AskOnce(aContext, aArguments, "GET", 0s)
+    .map([&](const ApiAnswer& aAnswer) {
+      return Print(aContext, aArguments, aAnswer);
+    });
+}
+
+Expected<ExitCode> Cancel(Context& aContext, const Arguments& aArguments)
+{
+  auto answer = AskOnce(aContext, aArguments, "DELETE", 0s);
+  if (!answer) {
+    return tl::unexpected(answer.error());
+  }
+  const auto code = Print(aContext, aArguments, *answer);
+  bool isCancelled = answer->mBody.at("state") == "cancelled";
+  return isCancelled ? ExitCode::eDone : code;
+}
+
+Expected<ExitCode> Wait(Context& aContext, const Arguments& aArguments)
+{
+  using Clock = std::chrono::steady_clock;
+  const auto end = Clock::now() + aArguments.Duration("--timeout");
+  while (true) {
+    const auto asked = Clock::now();
+    const auto left = std::chrono::duration_cast<Duration>(end - asked);
+    const auto wait = std::clamp(left, Duration::zero(), kLongestWait);
+    auto answer = AskOnce(aContext, aArguments, "GET", wait);
+    if (!answer) {
+      return tl::unexpected(answer.error());
+    }
+    if (!IsPending(*answer) || Clock::now() >= end) {
+      return Print(aContext, aArguments, *answer);
+    }
+    if (Clock::now() - asked < kPollPause) {
+      std::this_thread::sleep_for(kPollPause);
+    }
+  }
+}
+
+Command SubmitCommand()
+{
+  return { { "submit" },
+           "Send a request and wait for its answer",
+           "flamingoloom submit --account blekhus --kind quote --payload '{}'",
+           { { "--account", OptionType::eText, "client account", true },
+             { "--kind", OptionType::eText, "kind of job", true },
+             { "--payload", OptionType::eText, "text that the job receives" },
+             { "--payload-file",
+               OptionType::eText,
+               "file with the text that the job receives" },
+             { "--idempotency-key",
+               OptionType::eText,
+               "name of the request; a repeated name joins the first request "
+               "(default: a new random name, printed)" },
+             { "--wait",
+               OptionType::eDuration,
+               "how long to wait for the answer",
+               false,
+               "10 s" } },
+           true,
+           Submit };
+}
+
+Command WaitCommand()
+{
+  auto options = kRequestOptions;
+  options.push_back({ "--timeout",
+                      OptionType::eDuration,
+                      "how long to wait in total",
+                      false,
+                      "10 min" });
+  return { { "wait" },
+           "Wait until a request has ended, and print its answer",
+           "flamingoloom wait blekhus order-17 --timeout '2 h'",
+           options,
+           true,
+           Wait };
+}
+
+} // namespace
+
+Commands RequestCommands()
+{
+  return { SubmitCommand(),
+           { { "status" },
+             "Print the state of a request",
+             "flamingoloom status blekhus order-17",
+             kRequestOptions,
+             true,
+             Status },
+           WaitCommand(),
+           { { "cancel" },
+             "Cancel a request; work in progress is stopped",
+             "flamingoloom cancel blekhus order-17",
+             kRequestOptions,
+             true,
+             Cancel } };
+}
+
+} // namespace flamingoloom::cli
--- /dev/null
+++ b/flamingoloom/cli/view_commands_test.cpp
@@ -0,0 +1,84 @@
+#include <doctest/doctest.h>
+
+#include "flamingoloom/cli/fake_instance.h"
+#include "flamingoloom/cli/run_in_process.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+using nlohmann::json;
+
+const std::vector<std::string> kViews = { "jobs",
+                                          "servers",
+                                          "instances",
+                                          "capacity",
+                                          "burn" };
+
+} // namespace
+
+// Guards against a listing that hides rows or columns.
+TEST_CASE("each view prints a table or the JSON")
+{
+  const json body = { { "rows",
+                        { { { "id", "s1" }, { "state", "live" } },
+                          { { "id", "Þórshöfn" }, { "free", 3 } } } } };
+  for (const auto& view : kViews) {
+    FakeInstance instance;
+    instance.WillAnswer(200, body);
+    auto table = RunAt({ instance.Address() }, { view });
+    CHECK(table.mCode == ExitCode::eDone);
+    CHECK(table.OutHas("s1"));
+    CHECK(table.OutHas("Þórshöfn"));
+    CHECK(instance.Requests().at(0).mPath == "/v1/" + view);
+    auto asJson = RunAt({ instance.Address() }, { view, "--json" });
+    CHECK(json::parse(asJson.mOut) == body);
+  }
+}
+
+// Guards against columns that do not align when names are not ASCII.
+TEST_CASE("columns align for any text")
+{
+  FakeInstance instance;
+  instance.WillAnswer(200,
+                      json::array({ { { "id", "Þór" }, { "state", "live" } },
+                                    { { "id", "s" }, { "free", 3 } } }));
+  auto result = RunAt({ instance.Address() }, { "servers" });
+  CHECK(result.mOut == "id   state  free\n"
+                       "Þór  live   -\n"
+                       "s    -      3\n");
+}
+
+// Guards against an empty listing that looks like a failure, and against a
+// crash on bodies of another form.
+TEST_CASE("views print whatever form the answer has")
+{
+  for (const auto& [body, text] : std::vector<std::pair<json, std::string>>{
+         { json::array(), "none\n" },
+         { { { "jobs", json::array() } }, "none\n" },
+         { json::array({ "a", 1 }), "a\n1\n" },
+         { { { "free", 7 } }, "free\n7\n" },
+         { json::array({ { { "x", true } }, 3 }), "x\nyes\n-\n" } }) {
+    FakeInstance instance;
+    instance.WillAnswer(200, body);
+    CHECK(RunAt({ instance.Address() }, { "jobs" }).mOut == text);
+  }
+}
+
+// Guards against a view that prints an error as if it were the listing.
+TEST_CASE("each view reports a refusal")
+{
+  for (const auto& view : kViews) {
+    FakeInstance instance;
+    instance.WillAnswer(
+      403,
+      { { "error",
+          { { "code", "denied" }, { "message", "operators only" } } } });
+    auto result = RunAt({ instance.Address() }, { view });
+    CHECK(result.mCode == ExitCode::eDenied);
+    CHECK(result.mOut.empty());
+    CHECK(result.ErrHas("operators only"));
+    CHECK(result.ErrHas("next: set FLAMINGOLOOM_KEY"));
+  }
+}
+
+} // namespace flamingoloom::cli
