HTTP front end towards callers and operators

It checks each input, asks the handler, waits on a promise and answers with complete JSON documents. The JSON codecs are a library of their own for the command line tool.

cpp-httplib 0.11.4 parses and formats; connections are in a subclass with a stream of its own, for these reasons: - The library's wait for the next request on a connection polls every 10 ms and sleeps 1 ms in between. The stream waits in poll(2). - The library has no limit on the headers as a whole, on chunked bodies, on decompressed bodies and on the time a request takes to arrive. - It leaves the body unread after a GET, a refused header or a refused request line, and would take it for the next request. Such connections are closed, and a body of ambiguous length is refused. - It shares its port with other processes (SO_REUSEPORT) and listens with a backlog of 5.

Ruled out: one regular expression per route, as the library offers, because each is tried in turn; the router compares prefixes.

--- /dev/null
+++ b/flamingoloom/frontend/caller_api.h
@@ -0,0 +1,34 @@
+// The part of the HTTP interface that callers use: /v1/requests.
+#pragma once
+
+#include <string_view>
+
+#include "flamingoloom/frontend/api_message.h"
+#include "flamingoloom/frontend/frontend_handler.h"
+#include "flamingoloom/frontend/settings.h"
+
+namespace flamingoloom::frontend::internal {
+
+// Thread-safe. Waits for the handler; the references outlive this.
+class CallerApi
+{
+public:
+  CallerApi(const FrontendSettings& aSettings, const FrontendHandler& aHandler)
+    : mSettings(aSettings)
+    , mHandler(aHandler)
+  {
+  }
+
+  // POST /v1/requests
+  ApiReply Submit(const ApiRequest& aRequest) const;
+  // GET /v1/requests/<account>/<key>; aName is "<account>/<key>".
+  ApiReply Await(const ApiRequest& aRequest, std::string_view aName) const;
+  // DELETE /v1/requests/<account>/<key>
+  ApiReply Cancel(const ApiRequest& aRequest, std::string_view aName) const;
+
+private:
+  const FrontendSettings& mSettings;
+  const FrontendHandler& mHandler;
+};
+
+} // namespace flamingoloom::frontend::internal
--- /dev/null
+++ b/flamingoloom/frontend/json_reader.cpp
@@ -0,0 +1,220 @@
+#include "flamingoloom/frontend/json_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace flamingoloom::frontend::internal {
+namespace {
+
+using base::ErrorCode;
+using nlohmann::json;
+
+constexpr int kMaxDepth = 32;
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kMaxKeyLength = 128;
+
+bool IsAlphanumeric(char aChar)
+{
+  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') ||
+         (aChar >= '0' && aChar <= '9');
+}
+
+bool ConsistsOf(std::string_view aText,
+                std::string_view aPunctuation,
+                std::size_t aMaxLength)
+{
+  return !aText.empty() && aText.size() <= aMaxLength &&
+         std::all_of(aText.begin(), aText.end(), [&](char aChar) {
+           return IsAlphanumeric(aChar) ||
+                  aPunctuation.find(aChar) != std::string_view::npos;
+         });
+}
+
+} // namespace
+
+bool IsName(std::string_view aText)
+{
+  return ConsistsOf(aText, "._-", kMaxNameLength);
+}
+
+bool IsIdempotencyKey(std::string_view aText)
+{
+  return ConsistsOf(aText, "._-~:", kMaxKeyLength);
+}
+
+base::Expected<json> ParseJson(std::string_view aText,
+                               const std::string& aStep,
+                               const std::string& aPeer)
+{
+  bool tooDeep = false;
+  json document = json::parse(
+    aText,
+    [&tooDeep](int aDepth, json::parse_event_t, json&) {
+      tooDeep = tooDeep || aDepth > kMaxDepth;
+      return !tooDeep;
+    },
+    false);
+  if (tooDeep) {
+    return base::MakeError(
+      ErrorCode::eInvalid, aStep, aPeer, "the document is nested too deeply");
+  }
+  if (document.is_discarded()) {
+    return base::MakeError(
+      ErrorCode::eInvalid, aStep, aPeer, "the text is no valid JSON");
+  }
+  return document;
+}
+
+ObjectReader::ObjectReader(std::string_view aText,
+                           std::string aStep,
+                           std::string aPeer)
+{
+  base::Expected<json> document = ParseJson(aText, aStep, aPeer);
+  mError.mStep = std::move(aStep);
+  mError.mPeer = std::move(aPeer);
+  if (!document) {
+    mError = document.error();
+    mError.mField = "body";
+    mFailed = true;
+  } else if (!document->is_object()) {
+    Reject("body", "must be a JSON object");
+  } else {
+    mObject = std::move(*document);
+  }
+}
+
+ObjectReader::ObjectReader(const json& aObject,
+                           std::string aStep,
+                           std::string aPeer,
+                           std::string aPath)
+  : mObject(aObject)
+  , mPath(std::move(aPath))
+{
+  mError.mStep = std::move(aStep);
+  mError.mPeer = std::move(aPeer);
+  if (!mObject.is_object()) {
+    Reject("", "must be an object");
+  }
+}
+
+std::string ObjectReader::Text(const std::string& aField)
+{
+  const json* value = Required(aField);
+  if (value == nullptr) {
+    return {};
+  }
+  if (!value->is_string()) {
+    Reject(aField, "must be a string");
+    return {};
+  }
+  return value->get<std::string>();
+}
+
+std::string ObjectReader::Name(const std::string& aField)
+{
+  std::string text = Text(aField);
+  if (!mFailed && !IsName(text)) {
+    Reject(aField, "must be 1 to 64 letters, digits, '.', '_' or '-'");
+  }
+  return text;
+}
+
+std::uint64_t ObjectReader::Unsigned(const std::string& aField)
+{
+  const json* value = Required(aField);
+  if (value == nullptr) {
+    return 0;
+  }
+  if (!value->is_number_unsigned()) {
+    Reject(aField, "must be an integer that is not negative");
+    return 0;
+  }
+  return value->get<std::uint64_t>();
+}
+
+bool ObjectReader::Bool(const std::string& aField)
+{
+  const json* value = Required(aField);
+  if (value == nullptr) {
+    return false;
+  }
+  if (!value->is_boolean()) {
+    Reject(aField, "must be true or false");
+    return false;
+  }
+  return value->get<bool>();
+}
+
+json ObjectReader::Object(const std::string& aField)
+{
+  const json* value = Required(aField);
+  if (value != nullptr && !value->is_object()) {
+    Reject(aField, "must be an object");
+  }
+  return mFailed ? json::object() : *value;
+}
+
+json ObjectReader::Array(const std::string& aField)
+{
+  const json* value = Required(aField);
+  if (value != nullptr && !value->is_array()) {
+    Reject(aField, "must be an array");
+  }
+  return mFailed ? json::array() : *value;
+}
+
+bool ObjectReader::Has(const std::string& aField) const
+{
+  return mObject.is_object() && mObject.contains(aField);
+}
+
+bool ObjectReader::IsNull(const std::string& aField) const
+{
+  return Has(aField) && mObject[aField].is_null();
+}
+
+void ObjectReader::Reject(const std::string& aField, std::string_view aProblem)
+{
+  if (mFailed) {
+    return;
+  }
+  mFailed = true;
+  mError.mCode = ErrorCode::eInvalid;
+  mError.mField = mPath;
+  if (!aField.empty()) {
+    mError.mField += (mPath.empty() ? "" : ".") + aField;
+  }
+  mError.mMessage = fmt::format("{} {}", mError.mField, aProblem);
+}
+
+const json* ObjectReader::Required(const std::string& aField)
+{
+  mRead.insert(aField);
+  if (mFailed) {
+    return nullptr;
+  }
+  auto found = mObject.find(aField);
+  if (found == mObject.end()) {
+    Reject(aField, "is missing");
+    return nullptr;
+  }
+  return &*found;
+}
+
+void ObjectReader::RejectUnknown()
+{
+  if (mFailed) {
+    return;
+  }
+  for (const auto& [field, value] : mObject.items()) {
+    if (!mRead.contains(field)) {
+      // The name came from outside; a long one would flood the answer.
+      Reject(field.substr(0, kMaxNameLength), "is unknown");
+      return;
+    }
+  }
+}
+
+} // namespace flamingoloom::frontend::internal
--- /dev/null
+++ b/flamingoloom/frontend/refusal.cpp
@@ -0,0 +1,105 @@
+#include "flamingoloom/frontend/refusal.h"
+
+#include <algorithm>
+#include <array>
+
+namespace flamingoloom::frontend::internal {
+namespace {
+
+using base::ErrorCode;
+
+// The longest path of the interface has two names and a key.
+constexpr std::size_t kMaxPathLength = 512;
+
+constexpr std::array kSingleHeaders = { "Authorization",
+                                        "Idempotency-Key",
+                                        "Content-Type" };
+
+bool IsLength(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= 18 &&
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return aChar >= '0' && aChar <= '9';
+         });
+}
+
+bool HasAmbiguousLength(const httplib::Request& aRequest)
+{
+  std::size_t lengths = aRequest.get_header_value_count("Content-Length");
+  std::size_t codings = aRequest.get_header_value_count("Transfer-Encoding");
+  if (lengths + codings > 1) {
+    return true;
+  }
+  if (codings == 1) {
+    return aRequest.get_header_value("Transfer-Encoding") != "chunked";
+  }
+  return lengths == 1 && !IsLength(aRequest.get_header_value("Content-Length"));
+}
+
+bool HasBody(const httplib::Request& aRequest)
+{
+  if (aRequest.has_header("Transfer-Encoding")) {
+    return true;
+  }
+  std::string length = aRequest.get_header_value("Content-Length");
+  return !length.empty() && length.find_first_not_of('0') != std::string::npos;
+}
+
+bool TakesBody(const std::string& aMethod)
+{
+  return aMethod == "POST" || aMethod == "PUT";
+}
+
+base::Error BadHeader(const char* aField, const char* aMessage)
+{
+  return { ErrorCode::eInvalid, "read request", "client", aMessage, aField };
+}
+
+} // namespace
+
+Refusal Examine(const httplib::Request& aRequest)
+{
+  if (HasAmbiguousLength(aRequest)) {
+    return Refusal::eFraming;
+  }
+  if (HasBody(aRequest) && !TakesBody(aRequest.method)) {
+    return Refusal::eBodyNotAllowed;
+  }
+  if (aRequest.has_header("Content-Encoding")) {
+    return Refusal::eEncoding;
+  }
+  for (const char* header : kSingleHeaders) {
+    if (aRequest.get_header_value_count(header) > 1) {
+      return Refusal::eRepeatedHeader;
+    }
+  }
+  return aRequest.path.size() > kMaxPathLength ? Refusal::ePathTooLong
+                                               : Refusal::eNone;
+}
+
+base::Error RefusalError(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::eBodyNotAllowed:
+      return BadHeader("body", "the method takes no body");
+    case Refusal::eEncoding:
+      return BadHeader("Content-Encoding", "must be absent");
+    case Refusal::eRepeatedHeader:
+      return BadHeader("Authorization, Idempotency-Key, Content-Type",
+                       "must be sent at most once");
+    case Refusal::ePathTooLong:
+      return BadHeader("path", "is too long");
+    case Refusal::eLeaving:
+      return { ErrorCode::eLeaving,
+               "admit request",
+               "instance",
+               "this instance is shutting down, the request did not run",
+               "" };
+    case Refusal::eNone:
+    case Refusal::eFraming:
+      break;
+  }
+  return BadHeader("Content-Length", "the length of the body is ambiguous");
+}
+
+} // namespace flamingoloom::frontend::internal
--- /dev/null
+++ b/flamingoloom/frontend/transport_test.cpp
@@ -0,0 +1,259 @@
+// Limits of connections, and requests that are not well-formed HTTP.
+#include <doctest/doctest.h>
+
+#include <random>
+#include <thread>
+
+#include "flamingoloom/frontend/test_support.h"
+
+namespace flamingoloom::frontend::test {
+namespace {
+
+std::string Status(const std::string& aResponse)
+{
+  return aResponse.substr(0, aResponse.find('\r'));
+}
+
+std::size_t CountResponses(const std::string& aBytes)
+{
+  std::size_t count = 0;
+  for (std::size_t at = aBytes.find("HTTP/1.1 "); at != std::string::npos;
+       at = aBytes.find("HTTP/1.1 ", at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+// Sends a request and reads to the end of the connection.
+std::string Exchange(const HttpFrontend& aFrontend, const std::string& aBytes)
+{
+  RawClient client(aFrontend);
+  client.Send(aBytes);
+  return client.ReadAll();
+}
+
+std::string PostHead(const std::string& aHeaders)
+{
+  return "POST /v1/requests HTTP/1.1\r\nHost: x\r\n" + aHeaders + "\r\n";
+}
+
+} // namespace
+
+// A second request hidden in the body of the first could act under another
+// sender's name behind a load balancer.
+TEST_CASE("a body of ambiguous length ends the connection")
+{
+  auto frontend = StartFrontend();
+  const std::string hidden = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (const std::string& bytes :
+       { PostHead("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n") +
+           "0\r\n\r\n" + hidden,
+         PostHead("Content-Length: 0\r\nContent-Length: 39\r\n") + hidden,
+         PostHead("Transfer-Encoding: gzip, chunked\r\n") + hidden,
+         PostHead("Content-Length: +5\r\n") + hidden,
+         "GET /healthz HTTP/1.1\r\nContent-Length: 39\r\n\r\n" + hidden,
+         "DELETE /v1/requests/a/k HTTP/1.1\r\nContent-Length: 39\r\n\r\n" +
+           hidden }) {
+    CAPTURE(bytes);
+    std::string answer = Exchange(*frontend, bytes);
+    CHECK(Status(answer) == "HTTP/1.1 400 Bad Request");
+    CHECK(CountResponses(answer) == 1);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  }
+}
+
+// The HTTP library answers these before it has looked at the body.
+TEST_CASE("a request line that is refused ends the connection")
+{
+  auto frontend = StartFrontend();
+  const std::string rest = "Content-Length: 39\r\n\r\n"
+                           "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+  std::string answer = Exchange(
+    *frontend, "POST /" + std::string(9000, 'p') + " HTTP/1.1\r\n" + rest);
+  CHECK(Status(answer).substr(0, 10) == "HTTP/1.1 4");
+  CHECK(CountResponses(answer) == 1);
+  answer = Exchange(*frontend, "POST /healthz\r\n" + rest);
+  CHECK(Status(answer) == "HTTP/1.1 400 Bad Request");
+  CHECK(CountResponses(answer) == 1);
+}
+
+// A small compressed body can become larger than the memory.
+TEST_CASE("a compressed body is refused before it is read")
+{
+  auto frontend = StartFrontend();
+  std::string answer = Exchange(
+    *frontend, PostHead("Content-Encoding: gzip\r\nContent-Length: 5\r\n"));
+  CHECK(Status(answer) == "HTTP/1.1 400 Bad Request");
+  CHECK(answer.find("\"field\":\"Content-Encoding\"") != std::string::npos);
+}
+
+TEST_CASE("a repeated key header is refused")
+{
+  auto frontend = StartFrontend();
+  std::string answer = Exchange(
+    *frontend, PostHead("Idempotency-Key: a\r\nIdempotency-Key: b\r\n"));
+  CHECK(Status(answer) == "HTTP/1.1 400 Bad Request");
+  CHECK(answer.find("Idempotency-Key") != std::string::npos);
+}
+
+TEST_CASE("a body over the limit is refused, one at the limit is not")
+{
+  FrontendSettings settings;
+  settings.mMaxBodyBytes = 1000;
+  auto frontend = StartFrontend(PlainHandler(), settings);
+  const std::string start = R"({"account":"a","kind":"k","payload":")";
+  std::string body = start + std::string(998 - start.size(), 'x') + "\"}";
+  REQUIRE(body.size() == 1000);
+  CHECK(Client(*frontend).Post("/v1/requests", body).status == 200);
+  auto response = Client(*frontend).Post("/v1/requests", body + " ");
+  CHECK(response.status == 413);
+  CHECK(ErrorField(response) == "body");
+}
+
+TEST_CASE("a chunked body is read and has a limit as well")
+{
+  FrontendSettings settings;
+  settings.mMaxBodyBytes = 1000;
+  auto frontend = StartFrontend(PlainHandler(), settings);
+  const std::string body = R"({"account":"a","kind":"k","payload":""})";
+  std::string head =
+    PostHead("Transfer-Encoding: chunked\r\nConnection: close\r\n");
+  std::string answer =
+    Exchange(*frontend, head + "27\r\n" + body + "\r\n0\r\n\r\n");
+  CHECK(Status(answer) == "HTTP/1.1 200 OK");
+
+  RawClient client(*frontend);
+  client.Send(head);
+  for (int i = 0; i < 100; ++i) {
+    client.Send("3e8\r\n" + std::string(1000, 'x') + "\r\n");
+  }
+  CHECK(Status(client.ReadAll()) != "HTTP/1.1 200 OK");
+  CHECK(Client(*frontend).Get("/healthz").status == 200);
+}
+
+TEST_CASE("headers and paths over the limit are refused")
+{
+  auto frontend = StartFrontend();
+  std::string many = "GET /healthz HTTP/1.1\r\n";
+  for (int i = 0; i < 1000; ++i) {
+    many += "X-" + std::to_string(i) + ": " + std::string(50, 'v') + "\r\n";
+  }
+  CHECK(Status(Exchange(*frontend, many + "\r\n")) ==
+        "HTTP/1.1 400 Bad Request");
+  std::string path = "/" + std::string(600, 'p');
+  std::string answer =
+    Exchange(*frontend, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(Status(answer) == "HTTP/1.1 400 Bad Request");
+  CHECK(answer.find("\"field\":\"path\"") != std::string::npos);
+  path = "/" + std::string(9000, 'p');
+  answer = Exchange(*frontend, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(Status(answer).substr(0, 10) == "HTTP/1.1 4");
+}
+
+TEST_CASE("random bytes stop nothing")
+{
+  constexpr std::uint64_t kSeed = 20240612;
+  INFO("seed " << kSeed);
+  std::mt19937_64 random(kSeed);
+  auto frontend = StartFrontend();
+  for (int i = 0; i < 300; ++i) {
+    std::string bytes(random() % 300, '\0');
+    for (char& byte : bytes) {
+      byte = static_cast<char>(random());
+    }
+    RawClient client(*frontend);
+    client.Send(random() % 2 == 0 ? bytes : PostHead(bytes));
+    client.FinishSending();
+    client.ReadAll();
+  }
+  CHECK(Client(*frontend).Get("/healthz").status == 200);
+}
+
+// Guards the threads against senders that never finish a request.
+TEST_CASE("a request that does not arrive in time ends the connection")
+{
+  FrontendSettings settings;
+  settings.mThreads = 1;
+  settings.mTransferTimeout = std::chrono::milliseconds(40);
+  auto frontend = StartFrontend(PlainHandler(), settings);
+  RawClient slow(*frontend);
+  slow.Send("POST /v1/requests HTTP/1.1\r\nContent-Length: 10\r\n\r\n{");
+  CHECK(Status(slow.ReadAll()) == "HTTP/1.1 400 Bad Request");
+}
+
+TEST_CASE("an idle connection is closed after its time")
+{
+  FrontendSettings settings;
+  settings.mIdleTimeout = std::chrono::milliseconds(40);
+  auto frontend = StartFrontend(PlainHandler(), settings);
+  CHECK(Exchange(*frontend, "").empty());
+  std::string answer =
+    Exchange(*frontend, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(Status(answer) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("a connection over the limit is told so at once")
+{
+  FrontendSettings settings;
+  settings.mThreads = 2;
+  auto frontend = StartFrontend(PlainHandler(), settings);
+  Client one(*frontend);
+  Client two(*frontend);
+  CHECK(one.Get("/healthz").status == 200);
+  CHECK(two.Get("/healthz").status == 200);
+  std::string answer = RawClient(*frontend).ReadAll();
+  CHECK(Status(answer) == "HTTP/1.1 503 Service Unavailable");
+  CHECK(answer.find("\"code\":\"busy\"") != std::string::npos);
+  CHECK(one.Get("/healthz").status == 200);
+}
+
+TEST_CASE("a connection serves many requests")
+{
+  auto frontend = StartFrontend();
+  RawClient client(*frontend);
+  std::string requests;
+  for (int i = 0; i < 50; ++i) {
+    requests += "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+  }
+  client.Send(requests +
+              "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  CHECK(CountResponses(client.ReadAll()) == 51);
+}
+
+TEST_CASE("a post without a length has an empty body and does not wait")
+{
+  auto frontend = StartFrontend();
+  std::string answer = Exchange(*frontend, PostHead("Connection: close\r\n"));
+  CHECK(Status(answer) == "HTTP/1.1 400 Bad Request");
+  CHECK(answer.find("\"field\":\"body\"") != std::string::npos);
+  answer = Exchange(
+    *frontend, "DELETE /v1/requests/a/k HTTP/1.1\r\nConnection: close\r\n\r\n");
+  CHECK(Status(answer) == "HTTP/1.1 200 OK");
+}
+
+// A part of an answer would look like a damaged one.
+TEST_CASE("ranges and compression are not applied to answers")
+{
+  auto frontend = StartFrontend();
+  auto response = Client(*frontend).Get(
+    "/healthz", { { "Range", "bytes=0-3" }, { "Accept-Encoding", "gzip" } });
+  CHECK(response.status == 200);
+  CHECK(response.body == "{\"healthy\":true}");
+  CHECK_FALSE(response.has_header("Content-Encoding"));
+}
+
+TEST_CASE("a front end that cannot be bound reports why")
+{
+  auto frontend = StartFrontend();
+  FrontendSettings settings;
+  settings.mListen = frontend->Address();
+  auto second = HttpFrontend::Start(settings, PlainHandler());
+  REQUIRE_FALSE(second);
+  CHECK(second.error().mCode == base::ErrorCode::eUnavailable);
+  settings.mListen = "localhost:0";
+  auto third = HttpFrontend::Start(settings, PlainHandler());
+  REQUIRE_FALSE(third);
+  CHECK(third.error().mCode == base::ErrorCode::eInvalid);
+}
+
+} // namespace flamingoloom::frontend::test
