Daemon process, and a configuration that spreads between peers

Cause: configuration_cut_off.scn: an instance that reaches neither the store nor the announcer never got the new version, because an announcement did not say whom to ask. server_killed.scn: a request waited for ever in a data centre that had lost all its servers. Gang answers: the checker expects the answer of a task, the runner had joined the answers of all. Ruled out: pushing the whole document with each announcement (the slow link would carry it to every instance). Conclusion: an announcement names its sender, each instance tells one peer a second its version, requests leave a data centre without enough servers after 5 s, the first task answers for its gang.

--- a/flamingoloom/control/accelerator_table.h
+++ b/flamingoloom/control/accelerator_table.h
@@ -38,6 +38,13 @@
   void SetServers(const std::vector<platform::Member>& aListed,
                   const std::vector<platform::Member>& aUsable);
 
+  // Accelerators of the servers that may get new work.
+  int InService() const
+  {
+    return static_cast<int>(mInService.size()) *
+           mCapacity.mAcceleratorsPerServer;
+  }
+
   // Places waiting jobs in the given order, with a reservation for the first
   // large gang that must wait.
   std::vector<PlacedJob> Decide(const std::vector<placement::Job>& aWaiting,
--- a/flamingoloom/control/attempt_runner.h
+++ b/flamingoloom/control/attempt_runner.h
@@ -443,16 +443,13 @@
     }
   }
 
-  // A gang's answer is the answers of its tasks, a line for each.
+  // The first task answers for its gang, as the first rank of a parallel job
+  // does.
   void EndFinished()
   {
-    std::string answer;
-    for (const TaskRun& task : mTasks) {
-      answer += (answer.empty() ? "" : "\n") + task.mAnswer;
-    }
     if (!IsOver()) {
       Done done = std::exchange(mDone, nullptr);
-      done({ Kind::eFinished, std::move(answer), Server(0).mId, {} });
+      done({ Kind::eFinished, mTasks[0].mAnswer, Server(0).mId, {} });
     }
   }
 
--- a/flamingoloom/control/centre_jobs.h
+++ b/flamingoloom/control/centre_jobs.h
@@ -176,6 +176,8 @@
 
   std::size_t OpenCount() const { return mJobs.size(); }
 
+  const AcceleratorTable& Accelerators() const { return mAccelerators; }
+
   // Open records with the states that views show.
   std::vector<ledger::Record> Records() const
   {
@@ -209,6 +211,8 @@
     std::chrono::milliseconds(300);
   // A start that was sent so long ago has reached its server or never will.
   static constexpr base::Duration kStartArrives = std::chrono::seconds(1);
+  // A data centre without enough servers gets so long to get them back.
+  static constexpr base::Duration kMoveAfter = std::chrono::seconds(5);
   static constexpr std::size_t kLargestAnswerInRow = 4096;
 
   std::function<bool()> MayWrite()
@@ -472,6 +476,10 @@
       EndWithoutRun(aJob, "could not be started within its deadline");
     } else if (!CanStart()) {
       return;
+    } else if (IsTooSmall(*kind) &&
+               mContext.Now() - aJob->mSince > kMoveAfter) {
+      aJob->mSince = mContext.Now();
+      MoveAway(aJob);
     } else if (kind->mAcceleratorsPerTask == 0) {
       auto places =
         mSlots.Place(record.mRequest, kind->mTasks, record.mFailedServers);
@@ -483,6 +491,14 @@
     }
   }
 
+  // The servers in service could not run the kind even if all were free.
+  bool IsTooSmall(const config::JobKind& aKind) const
+  {
+    return aKind.Accelerators() == 0
+             ? !mSlots.HasServers()
+             : mAccelerators.InService() < aKind.Accelerators();
+  }
+
   // Refused when it never ran, else failed: it may have run before.
   void EndWithoutRun(const JobPtr& aJob, const std::string& aReason)
   {
--- a/flamingoloom/control/config_keeper.h
+++ b/flamingoloom/control/config_keeper.h
@@ -54,31 +54,31 @@
 
   // A peer has a newer version: the row is read at once, and the peer is asked
   // for the document in case the store does not answer.
-  void OnAnnounced(std::uint64_t aVersion)
+  void OnAnnounced(const platform::ConfigNotice& aNotice)
   {
-    if (aVersion <= Version()) {
+    if (aNotice.mVersion <= Version()) {
       return;
     }
     ReadRow();
-    AskPeers();
+    AskPeer(aNotice.mFrom);
+  }
+
+  // Tells one peer at random which version is in force here, so that an
+  // instance that can reach neither the store nor the announcer gets it too.
+  void AnnounceToOne()
+  {
+    auto peers = Peers();
+    if (Version() > 0 && !peers.empty()) {
+      AnnounceTo(peers[mContext.mPorts.Random() % peers.size()]);
+    }
   }
 
   // Asks one peer after another for a newer version; used when the store
   // cannot be read.
   void AskPeers()
   {
-    for (const platform::Member& peer : mContext.mMembers.Instances()) {
-      if (peer.mId == mContext.mIdentity.mId.Value()) {
-        continue;
-      }
-      mContext.mPorts.QueryStatus(
-        { base::InstanceId(peer.mId), peer.mPeerAddress },
-        "config",
-        [this](const base::Expected<std::string>& aText) {
-          if (aText) {
-            Adopt(*aText);
-          }
-        });
+    for (const platform::PeerAddress& peer : Peers()) {
+      AskPeer(peer);
     }
   }
 
@@ -169,16 +169,40 @@
     mOnChange();
   }
 
-  void Announce()
+  std::vector<platform::PeerAddress> Peers() const
   {
+    std::vector<platform::PeerAddress> peers;
     for (const platform::Member& peer : mContext.mMembers.Instances()) {
       if (peer.mId != mContext.mIdentity.mId.Value()) {
-        mContext.mPorts.AnnounceConfig(
-          { base::InstanceId(peer.mId), peer.mPeerAddress },
-          { Version() },
-          [](const auto&) {});
+        peers.push_back({ base::InstanceId(peer.mId), peer.mPeerAddress });
       }
     }
+    return peers;
+  }
+
+  void AskPeer(const platform::PeerAddress& aPeer)
+  {
+    mContext.mPorts.QueryStatus(
+      aPeer, "config", [this](const base::Expected<std::string>& aText) {
+        if (aText) {
+          Adopt(*aText);
+        }
+      });
+  }
+
+  void AnnounceTo(const platform::PeerAddress& aPeer)
+  {
+    platform::ConfigNotice notice{
+      Version(), { mContext.mIdentity.mId, mContext.mIdentity.mPeerAddress }
+    };
+    mContext.mPorts.AnnounceConfig(aPeer, notice, [](const auto&) {});
+  }
+
+  void Announce()
+  {
+    for (const platform::PeerAddress& peer : Peers()) {
+      AnnounceTo(peer);
+    }
   }
 
   // --- Accepting ---------------------------------------------------------
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -203,7 +203,7 @@
   void OnAnnounceConfig(const platform::ConfigNotice& aNotice,
                         platform::Done<platform::Nothing> aDone)
   {
-    mConfig.OnAnnounced(aNotice.mVersion);
+    mConfig.OnAnnounced(aNotice);
     aDone(platform::Nothing{});
   }
 
@@ -336,6 +336,7 @@
           mConfig.AskPeers();
         }
       });
+    mConfig.AnnounceToOne();
     mContext.mPorts.After(mContext.mOptions.mWatchEvery, [this] { Watch(); });
   }
 
@@ -457,8 +458,9 @@
              } };
   }
 
-  // The data centre for a recorded request: those where the account has a
-  // guarantee of the kind's size go first, then the near ones, then chance.
+  // The data centre for a recorded request: those without usable servers go
+  // last, those where the account has a guarantee of the kind's size first,
+  // then the near ones, then chance.
   std::optional<base::DataCentreId> ChooseCentre(
     const base::AccountId& aAccount,
     const base::KindId& aKind,
@@ -466,14 +468,15 @@
   {
     const config::JobKind* kind =
       mContext.mConfig ? mContext.mConfig->Kind(aKind) : nullptr;
-    std::optional<std::tuple<bool, int, std::uint64_t>> best;
+    std::optional<std::tuple<bool, bool, int, std::uint64_t>> best;
     std::optional<base::DataCentreId> chosen;
     for (auto& [name, centre] : mCentres) {
       if (name == aNot || centre->mKeeper.State().IsOut() ||
           !mContext.mConfig->Centre(name)) {
         continue;
       }
-      std::tuple order(!HasGuarantee(aAccount, kind, name),
+      std::tuple order(mContext.mMembers.UsableServers(name).empty(),
+                       !HasGuarantee(aAccount, kind, name),
                        mContext.Distance(name),
                        mContext.mPorts.Random());
       if (!best || order < *best) {
--- a/flamingoloom/control/slot_table.h
+++ b/flamingoloom/control/slot_table.h
@@ -25,6 +25,8 @@
   // until they are released.
   void SetServers(const std::vector<platform::Member>& aServers);
 
+  bool HasServers() const { return !mServers.empty(); }
+
   // Takes one slot for each of aTasks on the servers with the least in use,
   // without those in aAvoid; nothing when there are not enough.
   std::optional<std::vector<ledger::TaskPlace>> Place(
--- /dev/null
+++ b/flamingoloom/daemon/daemon.cpp
@@ -0,0 +1,379 @@
+#include "flamingoloom/daemon/daemon.h"
+
+#include <future>
+#include <mutex>
+#include <utility>
+
+#include <caf/all.hpp>
+#include <fmt/format.h>
+
+#include "flamingoloom/daemon/access_check.h"
+#include "flamingoloom/daemon/daemon_ports.h"
+#include "flamingoloom/daemon/log.h"
+#include "flamingoloom/daemon/runtime.h"
+#include "flamingoloom/daemon/views.h"
+#include "flamingoloom/frontend/http_frontend.h"
+
+namespace flamingoloom::daemon {
+namespace {
+
+constexpr base::Duration kAnnounceEvery = std::chrono::seconds(1);
+constexpr base::Duration kRefreshEvery = std::chrono::milliseconds(100);
+constexpr int kRefreshesPerMetrics = 10;
+
+// The actor system has one actor that matters; more threads would only add
+// hand-overs.
+class SystemConfig : public caf::actor_system_config
+{
+public:
+  SystemConfig() { set("scheduler.max-threads", std::size_t{ 2 }); }
+};
+
+// What other threads need of the instance at once.
+struct Snapshot
+{
+  std::shared_ptr<const config::Configuration> mConfig;
+  bool mReady = false;
+  std::string mMetrics;
+};
+
+control::InstanceOptions MakeOptions(const config::Settings& aSettings)
+{
+  control::InstanceOptions options;
+  options.mLease.mDuration = aSettings.mOwnership.mLease;
+  options.mLease.mRenewEvery = aSettings.mOwnership.mRenew;
+  if (aSettings.mOwnership.mStoreDownPolicy ==
+      config::StoreDownPolicy::ePromises) {
+    options.mStoreDownPolicy = control::StoreDownPolicy::ePromises;
+  }
+  return options;
+}
+
+frontend::FrontendSettings MakeFrontendSettings(
+  const config::Settings& aSettings)
+{
+  frontend::FrontendSettings settings;
+  settings.mListen = aSettings.mListen.mHttpAddress;
+  settings.mThreads = static_cast<std::size_t>(aSettings.mLimits.mHttpThreads);
+  settings.mMaxBodyBytes = aSettings.mLimits.mMaxBodyBytes;
+  settings.mMaxHeaderBytes = aSettings.mLimits.mMaxHeaderBytes;
+  return settings;
+}
+
+// An id of this process. The id of the settings may be used again by the
+// process that replaces it, which must not be taken for the same holder of
+// leases.
+base::InstanceId MakeInstanceId(const config::Settings& aSettings)
+{
+  return base::InstanceId(fmt::format(
+    "{}.{:08x}", aSettings.mInstance.mId.Value(), std::random_device()()));
+}
+
+} // namespace
+
+class Daemon::Impl
+{
+public:
+  explicit Impl(const config::Settings& aSettings)
+    : mSettings(aSettings)
+    , mId(MakeInstanceId(aSettings))
+    , mLog(aSettings.mLogs, mId.Value())
+    , mSystem(mSystemConfig)
+    , mRuntime(mSystem)
+  {
+  }
+
+  ~Impl()
+  {
+    mFrontend.reset();
+    // From here on no callback runs, so the clients can go.
+    mRuntime.Stop();
+    mPeers.reset();
+    mClients.reset();
+  }
+
+  base::Expected<void> Start()
+  {
+    platform::HttpClientOptions clientOptions;
+    clientOptions.mPlatformAddress = mSettings.mPlatformAddress;
+    mClients =
+      std::make_unique<platform::HttpClients>(clientOptions, Executor());
+    peer::PeerSettings peerSettings;
+    peerSettings.mListen = mSettings.mListen.mPeerAddress;
+    auto peers =
+      peer::PeerNode::Start(peerSettings, MakePeerHandler(), Executor());
+    if (!peers) {
+      return tl::unexpected(peers.error());
+    }
+    mPeers = std::move(*peers);
+    mPorts = std::make_unique<DaemonPorts>(mRuntime, *mClients, *mPeers);
+    auto frontend = frontend::HttpFrontend::Start(
+      MakeFrontendSettings(mSettings), MakeFrontendHandler());
+    if (!frontend) {
+      return tl::unexpected(frontend.error());
+    }
+    mFrontend = std::move(*frontend);
+    mRuntime.Post([this] { StartInstance(); });
+    return {};
+  }
+
+  bool Leave(base::Duration aTimeout)
+  {
+    auto left = std::make_shared<std::promise<void>>();
+    mFrontend->BeginShutdown();
+    mRuntime.Post([this, left] {
+      mLeaving = true;
+      Announce();
+      mInstance->Leave([left] { left->set_value(); });
+    });
+    bool inTime =
+      left->get_future().wait_for(aTimeout) == std::future_status::ready;
+    inTime = mFrontend->WaitUntilIdle(aTimeout) && inTime;
+    mLog.Write(inTime ? config::LogLevel::eInfo : config::LogLevel::eWarning,
+               inTime ? "left" : "left with requests in progress",
+               {});
+    return inTime;
+  }
+
+  const std::string& HttpAddress() const { return mFrontend->Address(); }
+  const std::string& PeerAddress() const { return mPeers->Address(); }
+
+private:
+  std::function<void(std::function<void()>)> Executor()
+  {
+    return [this](std::function<void()> aAction) {
+      mRuntime.Post(std::move(aAction));
+    };
+  }
+
+  // --- On the runtime ----------------------------------------------------
+
+  void StartInstance()
+  {
+    control::InstanceIdentity identity{ mId,
+                                        mSettings.mInstance.mDataCentre,
+                                        mSettings.mInstance.mRegion,
+                                        HttpAddress(),
+                                        PeerAddress() };
+    mInstance = std::make_unique<DaemonInstance>(
+      *mPorts, identity, MakeOptions(mSettings));
+    mInstance->State().mOnStateChange =
+      [this](const control::StateChange& aChange) {
+        mLog.Write(config::LogLevel::eInfo, aChange.mName, aChange.mFields);
+      };
+    mLog.Write(config::LogLevel::eInfo,
+               "started",
+               { { "http", HttpAddress() }, { "peer", PeerAddress() } });
+    Announce();
+    AnnounceEvery();
+    mInstance->Start();
+    Refresh();
+  }
+
+  void AnnounceEvery()
+  {
+    mRuntime.After(kAnnounceEvery, [this] {
+      Announce();
+      AnnounceEvery();
+    });
+  }
+
+  void Announce()
+  {
+    platform::Member member;
+    member.mId = mId.Value();
+    member.mKind = platform::MemberKind::eInstance;
+    member.mDataCentre = mSettings.mInstance.mDataCentre;
+    member.mRegion = mSettings.mInstance.mRegion;
+    member.mAddress = HttpAddress();
+    member.mPeerAddress = PeerAddress();
+    member.mState =
+      mLeaving ? platform::MemberState::eLeaving : platform::MemberState::eLive;
+    // A failed announcement is repeated with the next one.
+    mClients->AnnounceMember(member, [](const auto&) {});
+  }
+
+  void Refresh()
+  {
+    bool withMetrics = mRefreshes++ % kRefreshesPerMetrics == 0;
+    std::string metrics = withMetrics ? MetricsOf(*mInstance) : std::string();
+    {
+      std::scoped_lock lock(mSnapshotMutex);
+      mSnapshot.mConfig = mInstance->State().mConfig;
+      mSnapshot.mReady = mInstance->IsReady();
+      if (withMetrics) {
+        mSnapshot.mMetrics = std::move(metrics);
+      }
+    }
+    mRuntime.After(kRefreshEvery, [this] { Refresh(); });
+  }
+
+  Snapshot CurrentSnapshot() const
+  {
+    std::scoped_lock lock(mSnapshotMutex);
+    return mSnapshot;
+  }
+
+  // --- Handlers ----------------------------------------------------------
+
+  // A function that runs aCall on the runtime with the instance and the
+  // arguments.
+  template <class Call>
+  auto OnInstance(Call aCall)
+  {
+    return [this, aCall](auto... aArgs) {
+      mRuntime.Post([this, aCall, ... args = std::move(aArgs)]() mutable {
+        aCall(*mInstance, std::move(args)...);
+      });
+    };
+  }
+
+  // Handlers of peers are called on the runtime already.
+  peer::PeerHandler MakePeerHandler()
+  {
+    auto serve = [this](auto aMember) {
+      return [this, aMember](auto aValue, auto... aRest) {
+        if (mInstance) {
+          (mInstance.get()->*aMember)(aValue, std::move(aRest)...);
+        }
+      };
+    };
+    peer::PeerHandler handler;
+    handler.mRequestCredits = serve(&DaemonInstance::OnRequestCredits);
+    handler.mNotifyRequest = serve(&DaemonInstance::OnNotifyRequest);
+    handler.mAwaitRequest = serve(&DaemonInstance::OnAwaitRequest);
+    handler.mNotifyDataCentre = serve(&DaemonInstance::OnNotifyDataCentre);
+    handler.mRequestPromise = serve(&DaemonInstance::OnRequestPromise);
+    handler.mAnnounceConfig = serve(&DaemonInstance::OnAnnounceConfig);
+    handler.mAnnounceLeaving = serve(&DaemonInstance::OnAnnounceLeaving);
+    handler.mQueryStatus = serve(&DaemonInstance::OnQueryStatus);
+    return handler;
+  }
+
+  frontend::FrontendHandler MakeFrontendHandler()
+  {
+    frontend::FrontendHandler handler;
+    handler.mAuthorize = [this](frontend::Role aRole,
+                                const base::AccountId& aAccount,
+                                const std::string& aKey) {
+      return CheckAccess(aRole,
+                         aAccount,
+                         aKey,
+                         mSettings.mKeys.mOperatorKeySha256,
+                         CurrentSnapshot().mConfig.get());
+    };
+    handler.mSubmit = OnInstance(
+      [](auto& aInstance, const auto& aRequest, control::AnswerDone aDone) {
+        aInstance.Submit(aRequest, std::move(aDone));
+      });
+    handler.mAwait = OnInstance([](auto& aInstance,
+                                   const auto& aRequest,
+                                   base::Duration aWait,
+                                   control::AnswerDone aDone) {
+      aInstance.Await(aRequest, aWait, std::move(aDone));
+    });
+    handler.mCancel = OnInstance(
+      [](auto& aInstance, const auto& aRequest, control::AnswerDone aDone) {
+        aInstance.Cancel(aRequest, std::move(aDone));
+      });
+    handler.mDataCentres = OnInstance([](auto& aInstance, auto aDone) {
+      aInstance.DataCentres(std::move(aDone));
+    });
+    handler.mChangeDataCentre =
+      OnInstance([](auto& aInstance, const auto& aChange, auto aDone) {
+        aInstance.ChangeDataCentre(aChange, std::move(aDone));
+      });
+    handler.mConfig = OnInstance([](auto& aInstance, auto aDone) {
+      aDone(frontend::ConfigDocument{ aInstance.ConfigVersion(),
+                                      aInstance.ConfigDocument() });
+    });
+    handler.mPutConfig = OnInstance(PutConfig);
+    handler.mView =
+      OnInstance([](auto& aInstance, const std::string& aTopic, auto aDone) {
+        aDone(ViewOf(aInstance, aTopic));
+      });
+    handler.mMetrics = [this] { return CurrentSnapshot().mMetrics; };
+    handler.mReady = [this]() -> base::Expected<platform::Nothing> {
+      if (CurrentSnapshot().mReady) {
+        return platform::Nothing{};
+      }
+      return base::MakeError(base::ErrorCode::eUnavailable,
+                             "check readiness",
+                             mId.Value(),
+                             "no configuration yet, or leaving");
+    };
+    return handler;
+  }
+
+  static void PutConfig(DaemonInstance& aInstance,
+                        std::uint64_t aExpectedVersion,
+                        const std::string& aJson,
+                        const platform::Done<std::uint64_t>& aDone)
+  {
+    auto configuration = config::ConfigurationFromText(aJson, "configuration");
+    if (!configuration) {
+      aDone(tl::unexpected(config::Combine(configuration.error())));
+      return;
+    }
+    aInstance.PutConfiguration(
+      aExpectedVersion,
+      std::move(*configuration),
+      [aDone](const base::Expected<config::Configuration>& aAccepted) {
+        if (aAccepted) {
+          aDone(aAccepted->mVersion);
+        } else {
+          aDone(tl::unexpected(aAccepted.error()));
+        }
+      });
+  }
+
+  const config::Settings mSettings;
+  const base::InstanceId mId;
+  const Log mLog;
+  SystemConfig mSystemConfig;
+  caf::actor_system mSystem;
+  Runtime mRuntime;
+  std::unique_ptr<platform::HttpClients> mClients;
+  std::unique_ptr<peer::PeerNode> mPeers;
+  std::unique_ptr<DaemonPorts> mPorts;
+  std::unique_ptr<DaemonInstance> mInstance;
+  std::unique_ptr<frontend::HttpFrontend> mFrontend;
+  bool mLeaving = false;
+  int mRefreshes = 0;
+  mutable std::mutex mSnapshotMutex;
+  Snapshot mSnapshot;
+};
+
+Daemon::Daemon(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Daemon::~Daemon() = default;
+
+base::Expected<std::unique_ptr<Daemon>> Daemon::Start(
+  const config::Settings& aSettings)
+{
+  auto impl = std::make_unique<Impl>(aSettings);
+  if (auto started = impl->Start(); !started) {
+    return tl::unexpected(started.error());
+  }
+  return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
+}
+
+bool Daemon::Leave(base::Duration aTimeout)
+{
+  return mImpl->Leave(aTimeout);
+}
+
+const std::string& Daemon::HttpAddress() const
+{
+  return mImpl->HttpAddress();
+}
+
+const std::string& Daemon::PeerAddress() const
+{
+  return mImpl->PeerAddress();
+}
+
+} // namespace flamingoloom::daemon
--- a/flamingoloom/daemon/daemon_ports.h
+++ b/flamingoloom/daemon/daemon_ports.h
@@ -39,95 +39,77 @@
   }
 
   // The rest is passed on as it is.
-  template <class... Args>
-  void Commit(Args&&... aArgs)
+  void Commit(const platform::Transaction& aTransaction, platform::Done<platform::TransactionResult> aDone)
   {
-    mClients.Commit(std::forward<Args>(aArgs)...);
+    mClients.Commit(aTransaction, std::move(aDone));
   }
-  template <class... Args>
-  void Read(Args&&... aArgs)
+  void Read(const std::vector<std::string>& aKeys, platform::Done<std::vector<platform::Row>> aDone)
   {
-    mClients.Read(std::forward<Args>(aArgs)...);
+    mClients.Read(aKeys, std::move(aDone));
   }
-  template <class... Args>
-  void Scan(Args&&... aArgs)
+  void Scan(const std::string& aPrefix, platform::Done<std::vector<platform::Row>> aDone)
   {
-    mClients.Scan(std::forward<Args>(aArgs)...);
+    mClients.Scan(aPrefix, std::move(aDone));
   }
-  template <class... Args>
-  void PutObject(Args&&... aArgs)
+  void PutObject(const std::string& aObject, platform::Done<std::string> aDone)
   {
-    mClients.PutObject(std::forward<Args>(aArgs)...);
+    mClients.PutObject(aObject, std::move(aDone));
   }
-  template <class... Args>
-  void GetObject(Args&&... aArgs)
+  void GetObject(const std::string& aDigest, platform::Done<std::string> aDone)
   {
-    mClients.GetObject(std::forward<Args>(aArgs)...);
+    mClients.GetObject(aDigest, std::move(aDone));
   }
-  template <class... Args>
-  void ListMembers(Args&&... aArgs)
+  void ListMembers(platform::Done<platform::MemberList> aDone)
   {
-    mClients.ListMembers(std::forward<Args>(aArgs)...);
+    mClients.ListMembers(std::move(aDone));
   }
-  template <class... Args>
-  void Fence(Args&&... aArgs)
+  void Fence(const platform::ServerAddress& aServer, const base::DataCentreId& aDataCentre, base::Epoch aEpoch, platform::Done<base::Epoch> aDone)
   {
-    mClients.Fence(std::forward<Args>(aArgs)...);
+    mClients.Fence(aServer, aDataCentre, aEpoch, std::move(aDone));
   }
-  template <class... Args>
-  void StartTask(Args&&... aArgs)
+  void StartTask(const platform::ServerAddress& aServer, const platform::TaskStart& aStart, base::Duration aWait, platform::Done<platform::TaskStatus> aDone)
   {
-    mClients.StartTask(std::forward<Args>(aArgs)...);
+    mClients.StartTask(aServer, aStart, aWait, std::move(aDone));
   }
-  template <class... Args>
-  void ActOnTask(Args&&... aArgs)
+  void ActOnTask(const platform::ServerAddress& aServer, const base::AttemptId& aAttempt, platform::TaskAction aAction, base::Duration aLease, platform::Done<platform::TaskStatus> aDone)
   {
-    mClients.ActOnTask(std::forward<Args>(aArgs)...);
+    mClients.ActOnTask(aServer, aAttempt, aAction, aLease, std::move(aDone));
   }
-  template <class... Args>
-  void AwaitTask(Args&&... aArgs)
+  void AwaitTask(const platform::ServerAddress& aServer, const base::AttemptId& aAttempt, base::Duration aWait, platform::Done<platform::TaskStatus> aDone)
   {
-    mClients.AwaitTask(std::forward<Args>(aArgs)...);
+    mClients.AwaitTask(aServer, aAttempt, aWait, std::move(aDone));
   }
-  template <class... Args>
-  void RequestCredits(Args&&... aArgs)
+  void RequestCredits(const platform::PeerAddress& aPeer, const platform::CreditRequest& aMessage, platform::Done<platform::CreditGrant> aDone)
   {
-    mPeers.RequestCredits(std::forward<Args>(aArgs)...);
+    mPeers.RequestCredits(aPeer, aMessage, std::move(aDone));
   }
-  template <class... Args>
-  void NotifyRequest(Args&&... aArgs)
+  void NotifyRequest(const platform::PeerAddress& aPeer, const platform::RequestNotice& aMessage, platform::Done<platform::Nothing> aDone)
   {
-    mPeers.NotifyRequest(std::forward<Args>(aArgs)...);
+    mPeers.NotifyRequest(aPeer, aMessage, std::move(aDone));
   }
-  template <class... Args>
-  void AwaitRequest(Args&&... aArgs)
+  void AwaitRequest(const platform::PeerAddress& aPeer, const platform::RequestNotice& aMessage, base::Duration aWait, platform::Done<platform::RequestProgress> aDone)
   {
-    mPeers.AwaitRequest(std::forward<Args>(aArgs)...);
+    mPeers.AwaitRequest(aPeer, aMessage, aWait, std::move(aDone));
   }
-  template <class... Args>
-  void NotifyDataCentre(Args&&... aArgs)
+  void NotifyDataCentre(const platform::PeerAddress& aPeer, const platform::DataCentreNotice& aMessage, platform::Done<platform::DataCentreStatus> aDone)
   {
-    mPeers.NotifyDataCentre(std::forward<Args>(aArgs)...);
+    mPeers.NotifyDataCentre(aPeer, aMessage, std::move(aDone));
   }
-  template <class... Args>
-  void RequestPromise(Args&&... aArgs)
+  void RequestPromise(const platform::PeerAddress& aPeer, const platform::PromiseRequest& aMessage, platform::Done<platform::Nothing> aDone)
   {
-    mPeers.RequestPromise(std::forward<Args>(aArgs)...);
+    mPeers.RequestPromise(aPeer, aMessage, std::move(aDone));
   }
-  template <class... Args>
-  void AnnounceConfig(Args&&... aArgs)
+  void AnnounceConfig(const platform::PeerAddress& aPeer, const platform::ConfigNotice& aMessage, platform::Done<platform::Nothing> aDone)
   {
-    mPeers.AnnounceConfig(std::forward<Args>(aArgs)...);
+    mPeers.AnnounceConfig(aPeer, aMessage, std::move(aDone));
   }
-  template <class... Args>
-  void AnnounceLeaving(Args&&... aArgs)
+  void AnnounceLeaving(const platform::PeerAddress& aPeer, const platform::LeavingNotice& aMessage, platform::Done<platform::Nothing> aDone)
   {
-    mPeers.AnnounceLeaving(std::forward<Args>(aArgs)...);
+    mPeers.AnnounceLeaving(aPeer, aMessage, std::move(aDone));
   }
-  template <class... Args>
-  void QueryStatus(Args&&... aArgs)
+  void QueryStatus(const platform::PeerAddress& aPeer, const std::string& aTopic, platform::Done<std::string> aDone)
   {
-    mPeers.QueryStatus(std::forward<Args>(aArgs)...);
+    mPeers.QueryStatus(aPeer, aTopic, std::move(aDone));
   }
 
 private:
@@ -137,4 +119,6 @@
   std::mt19937_64 mRandom;
 };
 
+static_assert(platform::Ports<DaemonPorts>);
+
 } // namespace flamingoloom::daemon
--- a/flamingoloom/daemon/runtime.cpp
+++ b/flamingoloom/daemon/runtime.cpp
@@ -48,9 +48,7 @@
 
 Runtime::~Runtime()
 {
-  if (mImpl->mActor) {
-    caf::anon_send_exit(mImpl->mActor, caf::exit_reason::user_shutdown);
-  }
+  caf::anon_send_exit(mImpl->mActor, caf::exit_reason::user_shutdown);
 }
 
 void Runtime::Post(std::function<void()> aAction)
@@ -76,13 +74,9 @@
 
 void Runtime::Stop()
 {
-  if (!mImpl->mActor) {
-    return;
-  }
   caf::scoped_actor self(mImpl->mSystem);
   self->send_exit(mImpl->mActor, caf::exit_reason::user_shutdown);
   self->wait_for(mImpl->mActor);
-  mImpl->mActor = nullptr;
 }
 
 } // namespace flamingoloom::daemon
--- a/flamingoloom/daemon/runtime.h
+++ b/flamingoloom/daemon/runtime.h
@@ -35,8 +35,8 @@
   // Time since the runtime was made.
   base::Time Now() const;
 
-  // Runs no function after it has returned. Thread-safe, but not to be called
-  // from a posted function.
+  // Runs no function after it has returned; what is posted later is dropped.
+  // Thread-safe, but not to be called from a posted function.
   void Stop();
 
 private:
--- /dev/null
+++ b/flamingoloom/daemon/views.cpp
@@ -0,0 +1,266 @@
+#include "flamingoloom/daemon/views.h"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace flamingoloom::daemon {
+namespace {
+
+using nlohmann::json;
+
+json MemberJson(const platform::Member& aMember)
+{
+  return { { "id", aMember.mId },
+           { "dataCentre", aMember.mDataCentre.Value() },
+           { "region", aMember.mRegion.Value() },
+           { "rack", aMember.mRack },
+           { "address", aMember.mAddress },
+           { "state",
+             aMember.mState == platform::MemberState::eLive ? "live"
+                                                            : "leaving" },
+           { "slots", aMember.mSlots },
+           { "accelerators", aMember.mAccelerators } };
+}
+
+json InstancesJson(DaemonInstance& aInstance)
+{
+  json instances = json::array();
+  auto& state = aInstance.State();
+  for (const platform::Member& member : state.mMembers.Instances()) {
+    json owned = json::array();
+    for (const auto& [name, centre] : aInstance.Centres()) {
+      const auto& lease = centre->mKeeper.State().Current();
+      if (lease && lease->mOwner.Value() == member.mId && !lease->mReleased) {
+        owned.push_back(name.Value());
+      }
+    }
+    json entry = MemberJson(member);
+    entry["owns"] = std::move(owned);
+    instances.push_back(std::move(entry));
+  }
+  return instances;
+}
+
+json ServersJson(DaemonInstance& aInstance)
+{
+  json servers = json::array();
+  for (const platform::Member& server : aInstance.State().mMembers.Servers()) {
+    servers.push_back(MemberJson(server));
+  }
+  return servers;
+}
+
+json JobJson(const ledger::Record& aRecord)
+{
+  json servers = json::array();
+  if (aRecord.mAttempt) {
+    for (const ledger::TaskPlace& place : aRecord.mAttempt->mPlaces) {
+      servers.push_back(place.mServer.mId.Value());
+    }
+  }
+  return { { "account", aRecord.mRequest.mAccount.Value() },
+           { "key", aRecord.mRequest.mKey },
+           { "kind", aRecord.mKind.Value() },
+           { "dataCentre", aRecord.mDataCentre.Value() },
+           { "state",
+             aRecord.mState == ledger::RecordState::eStarting ? "running"
+                                                              : "waiting" },
+           { "attempts", aRecord.mAttemptsMade },
+           { "reason", aRecord.mReason },
+           { "servers", std::move(servers) } };
+}
+
+json JobsJson(DaemonInstance& aInstance)
+{
+  json jobs = json::array();
+  for (const auto& [name, centre] : aInstance.Centres()) {
+    for (const ledger::Record& record : centre->mJobs.Records()) {
+      jobs.push_back(JobJson(record));
+    }
+  }
+  return jobs;
+}
+
+// Ranges of accelerators by server, with the request that holds them.
+json AllocationsJson(const placement::Placement& aPlacement)
+{
+  json allocations = json::array();
+  for (const placement::Allocation& allocation : aPlacement.Allocations()) {
+    json blocks = json::array();
+    for (const placement::Range& range : allocation.mBlocks) {
+      blocks.push_back(
+        { { "first", range.mFirst }, { "count", range.mCount } });
+    }
+    allocations.push_back({ { "account", allocation.mRequest.mAccount.Value() },
+                            { "key", allocation.mRequest.mKey },
+                            { "stopping", allocation.mStopping },
+                            { "blocks", std::move(blocks) } });
+  }
+  return allocations;
+}
+
+json CentreCapacityJson(const control::AcceleratorTable& aAccelerators)
+{
+  const placement::Placement* placement = aAccelerators.Allocator();
+  if (!placement) {
+    return json::object();
+  }
+  json servers = json::array();
+  int perServer = placement->Shape().AcceleratorsPerServer();
+  int count = placement->Shape().Accelerators() / perServer;
+  for (int i = 0; i < count; ++i) {
+    auto server = aAccelerators.ServerAt(i);
+    servers.push_back(server ? server->mId : "");
+  }
+  return { { "servers", std::move(servers) },
+           { "acceleratorsPerServer", perServer },
+           { "accelerators", placement->Shape().Accelerators() },
+           { "free", placement->FreeAccelerators() },
+           { "fragmentation", placement->Fragmentation() },
+           { "allocations", AllocationsJson(*placement) } };
+}
+
+json CapacityJson(DaemonInstance& aInstance)
+{
+  json centres = json::array();
+  for (const auto& [name, centre] : aInstance.Centres()) {
+    json entry = CentreCapacityJson(centre->mJobs.Accelerators());
+    entry["dataCentre"] = name.Value();
+    entry["ownedHere"] = centre->mKeeper.Holds();
+    centres.push_back(std::move(entry));
+  }
+  return centres;
+}
+
+struct CounterName
+{
+  const char* mName;
+  const char* mHelp;
+  std::uint64_t control::Counters::*mValue;
+};
+
+using control::Counters;
+
+constexpr std::array kCounterNames = {
+  CounterName{ "quick_requests",
+               "Requests without a record.",
+               &Counters::mQuickRequests },
+  CounterName{ "quick_refused",
+               "Quick requests that got no answer.",
+               &Counters::mQuickRefused },
+  CounterName{ "quick_retries",
+               "Quick requests sent again.",
+               &Counters::mQuickRetries },
+  CounterName{ "recorded_requests",
+               "Requests with a record.",
+               &Counters::mRecordedRequests },
+  CounterName{ "joined_requests",
+               "Requests that joined an earlier one.",
+               &Counters::mJoinedRequests },
+  CounterName{ "attempts",
+               "Starts sent to backend servers.",
+               &Counters::mAttempts },
+  CounterName{ "attempts_failed",
+               "Attempts whose task failed.",
+               &Counters::mAttemptsFailed },
+  CounterName{ "attempts_lost",
+               "Attempts with an unknown outcome.",
+               &Counters::mAttemptsLost },
+  CounterName{ "unknown_outcomes",
+               "Requests that ended as unknown.",
+               &Counters::mUnknownOutcomes },
+  CounterName{ "bad_answers",
+               "Answers that were not whole.",
+               &Counters::mBadAnswers },
+  CounterName{ "epochs_held",
+               "Epochs that this instance has held.",
+               &Counters::mTakeOvers },
+  CounterName{ "leases_lost",
+               "Leases that ended or were lost.",
+               &Counters::mLeasesLost },
+  CounterName{ "stale_epochs",
+               "Messages refused for their epoch.",
+               &Counters::mStaleEpochs },
+  CounterName{ "moved_requests",
+               "Requests moved to another data centre.",
+               &Counters::mMovedRequests },
+  CounterName{ "preemptions",
+               "Work stopped for a guarantee.",
+               &Counters::mPreemptions },
+  CounterName{ "store_failures",
+               "Failed calls of the platform's store.",
+               &Counters::mStoreFailures },
+  CounterName{ "config_changes",
+               "Configurations put in force.",
+               &Counters::mConfigChanges },
+};
+
+} // namespace
+
+base::Expected<std::string> ViewOf(DaemonInstance& aInstance,
+                                   const std::string& aTopic)
+{
+  json view;
+  if (aTopic == "instances") {
+    view = InstancesJson(aInstance);
+  } else if (aTopic == "servers") {
+    view = ServersJson(aInstance);
+  } else if (aTopic == "jobs") {
+    view = JobsJson(aInstance);
+  } else if (aTopic == "capacity") {
+    view = CapacityJson(aInstance);
+  } else {
+    return base::MakeError(base::ErrorCode::eNotFound,
+                           "show view",
+                           aInstance.State().mIdentity.mId.Value(),
+                           "no such view: " + aTopic,
+                           "topic");
+  }
+  return json{ { aTopic, std::move(view) } }.dump(
+    -1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string MetricsOf(DaemonInstance& aInstance)
+{
+  prometheus::Registry registry;
+  const Counters& counters = aInstance.State().mCounters;
+  for (const CounterName& entry : kCounterNames) {
+    auto& family =
+      prometheus::BuildCounter()
+        .Name(std::string("flamingoloom_") + entry.mName + "_total")
+        .Help(entry.mHelp)
+        .Register(registry);
+    family.Add({}).Increment(static_cast<double>(counters.*entry.mValue));
+  }
+  auto& owned = prometheus::BuildGauge()
+                  .Name("flamingoloom_owned_data_centres")
+                  .Help("Data centres whose lease is held here.")
+                  .Register(registry);
+  auto& open = prometheus::BuildGauge()
+                 .Name("flamingoloom_open_requests")
+                 .Help("Recorded requests that are open here.")
+                 .Register(registry);
+  double held = 0;
+  double openCount = 0;
+  for (const auto& [name, centre] : aInstance.Centres()) {
+    held += centre->mKeeper.Holds() ? 1 : 0;
+    openCount += static_cast<double>(centre->mJobs.OpenCount());
+  }
+  owned.Add({}).Set(held);
+  open.Add({}).Set(openCount);
+  prometheus::BuildGauge()
+    .Name("flamingoloom_config_version")
+    .Help("Version of the configuration in force.")
+    .Register(registry)
+    .Add({})
+    .Set(static_cast<double>(aInstance.ConfigVersion()));
+  return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace flamingoloom::daemon
--- a/flamingoloom/peer/codec.cpp
+++ b/flamingoloom/peer/codec.cpp
@@ -165,6 +165,8 @@
             Instance::AnnounceConfigParams::Builder aOut)
 {
   aOut.setVersion(aValue.mVersion);
+  aOut.setSender(aValue.mFrom.mId.Value());
+  aOut.setAddress(aValue.mFrom.mAddress);
 }
 
 void Encode(const platform::LeavingNotice& aValue,
@@ -233,7 +235,9 @@
 Expected<platform::ConfigNotice> Decode(
   Instance::AnnounceConfigParams::Reader aIn)
 {
-  return platform::ConfigNotice{ aIn.getVersion() };
+  return platform::ConfigNotice{
+    aIn.getVersion(), { base::InstanceId(aIn.getSender()), aIn.getAddress() }
+  };
 }
 
 Expected<platform::LeavingNotice> Decode(
--- a/flamingoloom/peer/instance.capnp
+++ b/flamingoloom/peer/instance.capnp
@@ -44,7 +44,9 @@
               lifeMicros :UInt64)
       -> (failure :Failure);
 
-  announceConfig @5 (version :UInt64) -> (failure :Failure);
+  # sender and address name the instance that can give the document.
+  announceConfig @5 (version :UInt64, sender :Text, address :Text)
+      -> (failure :Failure);
 
   announceLeaving @6 (member :Text) -> (failure :Failure);
 
--- a/flamingoloom/peer/instance.capnp.h
+++ b/flamingoloom/peer/instance.capnp.h
@@ -267,7 +267,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cacab6e5b7816e97, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cacab6e5b7816e97, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1632,6 +1632,12 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1663,6 +1669,20 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3190,6 +3210,74 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Instance::AnnounceConfigParams::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::AnnounceConfigParams::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Instance::AnnounceConfigParams::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Instance::AnnounceConfigParams::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Instance::AnnounceConfigParams::Builder::setSender( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Instance::AnnounceConfigParams::Builder::initSender(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Instance::AnnounceConfigParams::Builder::adoptSender(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Instance::AnnounceConfigParams::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Instance::AnnounceConfigParams::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Instance::AnnounceConfigParams::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Instance::AnnounceConfigParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Instance::AnnounceConfigParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Instance::AnnounceConfigParams::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Instance::AnnounceConfigParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Instance::AnnounceConfigParams::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Instance::AnnounceConfigParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Instance::AnnounceConfigResults::Reader::hasFailure() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/flamingoloom/platform/ports.h
+++ b/flamingoloom/platform/ports.h
@@ -304,6 +304,8 @@
 struct ConfigNotice
 {
   std::uint64_t mVersion = 0;
+  // Who can give the document; the receiver's member list may not have it.
+  PeerAddress mFrom;
 
   friend bool operator==(const ConfigNotice&, const ConfigNotice&) = default;
 };
