--- a/testing/standins/backend_server.cpp
+++ b/testing/standins/backend_server.cpp
@@ -173,7 +173,7 @@
     lock.unlock();
     AnswerResult(aResponse, status);
   });
-  routes.Post("/tasks/([^/]+)/(commit|renew|release|stop|checkpoint|throttle)",
+  routes.Post("/tasks/(.+)/(commit|renew|release|stop|checkpoint|throttle)",
               [this](const auto& aRequest, auto& aResponse) {
                 base::Duration lease{};
                 const auto action =
@@ -192,7 +192,7 @@
                 NoteChange();
                 AnswerResult(aResponse, status);
               });
-  routes.Get("/tasks/([^/]+)", [this](const auto& aRequest, auto& aResponse) {
+  routes.Get("/tasks/(.+)", [this](const auto& aRequest, auto& aResponse) {
     const auto wait =
       std::chrono::milliseconds(NumberParameter(aRequest, "waitMs"));
     std::unique_lock lock(mMutex);
--- a/testing/standins/http_benchmark.cpp
+++ b/testing/standins/http_benchmark.cpp
@@ -3,11 +3,8 @@
 // figures come from the HTTP library's own client on the calling thread.
 #include <algorithm>
 #include <chrono>
-#include <condition_variable>
 #include <cstdlib>
-#include <deque>
 #include <functional>
-#include <mutex>
 #include <vector>
 
 #include <CLI/CLI.hpp>
@@ -15,41 +12,13 @@
 #include <httplib.h>
 
 #include "flamingoloom/platform/http_clients.h"
+#include "testing/standins/mailbox.h"
 
 namespace flamingoloom::standins {
 namespace {
 
 using std::chrono::steady_clock;
 
-// Runs handed-over functions on the thread that calls RunOne.
-class Mailbox
-{
-public:
-  platform::Executor AsExecutor()
-  {
-    return [this](std::function<void()> aFunction) {
-      std::lock_guard lock(mMutex);
-      mFunctions.push_back(std::move(aFunction));
-      mChanged.notify_one();
-    };
-  }
-
-  void RunOne()
-  {
-    std::unique_lock lock(mMutex);
-    mChanged.wait(lock, [&] { return !mFunctions.empty(); });
-    auto function = std::move(mFunctions.front());
-    mFunctions.pop_front();
-    lock.unlock();
-    function();
-  }
-
-private:
-  std::mutex mMutex;
-  std::condition_variable mChanged;
-  std::deque<std::function<void()>> mFunctions;
-};
-
 platform::TaskStart StartNumber(std::string aPrefix, int aNumber)
 {
   platform::TaskStart start;
@@ -112,7 +81,7 @@
                             aStatus &&
                             aStatus->mState == platform::TaskState::eFinished;
                         });
-      mailbox.RunOne();
+      mailbox.RunOne(std::chrono::seconds(5));
       return isFinished;
     });
   return isDone ? EXIT_SUCCESS : EXIT_FAILURE;
--- /dev/null
+++ b/testing/standins/table_test.cpp
@@ -0,0 +1,48 @@
+#include <doctest/doctest.h>
+
+#include "testing/standins/table.h"
+
+namespace flamingoloom::standins {
+
+// Guards against a transaction that takes effect in part.
+TEST_CASE("a conflict in any write or check leaves the table unchanged")
+{
+  Table table;
+  REQUIRE(table.Commit({ .mWrites = { { "a", 0, "1" } } }).Committed());
+  const auto before = table.Scan("");
+
+  auto result =
+    table.Commit({ .mWrites = { { "b", 0, "2" }, { "a", 7, "2" } } });
+  CHECK(result.mConflicts == std::vector<platform::RowVersion>{ { "a", 1 } });
+  result = table.Commit(
+    { .mWrites = { { "b", 0, "2" } }, .mChecks = { { "c", 3 }, { "a", 1 } } });
+  CHECK(result.mConflicts == std::vector<platform::RowVersion>{ { "c", 0 } });
+  CHECK(table.Scan("") == before);
+}
+
+// Guards against a version that returns, which would let a stale writer win.
+TEST_CASE("versions rise over the whole table, also after a deletion")
+{
+  Table table;
+  table.Commit({ .mWrites = { { "a", 0, "1" }, { "b", 0, "1" } } });
+  REQUIRE(table.Commit({ .mWrites = { { "b", 2, {} } } }).Committed());
+  const auto result = table.Commit({ .mWrites = { { "b", 0, "2" } } });
+  CHECK(result.mVersions == std::vector<platform::RowVersion>{ { "b", 3 } });
+}
+
+// Guards against rows of other prefixes in a take-over's scan.
+TEST_CASE("a scan gives the rows of its prefix in order")
+{
+  Table table;
+  table.Commit({ .mWrites = { { "r/b", 0, "1" },
+                              { "r/a", 0, "1" },
+                              { "q/z", 0, "1" },
+                              { "s", 0, "1" } } });
+  const auto rows = table.Scan("r/");
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].mKey == "r/a");
+  CHECK(rows[1].mKey == "r/b");
+  CHECK(table.Read({ "s", "none" }).size() == 1);
+}
+
+} // namespace flamingoloom::standins
--- /dev/null
+++ b/testing/standins/task_table_test.cpp
@@ -0,0 +1,184 @@
+#include <doctest/doctest.h>
+
+#include "testing/standins/task_table.h"
+
+namespace flamingoloom::standins {
+namespace {
+
+using base::ErrorCode;
+using platform::TaskAction;
+using platform::TaskState;
+using std::chrono::milliseconds;
+
+constexpr base::Time kStart(std::chrono::hours(1));
+
+platform::TaskStart MakeStart(const char* aAttempt)
+{
+  platform::TaskStart start;
+  start.mAttempt = base::AttemptId(aAttempt);
+  start.mRequest = { base::AccountId("account"), "key" };
+  start.mDataCentre = base::DataCentreId("dc");
+  start.mEpoch = base::Epoch(5);
+  start.mPayload = R"({"runMs":100})";
+  return start;
+}
+
+platform::TaskStart MakeGangStart(const char* aAttempt)
+{
+  auto start = MakeStart(aAttempt);
+  start.mGang = "gang";
+  start.mGangSize = 2;
+  start.mLease = milliseconds(5000);
+  return start;
+}
+
+TaskTable MakeTable()
+{
+  return TaskTable({ .mDataCentre = base::DataCentreId("dc"),
+                     .mSlots = 2,
+                     .mAccelerators = 4 });
+}
+
+} // namespace
+
+// Guards against a fenced owner that still starts work.
+TEST_CASE("lower epochs are refused per data centre")
+{
+  TaskTable table = MakeTable();
+  const base::DataCentreId dataCentre("dc");
+  REQUIRE(table.Fence(dataCentre, base::Epoch(6)));
+  CHECK(table.Fence(dataCentre, base::Epoch(5)).error().mCode ==
+        ErrorCode::eStaleEpoch);
+  CHECK(table.Start(kStart, MakeStart("a")).error().mCode ==
+        ErrorCode::eStaleEpoch);
+  CHECK(table.History().empty());
+  CHECK(table.Fence(base::DataCentreId("other"), base::Epoch(5)));
+
+  auto start = MakeStart("b");
+  start.mEpoch = base::Epoch(7);
+  REQUIRE(table.Start(kStart, start));
+  CHECK(table.Fence(dataCentre, base::Epoch(6)).error().mCode ==
+        ErrorCode::eStaleEpoch);
+}
+
+// Guards against an invoice batch that runs twice.
+TEST_CASE("a repeated attempt id never runs twice")
+{
+  TaskTable table = MakeTable();
+  REQUIRE(table.Start(kStart, MakeStart("a")));
+  CHECK(table.Start(kStart, MakeStart("a")).error().mCode ==
+        ErrorCode::eDuplicate);
+  table.Advance(kStart + milliseconds(100));
+  CHECK(table.Status(base::AttemptId("a")).mState == TaskState::eFinished);
+  CHECK(table.Start(kStart + milliseconds(200), MakeStart("a")).error().mCode ==
+        ErrorCode::eDuplicate);
+  REQUIRE(table.History().size() == 2);
+  CHECK(table.History()[0].mIsStart);
+  CHECK(table.History()[1].mAt == kStart + milliseconds(100));
+}
+
+// Guards against an attempt that counts as used although nothing ran.
+TEST_CASE("an attempt that was refused as busy can be sent again")
+{
+  TaskTable table = MakeTable();
+  auto first = MakeStart("a");
+  first.mAccelerators = { 1 };
+  auto second = MakeStart("b");
+  second.mAccelerators = { 0, 1 };
+  REQUIRE(table.Start(kStart, first));
+  CHECK(table.Start(kStart, second).error().mCode == ErrorCode::eBusy);
+  CHECK(table.Start(kStart + milliseconds(100), second));
+  REQUIRE(table.Start(kStart + milliseconds(100), MakeStart("c")));
+  CHECK(table.Start(kStart + milliseconds(100), MakeStart("d")).error().mCode ==
+        ErrorCode::eBusy);
+}
+
+// Guards against places that stay taken after their owner has died.
+TEST_CASE("a prepared place without a commit lapses and never runs")
+{
+  TaskTable table = MakeTable();
+  const base::AttemptId attempt("a");
+  REQUIRE(table.Start(kStart, MakeGangStart("a")));
+  CHECK(table.CurrentUsage().mSlots == 1);
+  REQUIRE(table.Act(kStart + milliseconds(4000),
+                    attempt,
+                    TaskAction::eRenew,
+                    milliseconds(5000)));
+  table.Advance(kStart + milliseconds(8999));
+  CHECK(table.Status(attempt).mState == TaskState::ePrepared);
+  const base::Time lapse = kStart + milliseconds(9000);
+  CHECK(table.Act(lapse, attempt, TaskAction::eCommit).error().mCode ==
+        ErrorCode::eConflict);
+  CHECK(table.CurrentUsage() == Usage{});
+  CHECK(table.History().empty());
+}
+
+// Guards against a gang's task that starts twice or after a fence.
+TEST_CASE("a commit runs a task once, and not under a fenced epoch")
+{
+  TaskTable table = MakeTable();
+  const base::AttemptId attempt("a");
+  REQUIRE(table.Start(kStart, MakeGangStart("a")));
+  REQUIRE(table.Start(kStart, MakeGangStart("b")));
+  REQUIRE(table.Act(kStart, attempt, TaskAction::eCommit));
+  CHECK(table.Act(kStart, attempt, TaskAction::eCommit)->mState ==
+        TaskState::eRunning);
+  CHECK(table.History().size() == 1);
+
+  REQUIRE(table.Fence(base::DataCentreId("dc"), base::Epoch(6)));
+  CHECK(table.Act(kStart, base::AttemptId("b"), TaskAction::eCommit)
+          .error()
+          .mCode == ErrorCode::eStaleEpoch);
+  CHECK(table.Status(attempt).mState == TaskState::eRunning);
+}
+
+// Guards against actions that leave a place taken or a run unrecorded.
+TEST_CASE("release, stop, checkpoint and throttle")
+{
+  TaskTable table = MakeTable();
+  const auto act = [&](const char* aAttempt, TaskAction aAction) {
+    return table.Act(
+      kStart + milliseconds(50), base::AttemptId(aAttempt), aAction);
+  };
+  REQUIRE(table.Start(kStart, MakeGangStart("a")));
+  REQUIRE(table.Start(kStart, MakeStart("b")));
+  CHECK(act("b", TaskAction::eRelease)->mState == TaskState::eRunning);
+  CHECK(act("a", TaskAction::eRelease)->mState == TaskState::eStopped);
+  CHECK(act("b", TaskAction::eThrottle)->mState == TaskState::eRunning);
+  CHECK(table.NextEvent() == kStart + milliseconds(150));
+  CHECK(act("b", TaskAction::eCheckpoint)->mState == TaskState::eCheckpointed);
+  REQUIRE(table.Start(kStart + milliseconds(50), MakeStart("c")));
+  CHECK(act("c", TaskAction::eStop)->mState == TaskState::eStopped);
+  CHECK(act("d", TaskAction::eStop).error().mCode == ErrorCode::eNotFound);
+  CHECK(table.IsIdle());
+  CHECK(table.History().size() == 4);
+}
+
+// Guards against a leaving server that takes new work or breaks off old work.
+TEST_CASE("a leaving server finishes its work and refuses more")
+{
+  TaskTable table = MakeTable();
+  REQUIRE(table.Start(kStart, MakeStart("a")));
+  table.Leave();
+  CHECK(table.Start(kStart, MakeStart("b")).error().mCode ==
+        ErrorCode::eLeaving);
+  CHECK_FALSE(table.IsIdle());
+  table.Advance(kStart + milliseconds(100));
+  CHECK(table.Status(base::AttemptId("a")).mState == TaskState::eFinished);
+  CHECK(table.IsIdle());
+}
+
+// Guards against a failing server that looks as if nothing had run.
+TEST_CASE("a failing server records start and end of each task")
+{
+  TaskTable table = MakeTable();
+  table.FailTasks(true);
+  CHECK(table.Start(kStart, MakeStart("a"))->mState == TaskState::eFailed);
+  CHECK(table.History().size() == 2);
+  table.FailTasks(false);
+  auto start = MakeStart("b");
+  start.mPayload = R"({"runMs":0,"fail":true})";
+  CHECK(table.Start(kStart, start)->mState == TaskState::eFailed);
+}
+
+} // namespace flamingoloom::standins
