Connection pool: a thread that cannot be created is no exception

Cause: creating a thread throws when the system has no more of them, and no exception may cross the library's boundary. Conclusion: the call waits for another thread and ends with eUnavailable at its deadline. Not provoked in a test.

--- a/flamingoloom/platform/connection_pool.cpp
+++ b/flamingoloom/platform/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <csignal>
 #include <iterator>
+#include <system_error>
 
 #include <httplib.h>
 
@@ -120,7 +121,12 @@
   ++peer.mBusy;
   mRunnable.push_back(std::move(pending));
   if (mRunnable.size() > mIdleWorkers && mWorkers.size() < mLimits.mThreads) {
-    mWorkers.emplace_back([this] { Work(); });
+    try {
+      mWorkers.emplace_back([this] { Work(); });
+    } catch (const std::system_error&) {
+      // Without a further thread the call waits for one, at the longest until
+      // its deadline.
+    }
   }
   mRunnableChanged.notify_one();
 }
