--- a/flamingoloom/daemon/daemon_ports.h
+++ b/flamingoloom/daemon/daemon_ports.h
@@ -39,15 +39,18 @@
   }
 
   // The rest is passed on as it is.
-  void Commit(const platform::Transaction& aTransaction, platform::Done<platform::TransactionResult> aDone)
+  void Commit(const platform::Transaction& aTransaction,
+              platform::Done<platform::TransactionResult> aDone)
   {
     mClients.Commit(aTransaction, std::move(aDone));
   }
-  void Read(const std::vector<std::string>& aKeys, platform::Done<std::vector<platform::Row>> aDone)
+  void Read(const std::vector<std::string>& aKeys,
+            platform::Done<std::vector<platform::Row>> aDone)
   {
     mClients.Read(aKeys, std::move(aDone));
   }
-  void Scan(const std::string& aPrefix, platform::Done<std::vector<platform::Row>> aDone)
+  void Scan(const std::string& aPrefix,
+            platform::Done<std::vector<platform::Row>> aDone)
   {
     mClients.Scan(aPrefix, std::move(aDone));
   }
@@ -63,51 +66,81 @@
   {
     mClients.ListMembers(std::move(aDone));
   }
-  void Fence(const platform::ServerAddress& aServer, const base::DataCentreId& aDataCentre, base::Epoch aEpoch, platform::Done<base::Epoch> aDone)
+  void Fence(const platform::ServerAddress& aServer,
+             const base::DataCentreId& aDataCentre,
+             base::Epoch aEpoch,
+             platform::Done<base::Epoch> aDone)
   {
     mClients.Fence(aServer, aDataCentre, aEpoch, std::move(aDone));
   }
-  void StartTask(const platform::ServerAddress& aServer, const platform::TaskStart& aStart, base::Duration aWait, platform::Done<platform::TaskStatus> aDone)
+  void StartTask(const platform::ServerAddress& aServer,
+                 const platform::TaskStart& aStart,
+                 base::Duration aWait,
+                 platform::Done<platform::TaskStatus> aDone)
   {
     mClients.StartTask(aServer, aStart, aWait, std::move(aDone));
   }
-  void ActOnTask(const platform::ServerAddress& aServer, const base::AttemptId& aAttempt, platform::TaskAction aAction, base::Duration aLease, platform::Done<platform::TaskStatus> aDone)
+  void ActOnTask(const platform::ServerAddress& aServer,
+                 const base::AttemptId& aAttempt,
+                 platform::TaskAction aAction,
+                 base::Duration aLease,
+                 platform::Done<platform::TaskStatus> aDone)
   {
     mClients.ActOnTask(aServer, aAttempt, aAction, aLease, std::move(aDone));
   }
-  void AwaitTask(const platform::ServerAddress& aServer, const base::AttemptId& aAttempt, base::Duration aWait, platform::Done<platform::TaskStatus> aDone)
+  void AwaitTask(const platform::ServerAddress& aServer,
+                 const base::AttemptId& aAttempt,
+                 base::Duration aWait,
+                 platform::Done<platform::TaskStatus> aDone)
   {
     mClients.AwaitTask(aServer, aAttempt, aWait, std::move(aDone));
   }
-  void RequestCredits(const platform::PeerAddress& aPeer, const platform::CreditRequest& aMessage, platform::Done<platform::CreditGrant> aDone)
+  void RequestCredits(const platform::PeerAddress& aPeer,
+                      const platform::CreditRequest& aMessage,
+                      platform::Done<platform::CreditGrant> aDone)
   {
     mPeers.RequestCredits(aPeer, aMessage, std::move(aDone));
   }
-  void NotifyRequest(const platform::PeerAddress& aPeer, const platform::RequestNotice& aMessage, platform::Done<platform::Nothing> aDone)
+  void NotifyRequest(const platform::PeerAddress& aPeer,
+                     const platform::RequestNotice& aMessage,
+                     platform::Done<platform::Nothing> aDone)
   {
     mPeers.NotifyRequest(aPeer, aMessage, std::move(aDone));
   }
-  void AwaitRequest(const platform::PeerAddress& aPeer, const platform::RequestNotice& aMessage, base::Duration aWait, platform::Done<platform::RequestProgress> aDone)
+  void AwaitRequest(const platform::PeerAddress& aPeer,
+                    const platform::RequestNotice& aMessage,
+                    base::Duration aWait,
+                    platform::Done<platform::RequestProgress> aDone)
   {
     mPeers.AwaitRequest(aPeer, aMessage, aWait, std::move(aDone));
   }
-  void NotifyDataCentre(const platform::PeerAddress& aPeer, const platform::DataCentreNotice& aMessage, platform::Done<platform::DataCentreStatus> aDone)
+  void NotifyDataCentre(const platform::PeerAddress& aPeer,
+                        const platform::DataCentreNotice& aMessage,
+                        platform::Done<platform::DataCentreStatus> aDone)
   {
     mPeers.NotifyDataCentre(aPeer, aMessage, std::move(aDone));
   }
-  void RequestPromise(const platform::PeerAddress& aPeer, const platform::PromiseRequest& aMessage, platform::Done<platform::Nothing> aDone)
+  void RequestPromise(const platform::PeerAddress& aPeer,
+                      const platform::PromiseRequest& aMessage,
+                      platform::Done<platform::Nothing> aDone)
   {
     mPeers.RequestPromise(aPeer, aMessage, std::move(aDone));
   }
-  void AnnounceConfig(const platform::PeerAddress& aPeer, const platform::ConfigNotice& aMessage, platform::Done<platform::Nothing> aDone)
+  void AnnounceConfig(const platform::PeerAddress& aPeer,
+                      const platform::ConfigNotice& aMessage,
+                      platform::Done<platform::Nothing> aDone)
   {
     mPeers.AnnounceConfig(aPeer, aMessage, std::move(aDone));
   }
-  void AnnounceLeaving(const platform::PeerAddress& aPeer, const platform::LeavingNotice& aMessage, platform::Done<platform::Nothing> aDone)
+  void AnnounceLeaving(const platform::PeerAddress& aPeer,
+                       const platform::LeavingNotice& aMessage,
+                       platform::Done<platform::Nothing> aDone)
   {
     mPeers.AnnounceLeaving(aPeer, aMessage, std::move(aDone));
   }
-  void QueryStatus(const platform::PeerAddress& aPeer, const std::string& aTopic, platform::Done<std::string> aDone)
+  void QueryStatus(const platform::PeerAddress& aPeer,
+                   const std::string& aTopic,
+                   platform::Done<std::string> aDone)
   {
     mPeers.QueryStatus(aPeer, aTopic, std::move(aDone));
   }
