Idle HTTP connections keep no new connection out

Each connection holds a thread, and a load balancer keeps connections open that it does not use. With all threads held this way, new connections were answered 503 for up to the idle time-out of 30 s. Now the connection that has been idle longest is closed for a new one; 503 is left for the case in which all are busy.

A peer message whose field has another type is now tested as well: it is counted and answered with "invalid".

--- a/flamingoloom/frontend/connection_set.h
+++ b/flamingoloom/frontend/connection_set.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
 
@@ -16,7 +17,9 @@
   {
   }
 
-  // False when the limit is reached or Close was called.
+  // When the limit is reached, ends the waiting of the socket that has been
+  // idle longest, so that idle connections keep nobody out. False when none
+  // is idle or Close was called.
   bool Add(int aSocket);
   // To be called before the socket is closed, so that Close cannot affect
   // another socket of the same number.
@@ -30,10 +33,15 @@
   void Close();
 
 private:
+  // Zero while a request is processed, else the order of becoming idle.
+  using IdleSince = std::uint64_t;
+
+  bool EndLongestIdle();
+
   const std::size_t mLimit;
   std::mutex mMutex;
-  // The value is whether the socket is idle.
-  std::map<int, bool> mSockets;
+  std::map<int, IdleSince> mSockets;
+  IdleSince mLastIdle = 0;
   bool mClosed = false;
 };
 
--- a/flamingoloom/frontend/http_server.cpp
+++ b/flamingoloom/frontend/http_server.cpp
@@ -281,7 +281,8 @@
 {
   SetNoDelay(aSocket);
   SocketStream stream(aSocket, mSettings);
-  while (mConnections.MarkIdle(aSocket) && stream.WaitForRequest()) {
+  bool open = mConnections.MarkIdle(aSocket);
+  while (open && stream.WaitForRequest()) {
     mConnections.MarkBusy(aSocket);
     if (!ServeRequest(stream)) {
       Linger(aSocket);
@@ -302,11 +303,14 @@
       Admit(aRequest, progress);
       aStream.BeginBody();
     });
+  // Before the answer leaves: a client that has it may connect again at once
+  // and must find this connection idle.
+  bool open = mConnections.MarkIdle(aStream.socket());
   ok = aStream.Flush() && ok;
   if (progress.mEntered) {
     mAdmission.Leave();
   }
-  return ok && !isClosing && !isClosedByClient && progress.mAccepted &&
+  return ok && open && !isClosing && !isClosedByClient && progress.mAccepted &&
          !aStream.Failed();
 }
 
--- a/flamingoloom/frontend/settings.h
+++ b/flamingoloom/frontend/settings.h
@@ -13,7 +13,8 @@
   // "ip:port" to serve on; port 0 takes any free port.
   std::string mListen = "127.0.0.1:0";
   // Connections served at the same time, one thread each. A caller that waits
-  // for its answer keeps its thread. One more connection is answered 503.
+  // for its answer keeps its thread. For one more connection the one that has
+  // been idle longest is closed; when none is idle it is answered 503.
   std::size_t mThreads = 128;
   std::size_t mMaxBodyBytes = std::size_t{ 1 } << 20;
   // Request line and headers together.
--- a/flamingoloom/peer/peer_fault_test.cpp
+++ b/flamingoloom/peer/peer_fault_test.cpp
@@ -4,10 +4,13 @@
 #include <cstdint>
 #include <random>
 
+#include <capnp/any.h>
+#include <capnp/ez-rpc.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "flamingoloom/peer/instance.capnp.h"
 #include "flamingoloom/peer/socket_address.h"
 #include "flamingoloom/peer/test_support.h"
 
@@ -278,6 +281,22 @@
   CHECK(node->Counters().mUndecodable == 2);
 }
 
+// The RPC layer accepts such a message; only reading its field fails.
+TEST_CASE("a message with a field of another type is counted and refused")
+{
+  ActionThread actions;
+  auto node = StartNode(actions, PlainHandler());
+  capnp::EzRpcClient client(node->Address());
+  auto request = client.getMain<wire::Instance>().announceLeavingRequest();
+  capnp::AnyStruct::Builder fields =
+    capnp::toAny(wire::Instance::AnnounceLeavingParams::Builder(request));
+  fields.getPointerSection()[0].initAs<capnp::List<std::uint64_t>>(3);
+  auto answer = request.send().wait(client.getWaitScope());
+  CHECK(std::string(answer.getFailure().getCode().cStr()) == "invalid");
+  CHECK(node->Counters().mUndecodable == 1);
+  CHECK(Announce(*node, PeerOf(*node)));
+}
+
 TEST_CASE("an answer with missing fields has an unknown outcome")
 {
   ActionThread actions;
