Messages about damaged text are UTF-8; the terminal shows question, then why

Cause: the JSON parser quotes the text at fault. Bytes that are not UTF-8 in such a message made the encoding of an error answer throw, so a caller with a damaged document could have ended an instance's handler. A terminal transcript showed explanations ahead of the question they belong to, and a digest that was once given could not be removed. Conclusion: messages of config can go into JSON as they are.

--- a/flamingoloom/cli/interview.cpp
+++ b/flamingoloom/cli/interview.cpp
@@ -17,7 +17,7 @@
 using config::Section;
 using nlohmann::json;
 
-constexpr char kNoLimit[] = "none";
+constexpr char kNone[] = "none";
 
 std::string Trim(std::string_view aText)
 {
@@ -81,7 +81,7 @@
     case AnswerType::ePercent:
       return "a percentage, such as 99 or 99.5";
     case AnswerType::eDigest:
-      return "64 lower-case hexadecimal digits, or nothing";
+      return "64 lower-case hexadecimal digits, or \"none\"";
   }
   return "";
 }
@@ -92,6 +92,10 @@
   if (aKey == "mayGiveWay" && aEntry.at("mayRunTwice") == false) {
     return false;
   }
+  // Work that runs at most once is always recorded.
+  if (aKey == "mayBeLost" && aEntry.at("mayRunTwice") == false) {
+    return false;
+  }
   if (aKey == "goesFirst" && aEntry.at("mayWaitOvernight") == true) {
     return false;
   }
@@ -159,13 +163,12 @@
                           const json& aEarlier)
   {
     const auto offer = Offer(aQuestion, aEarlier);
+    Say(fmt::format("\n{}\n", aQuestion.mText));
     if (!aQuestion.mExplanation.empty()) {
       Say(fmt::format("  {}\n", aQuestion.mExplanation));
     }
     while (true) {
-      Say(fmt::format("{}{} ",
-                      aQuestion.mText,
-                      offer.empty() ? "" : fmt::format(" [{}]", offer)));
+      Say(offer.empty() ? "> " : fmt::format("[{}] > ", offer));
       auto text = Read();
       if (!text) {
         return std::nullopt;
@@ -187,7 +190,7 @@
   std::optional<bool> AskYesNo(const std::string& aText, bool aDefault)
   {
     while (true) {
-      Say(fmt::format("{} [{}] ", aText, aDefault ? "yes" : "no"));
+      Say(fmt::format("\n{}\n[{}] > ", aText, aDefault ? "yes" : "no"));
       auto text = Read();
       if (!text) {
         return std::nullopt;
@@ -302,15 +305,15 @@
       }
       return std::string(aText);
     case AnswerType::eDigest:
-      return std::string(aText);
+      return std::string(aText == kNone ? "" : aText);
     case AnswerType::eYesNo:
       return ParseYesNo(aText);
     case AnswerType::eCount:
     case AnswerType::eSize:
       return ParseNumber<int>(aText);
     case AnswerType::eLimit:
-      return aText == kNoLimit ? std::optional<json>(json(nullptr))
-                               : ParseNumber<int>(aText);
+      return aText == kNone ? std::optional<json>(json(nullptr))
+                            : ParseNumber<int>(aText);
     case AnswerType::eDuration:
       return ParseMilliseconds(aText);
     case AnswerType::ePercent:
@@ -328,10 +331,9 @@
     return config::DurationText(
       std::chrono::milliseconds(aValue.get<long long>()));
   }
-  if (aValue.is_null()) {
-    return kNoLimit;
-  }
-  return aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
+  const auto text =
+    aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
+  return aValue.is_null() || text.empty() ? kNone : text;
 }
 
 } // namespace internal
--- a/flamingoloom/cli/questionnaire_command_test.cpp
+++ b/flamingoloom/cli/questionnaire_command_test.cpp
@@ -224,7 +224,8 @@
   CHECK(!ParseAnswer(AnswerType::eDuration, "2"));
   CHECK(ParseAnswer(AnswerType::ePercent, "99.5") == json(99.5));
   CHECK(!ParseAnswer(AnswerType::eName, ""));
-  CHECK(ParseAnswer(AnswerType::eDigest, "") == json(""));
+  CHECK(ParseAnswer(AnswerType::eDigest, "none") == json(""));
+  CHECK(ParseAnswer(AnswerType::eDigest, "abc") == json("abc"));
 }
 
 } // namespace flamingoloom::cli
--- a/flamingoloom/config/check_answers.cpp
+++ b/flamingoloom/config/check_answers.cpp
@@ -99,7 +99,7 @@
                aIndex,
                name,
                "answerWithinMs",
-               fmt::format("is {}, but it usually runs {}. Allow more than {}, "
+               fmt::format("is {}, but it usually runs {}. Allow at least {}, "
                            "or correct the run time",
                            DurationText(aKind.mAnswerWithin),
                            DurationText(aKind.mUsualRunTime),
--- a/flamingoloom/config/configuration_json_test.cpp
+++ b/flamingoloom/config/configuration_json_test.cpp
@@ -157,8 +157,20 @@
 // Guards against a crash on input that is not a document at all.
 TEST_CASE("text that is no configuration is refused")
 {
-  for (const char* text : { "", "{", "[]", "7", "null", "\"x\"", "{}" }) {
-    CHECK(!ConfigurationFromText(text, "test"));
+  const std::string deep(100'000, '[');
+  for (const std::string& text : { std::string(),
+                                   std::string("{"),
+                                   std::string("[]"),
+                                   std::string("7"),
+                                   std::string("null"),
+                                   std::string("\"x\""),
+                                   std::string("{}"),
+                                   std::string("\"\xff\""),
+                                   deep,
+                                   deep + std::string(deep.size(), ']') }) {
+    auto read = ConfigurationFromText(text, "test");
+    REQUIRE(!read);
+    CHECK(!json(ToString(read.error())).dump().empty());
   }
 }
 
--- a/flamingoloom/config/json_document.cpp
+++ b/flamingoloom/config/json_document.cpp
@@ -1,5 +1,6 @@
 #include "flamingoloom/config/json_document.h"
 
+#include <algorithm>
 #include <set>
 
 #include <fmt/format.h>
@@ -28,6 +29,15 @@
                       std::move(aField) };
 }
 
+// The parser quotes the text at fault, which need not be UTF-8; messages go
+// into JSON answers and must be.
+std::string Printable(std::string aText)
+{
+  std::replace_if(
+    aText.begin(), aText.end(), [](char aByte) { return aByte < 0; }, '?');
+  return aText;
+}
+
 // Collects keys that occur twice in one object; the parser itself keeps the
 // last one silently.
 class DuplicateKeys
@@ -194,8 +204,8 @@
     }
     return document;
   } catch (const json::exception& error) {
-    return tl::unexpected(Problems{
-      Problem(aSource, "", fmt::format("not JSON: {}", error.what())) });
+    return tl::unexpected(Problems{ Problem(
+      aSource, "", fmt::format("not JSON: {}", Printable(error.what()))) });
   }
 }
 
--- a/flamingoloom/config/questions.cpp
+++ b/flamingoloom/config/questions.cpp
@@ -57,12 +57,13 @@
             "How many accelerators may it hold beyond its guarantees?",
             "\"none\" stands for no limit.",
             "none" },
-  Question{ "keySha256",
-            eDigest,
-            "What is the SHA-256 digest of its key?",
-            "Callers prove with the key that they belong to the account. Leave "
-            "it empty when callers are not checked.",
-            "" },
+  Question{
+    "keySha256",
+    eDigest,
+    "What is the SHA-256 digest of its key?",
+    "Callers prove with the key that they belong to the account. \"none\" "
+    "stands for callers that are not checked.",
+    "none" },
 };
 
 constexpr std::array kGuaranteeQuestions = {
--- a/flamingoloom/config/questions.h
+++ b/flamingoloom/config/questions.h
@@ -23,7 +23,7 @@
   eLimit,
   eDuration,
   ePercent,
-  // 64 hexadecimal digits, or nothing.
+  // 64 hexadecimal digits, or "none".
   eDigest,
 };
 
