Smaller files in config and cli; one writer at a time on the message stream

Cause: waiting for a take-out kept a progress thread on the stream to which a slow request's own progress thread also writes. The reason for the pending take-out is now printed from the waiting loop itself. Checks of settings, sizes of answers, forms of typed answers and the choice of instances move to files of their own without a change of behaviour.

--- a/flamingoloom/cli/command_line.cpp
+++ b/flamingoloom/cli/command_line.cpp
@@ -8,8 +8,8 @@
 #include "flamingoloom/cli/check_command.h"
 #include "flamingoloom/cli/command.h"
 #include "flamingoloom/cli/config_commands.h"
+#include "flamingoloom/cli/connection.h"
 #include "flamingoloom/cli/data_centre_commands.h"
-#include "flamingoloom/cli/files.h"
 #include "flamingoloom/cli/questionnaire_command.h"
 #include "flamingoloom/cli/report_error.h"
 #include "flamingoloom/cli/request_commands.h"
@@ -19,12 +19,8 @@
 namespace flamingoloom::cli {
 namespace {
 
-using base::ErrorCode;
 using base::Expected;
 
-constexpr char kServerVariable[] = "FLAMINGOLOOM_SERVER";
-constexpr char kKeyVariable[] = "FLAMINGOLOOM_KEY";
-
 struct GlobalOptions
 {
   std::vector<std::string> mServers;
@@ -151,60 +147,6 @@
     "--json", aOptions.mIsJson, "print JSON for programs instead of text");
 }
 
-std::vector<std::string> Split(const std::string& aText)
-{
-  std::vector<std::string> parts;
-  std::istringstream stream(aText);
-  for (std::string part; std::getline(stream, part, ',');) {
-    if (!part.empty()) {
-      parts.push_back(part);
-    }
-  }
-  return parts;
-}
-
-Expected<std::vector<config::Address>> Servers(
-  const GlobalOptions& aOptions,
-  const config::Environment& aEnvironment)
-{
-  auto texts = aOptions.mServers;
-  if (texts.empty()) {
-    texts = Split(aEnvironment(kServerVariable).value_or(""));
-  }
-  std::vector<config::Address> servers;
-  for (const auto& text : texts) {
-    auto address = config::ParseAddress(text);
-    if (!address) {
-      address.error().mPeer = text;
-      address.error().mField = "--server";
-      return tl::unexpected(address.error());
-    }
-    servers.push_back(*address);
-  }
-  if (servers.empty()) {
-    return base::MakeError(ErrorCode::eInvalid,
-                           "find instance",
-                           "command line",
-                           fmt::format("give the address of an instance with "
-                                       "--server or in {}",
-                                       kServerVariable),
-                           "--server");
-  }
-  return servers;
-}
-
-Expected<std::string> Key(const GlobalOptions& aOptions,
-                          const config::Environment& aEnvironment)
-{
-  auto key = aOptions.mKeyFile.empty()
-               ? Expected<std::string>(aEnvironment(kKeyVariable).value_or(""))
-               : ReadFile(aOptions.mKeyFile);
-  return key.map([](std::string aKey) {
-    aKey.erase(aKey.find_last_not_of(" \t\r\n") + 1);
-    return aKey;
-  });
-}
-
 Arguments Values(const ParsedCommand& aParsed)
 {
   Arguments arguments;
@@ -227,11 +169,11 @@
   if (!aParsed.mCommand->mNeedsServer) {
     return aParsed.mCommand->mRun(context, Values(aParsed));
   }
-  auto servers = Servers(aOptions, aEnvironment);
+  auto servers = Servers(aOptions.mServers, aEnvironment);
   if (!servers) {
     return tl::unexpected(servers.error());
   }
-  auto key = Key(aOptions, aEnvironment);
+  auto key = Key(aOptions.mKeyFile, aEnvironment);
   if (!key) {
     return tl::unexpected(key.error());
   }
--- a/flamingoloom/cli/data_centre_commands.cpp
+++ b/flamingoloom/cli/data_centre_commands.cpp
@@ -5,7 +5,6 @@
 
 #include <fmt/format.h>
 
-#include "flamingoloom/cli/progress.h"
 #include "flamingoloom/cli/table.h"
 
 namespace flamingoloom::cli {
@@ -17,6 +16,10 @@
 using namespace std::chrono_literals;
 
 constexpr auto kPollPause = 200ms;
+// The reason for a pending take-out is shown after kFirstMessage and then
+// every kMessageInterval.
+constexpr auto kFirstMessage = 1s;
+constexpr auto kMessageInterval = 5s;
 constexpr char kPath[] = "/v1/datacentres";
 
 const std::vector<std::string> kColumns = { "dataCentre",   "state",
@@ -112,6 +115,14 @@
     [](const ApiAnswer& aAnswer) { return aAnswer.mBody; });
 }
 
+void PrintWaiting(Context& aContext, const std::string& aName, const json& aRow)
+{
+  aContext.mConsole.mErr << fmt::format("{} is not acknowledged yet: {}\n",
+                                        aName,
+                                        aRow.value("reason", json()).dump())
+                         << std::flush;
+}
+
 // Asks until the take-out is acknowledged, the data centre is in again, or
 // the time is over; answers the last state.
 Expected<json> AwaitAcknowledgement(Context& aContext,
@@ -121,7 +132,7 @@
   using Clock = std::chrono::steady_clock;
   const auto name = aArguments.Text("data-centre");
   const auto end = Clock::now() + aArguments.Duration("--wait");
-  Progress progress(aContext.mConsole.mErr, name + " is not yet acknowledged");
+  auto message = Clock::now() + kFirstMessage;
   while (!IsAcknowledged(aRow) && aRow.value("state", json()) == "out" &&
          Clock::now() < end) {
     std::this_thread::sleep_for(kPollPause);
@@ -130,6 +141,10 @@
       return row;
     }
     aRow = *row;
+    if (Clock::now() >= message) {
+      PrintWaiting(aContext, name, aRow);
+      message += kMessageInterval;
+    }
   }
   return aRow;
 }
--- a/flamingoloom/cli/interview.cpp
+++ b/flamingoloom/cli/interview.cpp
@@ -1,13 +1,12 @@
 #include "flamingoloom/cli/interview.h"
 
-#include <charconv>
 #include <string>
 
 #include <fmt/format.h>
 
+#include "flamingoloom/cli/answer_text.h"
 #include "flamingoloom/config/answers.h"
 #include "flamingoloom/config/check_answers.h"
-#include "flamingoloom/config/duration_text.h"
 
 namespace flamingoloom::cli {
 namespace {
@@ -17,8 +16,6 @@
 using config::Section;
 using nlohmann::json;
 
-constexpr char kNone[] = "none";
-
 std::string Trim(std::string_view aText)
 {
   constexpr std::string_view kSpaces = " \t\r\n";
@@ -30,62 +27,6 @@
     aText.substr(first, aText.find_last_not_of(kSpaces) - first + 1));
 }
 
-std::optional<json> ParseYesNo(std::string_view aText)
-{
-  if (aText == "yes" || aText == "y") {
-    return true;
-  }
-  if (aText == "no" || aText == "n") {
-    return false;
-  }
-  return std::nullopt;
-}
-
-template <class T>
-std::optional<json> ParseNumber(std::string_view aText)
-{
-  T number{};
-  const char* end = aText.data() + aText.size();
-  auto [next, error] = std::from_chars(aText.data(), end, number);
-  if (error != std::errc() || next != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
-std::optional<json> ParseMilliseconds(std::string_view aText)
-{
-  auto duration = config::ParseDuration(aText);
-  if (!duration) {
-    return std::nullopt;
-  }
-  return base::ToMilliseconds(*duration);
-}
-
-std::string_view Form(AnswerType aType)
-{
-  switch (aType) {
-    case AnswerType::eName:
-      return "a name of letters, digits, '.', '_' or '-'";
-    case AnswerType::eText:
-      return "a text";
-    case AnswerType::eYesNo:
-      return "yes or no";
-    case AnswerType::eCount:
-    case AnswerType::eSize:
-      return "a whole number";
-    case AnswerType::eLimit:
-      return "a whole number or \"none\"";
-    case AnswerType::eDuration:
-      return "a whole number and a unit (ms, s, min, h, d), such as \"500 ms\"";
-    case AnswerType::ePercent:
-      return "a percentage, such as 99 or 99.5";
-    case AnswerType::eDigest:
-      return "64 lower-case hexadecimal digits, or \"none\"";
-  }
-  return "";
-}
-
 // Questions whose answer follows from earlier ones are not asked.
 std::optional<json> Implied(std::string_view aKey, const json& aEntry)
 {
@@ -154,7 +95,7 @@
   std::string Offer(const Question& aQuestion, const json& aEarlier)
   {
     return aEarlier.is_null() ? std::string(aQuestion.mDefault)
-                              : internal::AnswerText(aQuestion.mType, aEarlier);
+                              : AnswerText(aQuestion.mType, aEarlier);
   }
 
   // Asks until the answer has the right form and range.
@@ -173,10 +114,9 @@
       if (!text) {
         return std::nullopt;
       }
-      auto value =
-        internal::ParseAnswer(aQuestion.mType, text->empty() ? offer : *text);
+      auto value = ParseAnswer(aQuestion.mType, text->empty() ? offer : *text);
       if (!value) {
-        Say(fmt::format("  Please answer {}.\n", Form(aQuestion.mType)));
+        Say(fmt::format("  Please answer {}.\n", AnswerForm(aQuestion.mType)));
         continue;
       }
       auto problems = config::CheckAnswer(aSection, aQuestion.mKey, *value);
@@ -198,7 +138,7 @@
       if (text->empty()) {
         return aDefault;
       }
-      if (auto value = ParseYesNo(*text)) {
+      if (auto value = ParseAnswer(AnswerType::eYesNo, *text)) {
         return value->get<bool>();
       }
       Say("  Please answer yes or no.\n");
@@ -293,51 +233,6 @@
 
 } // namespace
 
-namespace internal {
-
-std::optional<json> ParseAnswer(AnswerType aType, std::string_view aText)
-{
-  switch (aType) {
-    case AnswerType::eName:
-    case AnswerType::eText:
-      if (aText.empty()) {
-        return std::nullopt;
-      }
-      return std::string(aText);
-    case AnswerType::eDigest:
-      return std::string(aText == kNone ? "" : aText);
-    case AnswerType::eYesNo:
-      return ParseYesNo(aText);
-    case AnswerType::eCount:
-    case AnswerType::eSize:
-      return ParseNumber<int>(aText);
-    case AnswerType::eLimit:
-      return aText == kNone ? std::optional<json>(json(nullptr))
-                            : ParseNumber<int>(aText);
-    case AnswerType::eDuration:
-      return ParseMilliseconds(aText);
-    case AnswerType::ePercent:
-      return ParseNumber<double>(aText);
-  }
-  return std::nullopt;
-}
-
-std::string AnswerText(AnswerType aType, const json& aValue)
-{
-  if (aType == AnswerType::eYesNo) {
-    return aValue.get<bool>() ? "yes" : "no";
-  }
-  if (aType == AnswerType::eDuration) {
-    return config::DurationText(
-      std::chrono::milliseconds(aValue.get<long long>()));
-  }
-  const auto text =
-    aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
-  return aValue.is_null() || text.empty() ? kNone : text;
-}
-
-} // namespace internal
-
 std::optional<json> AskAll(Console& aConsole, const json& aEarlier)
 {
   return Interview(aConsole).Run(aEarlier);
--- a/flamingoloom/cli/interview.h
+++ b/flamingoloom/cli/interview.h
@@ -2,12 +2,10 @@
 #pragma once
 
 #include <optional>
-#include <string_view>
 
 #include <nlohmann/json.hpp>
 
 #include "flamingoloom/cli/console.h"
-#include "flamingoloom/config/questions.h"
 
 namespace flamingoloom::cli {
 
@@ -17,15 +15,4 @@
 std::optional<nlohmann::json> AskAll(Console& aConsole,
                                      const nlohmann::json& aEarlier);
 
-namespace internal {
-
-// The answer that aText stands for; none when it has the wrong form.
-std::optional<nlohmann::json> ParseAnswer(config::AnswerType aType,
-                                          std::string_view aText);
-
-// aValue as it would be typed.
-std::string AnswerText(config::AnswerType aType, const nlohmann::json& aValue);
-
-} // namespace internal
-
 } // namespace flamingoloom::cli
--- a/flamingoloom/config/check_answers.cpp
+++ b/flamingoloom/config/check_answers.cpp
@@ -1,14 +1,13 @@
 #include "flamingoloom/config/check_answers.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 
 #include <fmt/format.h>
 
+#include "flamingoloom/config/answered_sizes.h"
 #include "flamingoloom/config/duration_text.h"
 #include "flamingoloom/config/questions.h"
-#include "flamingoloom/placement/layout.h"
 #include "flamingoloom/placement/shape.h"
 
 namespace flamingoloom::config {
@@ -121,81 +120,13 @@
                            DurationText(kShortestOvernight)));
 }
 
-placement::CentreCapacity Capacity(const DataCentreAnswers& aCentre)
-{
-  return { aCentre.mName,
-           aCentre.mRacks,
-           aCentre.mServersPerRack,
-           aCentre.mAcceleratorsPerServer };
-}
-
-// The largest of what aMeasure finds in the data centres.
-template <class Measure>
-int Largest(const Answers& aAnswers, Measure aMeasure)
-{
-  int largest = 0;
-  for (const auto& centre : aAnswers.mDataCentres) {
-    largest = std::max(largest, aMeasure(centre));
-  }
-  return largest;
-}
-
-int LargestServer(const Answers& aAnswers)
-{
-  return Largest(aAnswers, [](const DataCentreAnswers& aCentre) {
-    return aCentre.mAcceleratorsPerServer;
-  });
-}
-
-int LargestBlock(const Answers& aAnswers)
-{
-  return Largest(aAnswers, [](const DataCentreAnswers& aCentre) {
-    auto blocks = placement::Layout(Capacity(aCentre)).Blocks();
-    int level = placement::kLevels - 1;
-    while (level > 0 && blocks[level] == 0) {
-      --level;
-    }
-    return placement::ShapeAt(level);
-  });
-}
-
-// The most tasks of aPerTask accelerators that one data centre can run at
-// once; a task runs on one backend server.
-int MostTasks(const Answers& aAnswers, int aPerTask)
-{
-  return Largest(aAnswers, [&](const DataCentreAnswers& aCentre) {
-    return aCentre.mRacks * aCentre.mServersPerRack *
-           (aCentre.mAcceleratorsPerServer / aPerTask);
-  });
-}
-
-// The most accelerators that any client account may hold at once.
-int LargestHolding(const Answers& aAnswers)
-{
-  int largest = 0;
-  for (const auto& account : aAnswers.mAccounts) {
-    if (!account.mLimitAccelerators) {
-      return std::numeric_limits<int>::max();
-    }
-    int holding = *account.mLimitAccelerators;
-    for (const auto& guarantee : aAnswers.mGuarantees) {
-      if (guarantee.mAccount == account.mName) {
-        holding +=
-          guarantee.mBlocks * placement::ShapeOf(guarantee.mAccelerators);
-      }
-    }
-    largest = std::max(largest, holding);
-  }
-  return largest;
-}
-
 void CheckAdjacent(SectionCheck& aCheck,
                    std::size_t aIndex,
                    const KindAnswers& aKind,
                    const Answers& aAnswers)
 {
   const int wanted = aKind.mTasks * aKind.mAcceleratorsPerTask;
-  const int largest = LargestBlock(aAnswers);
+  const int largest = internal::LargestBlock(aAnswers);
   const int shape = placement::ShapeOf(wanted);
   aCheck.AddIf(shape == 0 || shape > largest,
                aIndex,
@@ -213,7 +144,7 @@
                     const KindAnswers& aKind,
                     const Answers& aAnswers)
 {
-  const int most = MostTasks(aAnswers, aKind.mAcceleratorsPerTask);
+  const int most = internal::MostTasks(aAnswers, aKind.mAcceleratorsPerTask);
   aCheck.AddIf(aKind.mTasks > most,
                aIndex,
                aKind.mName.Value(),
@@ -232,7 +163,7 @@
                 const Answers& aAnswers)
 {
   const auto& name = aKind.mName.Value();
-  const int server = LargestServer(aAnswers);
+  const int server = internal::LargestServer(aAnswers);
   if (aKind.mAcceleratorsPerTask == 0) {
     aCheck.AddIf(aKind.mNextToEachOther,
                  aIndex,
@@ -261,7 +192,7 @@
                  const Answers& aAnswers)
 {
   const int wanted = aKind.mTasks * aKind.mAcceleratorsPerTask;
-  const int holding = LargestHolding(aAnswers);
+  const int holding = internal::LargestHolding(aAnswers);
   aCheck.AddIf(wanted > holding,
                aIndex,
                aKind.mName.Value(),
