--- a/flamingoloom/platform/ports.h
+++ b/flamingoloom/platform/ports.h
@@ -304,6 +304,8 @@
 struct ConfigNotice
 {
   std::uint64_t mVersion = 0;
+  // Who can give the document; the receiver's member list may not have it.
+  PeerAddress mFrom;
 
   friend bool operator==(const ConfigNotice&, const ConfigNotice&) = default;
 };
@@ -348,6 +350,7 @@
   // Answers when the task has ended (or is prepared, for a gang), or with
   // eOutcomeUnknown after the wait.
   aPorts.StartTask(aServer, TaskStart{}, aWait, Done<TaskStatus>{});
+  // The duration is the new lease of eRenew; other actions ignore it.
   aPorts.ActOnTask(aServer, aAttempt, TaskAction::eStop, aWait,
                    Done<TaskStatus>{});
   // Answers when the task has ended or after the wait.
@@ -361,6 +364,8 @@
   aPorts.RequestPromise(aPeer, PromiseRequest{}, Done<Nothing>{});
   aPorts.AnnounceConfig(aPeer, ConfigNotice{}, Done<Nothing>{});
   aPorts.AnnounceLeaving(aPeer, LeavingNotice{}, Done<Nothing>{});
+  // A JSON document about the peer; the text is the topic.
+  aPorts.QueryStatus(aPeer, aText, Done<std::string>{});
 };
 // clang-format on
 
--- a/testing/standins/backend_server.cpp
+++ b/testing/standins/backend_server.cpp
@@ -121,6 +121,10 @@
     mUsage.emplace_back(Now(), mTasks.CurrentUsage());
     hasChanged = true;
   }
+  const base::Time shown = Now() - mOptions.mUsageLag;
+  while (mUsage.size() > 1 && mUsage[1].first <= shown) {
+    mUsage.pop_front();
+  }
   const auto& history = mTasks.History();
   for (; mHistoryNoted < history.size(); ++mHistoryNoted) {
     hasChanged = true;
@@ -173,7 +177,7 @@
     lock.unlock();
     AnswerResult(aResponse, status);
   });
-  routes.Post("/tasks/([^/]+)/(commit|renew|release|stop|checkpoint|throttle)",
+  routes.Post("/tasks/(.+)/(commit|renew|release|stop|checkpoint|throttle)",
               [this](const auto& aRequest, auto& aResponse) {
                 base::Duration lease{};
                 const auto action =
@@ -192,7 +196,7 @@
                 NoteChange();
                 AnswerResult(aResponse, status);
               });
-  routes.Get("/tasks/([^/]+)", [this](const auto& aRequest, auto& aResponse) {
+  routes.Get("/tasks/(.+)", [this](const auto& aRequest, auto& aResponse) {
     const auto wait =
       std::chrono::milliseconds(NumberParameter(aRequest, "waitMs"));
     std::unique_lock lock(mMutex);
@@ -210,10 +214,6 @@
     std::lock_guard lock(mMutex);
     mTasks.Advance(Now());
     NoteChange();
-    const base::Time shown = Now() - mOptions.mUsageLag;
-    while (mUsage.size() > 1 && mUsage[1].first <= shown) {
-      mUsage.pop_front();
-    }
     const Usage& usage = mUsage.front().second;
     Answer(aResponse,
            { { "slots", mOptions.mMember.mSlots },
