--- a/flamingoloom/placement/centre_state.cpp
+++ b/flamingoloom/placement/centre_state.cpp
@@ -398,8 +398,13 @@
 Allocation CentreState::ToAllocation(Slot aSlot) const
 {
   const AllocationTable::Entry& entry = mTable.At(aSlot);
+  const bool within =
+    std::ranges::any_of(entry.mHeld, [](const HeldBlock& aHeld) {
+      return aHeld.mHold == Hold::eWithinGuarantee;
+    });
   return { entry.mRequest, entry.mProperties,  ToRanges(entry.mHeld),
-           entry.mStarted, entry.mExpectedEnd, entry.mStopping };
+           entry.mStarted, entry.mExpectedEnd, entry.mStopping,
+           within };
 }
 
 std::vector<Allocation> CentreState::Allocations() const
--- a/flamingoloom/placement/placement.h
+++ b/flamingoloom/placement/placement.h
@@ -18,7 +18,8 @@
 // than the guaranteed shape: the whole block then counts as in use. Work that
 // can be preempted is placed on any free blocks first, without use of the
 // guarantee. If there are none it is placed within the guarantee, where it
-// cannot be preempted.
+// cannot be preempted. Work of other client accounts is preempted first; work
+// of the same account only for work that cannot be preempted itself.
 //
 // A value type without I/O and clock; one thread at a time.
 #pragma once
@@ -115,7 +116,11 @@
       return plan;
     }
   }
-  return search().FindFirm(count, level, true);
+  // Work that can itself be preempted gains nothing by ending its own kind.
+  const internal::Victims victims = aJob.mProperties.IsReclaimable()
+                                      ? internal::Victims::eOtherAccounts
+                                      : internal::Victims::eAnyAccount;
+  return search().FindFirm(count, level, victims);
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
@@ -199,7 +204,7 @@
   if (aJob.mProperties.IsReclaimable()) {
     return search.FindReclaimable(aJob.Blocks(), level);
   }
-  return search.FindFirm(aJob.Blocks(), level, false);
+  return search.FindFirm(aJob.Blocks(), level, internal::Victims::eNone);
 }
 
 } // namespace flamingoloom::placement
--- a/flamingoloom/placement/placement_search.h
+++ b/flamingoloom/placement/placement_search.h
@@ -25,6 +25,14 @@
   std::optional<Block> mNewClaim;
 };
 
+// Whose work may be preempted for the job.
+enum class Victims
+{
+  eNone,
+  eOtherAccounts,
+  eAnyAccount,
+};
+
 // A way of placing the whole job.
 struct Plan
 {
@@ -48,15 +56,14 @@
   // Places aCount blocks of aLevel on free capacity, to be held as reclaimable.
   std::optional<Plan> FindReclaimable(int aCount, int aLevel);
 
-  // Places aCount blocks of aLevel that cannot be preempted. aMayPreempt is
-  // false when only free blocks count.
-  std::optional<Plan> FindFirm(int aCount, int aLevel, bool aMayPreempt);
+  // Places aCount blocks of aLevel that cannot be preempted.
+  std::optional<Plan> FindFirm(int aCount, int aLevel, Victims aVictims);
 
 private:
   bool TakeInOwnClaim(int aLevel);
   bool TakeInNewClaim(int aLevel);
   bool TakeBeyondGuarantee(int aLevel);
-  bool TakeByPreempting(int aLevel);
+  bool TakeByPreempting(int aLevel, Victims aVictims);
 
   // The cheapest place within the guarantee so far.
   struct Cheapest
@@ -73,6 +80,10 @@
   // Calls aVisit for each block of aLevel that could become a claim.
   template <class Visit>
   void ForEachClaimable(int aLevel, Visit aVisit);
+  // The level of the smallest outstanding shape that has room for a block of
+  // aLevel and a place. Larger shapes are left for larger work, even if
+  // preemption is needed.
+  std::optional<int> ClaimLevel(int aLevel);
   // Best free part of aLevel inside of aWhole.
   std::optional<Block> FreePart(const Block& aWhole, int aLevel);
   bool HasFreePart(const Block& aWhole, int aLevel) const;
@@ -138,15 +149,16 @@
 template <FitPolicy Fit, GuaranteeCheck Check>
 std::optional<Plan> PlacementSearch<Fit, Check>::FindFirm(int aCount,
                                                           int aLevel,
-                                                          bool aMayPreempt)
+                                                          Victims aVictims)
 {
   if (BlocksAt(mCapacity.Reclaimable().FreeBlocks(), aLevel) < aCount) {
     return std::nullopt;
   }
   for (int i = 0; i < aCount; ++i) {
-    const bool taken = TakeInOwnClaim(aLevel) || TakeInNewClaim(aLevel) ||
-                       TakeBeyondGuarantee(aLevel) ||
-                       (aMayPreempt && TakeByPreempting(aLevel));
+    const bool taken =
+      TakeInOwnClaim(aLevel) || TakeInNewClaim(aLevel) ||
+      TakeBeyondGuarantee(aLevel) ||
+      (aVictims != Victims::eNone && TakeByPreempting(aLevel, aVictims));
     if (!taken) {
       return std::nullopt;
     }
@@ -216,22 +228,37 @@
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
-bool PlacementSearch<Fit, Check>::TakeInNewClaim(int aLevel)
+std::optional<int> PlacementSearch<Fit, Check>::ClaimLevel(int aLevel)
 {
   for (int level = aLevel; level < kLevels; ++level) {
-    LowestRank lowest;
-    ForEachClaimable(level, [&](const Block& aClaim) {
-      if (HasFreePart(aClaim, aLevel)) {
-        lowest.Offer(mFit.Rank(mCapacity.Unclaimed(), aClaim), aClaim);
-      }
-    });
-    if (lowest.Best()) {
-      const auto part = FreePart(*lowest.Best(), aLevel);
-      Take({ *part, Hold::eWithinGuarantee, lowest.Best() });
-      return true;
+    bool found = false;
+    ForEachClaimable(level, [&](const Block&) { found = true; });
+    if (found) {
+      return level;
     }
   }
-  return false;
+  return std::nullopt;
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+bool PlacementSearch<Fit, Check>::TakeInNewClaim(int aLevel)
+{
+  const auto level = ClaimLevel(aLevel);
+  if (!level) {
+    return false;
+  }
+  LowestRank lowest;
+  ForEachClaimable(*level, [&](const Block& aClaim) {
+    if (HasFreePart(aClaim, aLevel)) {
+      lowest.Offer(mFit.Rank(mCapacity.Unclaimed(), aClaim), aClaim);
+    }
+  });
+  if (!lowest.Best()) {
+    return false;
+  }
+  const auto part = FreePart(*lowest.Best(), aLevel);
+  Take({ *part, Hold::eWithinGuarantee, lowest.Best() });
+  return true;
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
@@ -255,7 +282,7 @@
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
-bool PlacementSearch<Fit, Check>::TakeByPreempting(int aLevel)
+bool PlacementSearch<Fit, Check>::TakeByPreempting(int aLevel, Victims aVictims)
 {
   Cheapest cheapest;
   for (const Claim& claim : mCapacity.Claims()) {
@@ -263,12 +290,13 @@
       OfferParts(cheapest, claim.mBlock, aLevel, std::nullopt);
     }
   }
-  for (int level = aLevel; level < kLevels; ++level) {
-    ForEachClaimable(level, [&](const Block& aClaim) {
+  if (const auto level = ClaimLevel(aLevel)) {
+    ForEachClaimable(*level, [&](const Block& aClaim) {
       OfferParts(cheapest, aClaim, aLevel, aClaim);
     });
   }
-  if (!cheapest.mChoice) {
+  if (!cheapest.mChoice ||
+      (aVictims == Victims::eOtherAccounts && cheapest.mCost.mOwnVictims > 0)) {
     return false;
   }
   Preempt(cheapest.mChoice->mBlock);
--- a/flamingoloom/placement/work.h
+++ b/flamingoloom/placement/work.h
@@ -70,6 +70,9 @@
   // It was preempted or lost a server. It keeps the blocks that are not yet
   // given to other work until its end is reported.
   bool mStopping = false;
+  // It uses the guarantee of its client account and cannot be preempted,
+  // whatever its properties.
+  bool mWithinGuarantee = false;
 
   friend bool operator==(const Allocation&, const Allocation&) = default;
 };
