--- a/flamingoloom/placement/capacity_state.cpp
+++ b/flamingoloom/placement/capacity_state.cpp
@@ -138,11 +138,14 @@
   return ended;
 }
 
-void CapacityState::CoverByClaim(int aAccount, const Block& aBlock)
+void CapacityState::CoverByClaim(int aAccount,
+                                 const Block& aBlock,
+                                 const std::vector<Block>& aHeld)
 {
-  GiveBack(aBlock);
   AddClaim(aAccount, aBlock);
-  mClaims.back().mUsed = aBlock.Size();
+  for (const Block& held : aHeld) {
+    mClaims.back().mUsed += held.Size();
+  }
 }
 
 bool CapacityState::IsClaimed(const Block& aBlock) const
@@ -150,12 +153,6 @@
   return FindClaim(aBlock) < mClaims.size();
 }
 
-bool CapacityState::IsClaimedBy(const Block& aBlock, int aAccount) const
-{
-  const std::size_t index = FindClaim(aBlock);
-  return index < mClaims.size() && mClaims[index].mAccount == aAccount;
-}
-
 std::size_t CapacityState::FindClaim(const Block& aBlock) const
 {
   std::size_t index = 0;
--- a/flamingoloom/placement/capacity_state.h
+++ b/flamingoloom/placement/capacity_state.h
@@ -101,12 +101,14 @@
   void Take(const Block& aBlock, Hold aHold);
   // Ends the claim when this was its last work. Returns the ended claim.
   std::optional<Claim> Release(const Block& aBlock, Hold aHold);
-  // Makes a claim of work beyond the guarantee that has exactly the level of
-  // an outstanding shape.
-  void CoverByClaim(int aAccount, const Block& aBlock);
+  // Makes a claim of aBlock for aHeld, the blocks inside of it that hold the
+  // account's work beyond its guarantee. Precondition: the rest of aBlock is
+  // free in Unclaimed(), and a shape of its level is outstanding.
+  void CoverByClaim(int aAccount,
+                    const Block& aBlock,
+                    const std::vector<Block>& aHeld);
 
   bool IsClaimed(const Block& aBlock) const;
-  bool IsClaimedBy(const Block& aBlock, int aAccount) const;
 
   void Disable(int aPosition);
   void Enable(int aPosition);
--- a/flamingoloom/placement/centre_state.cpp
+++ b/flamingoloom/placement/centre_state.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "flamingoloom/placement/claim_cover.h"
+
 namespace flamingoloom::placement {
 
 namespace {
@@ -122,25 +124,19 @@
     mGuaranteed[LevelOf(shape)] += guarantee.mCount;
   }
   mCapacity.SetGuarantees(mGuarantees);
-  ReclassifyHeldBlocks();
+  FollowDroppedClaims();
+  CoverHeldWork(mTable, mCapacity);
 }
 
-void CentreState::ReclassifyHeldBlocks()
+void CentreState::FollowDroppedClaims()
 {
   for (const auto& [request, slot] : mTable.Slots()) {
-    const AllocationTable::Entry entry = mTable.At(slot);
-    for (const HeldBlock& held : entry.mHeld) {
-      const bool lostClaim = held.mHold == Hold::eWithinGuarantee &&
-                             !mCapacity.IsClaimed(held.mBlock);
-      const bool beyond = lostClaim || held.mHold == Hold::eBeyondGuarantee;
-      if (lostClaim) {
+    const std::vector<HeldBlock> all = mTable.At(slot).mHeld;
+    for (const HeldBlock& held : all) {
+      if (held.mHold == Hold::eWithinGuarantee &&
+          !mCapacity.IsClaimed(held.mBlock)) {
         mTable.SetHold(slot, held.mBlock, Hold::eBeyondGuarantee);
       }
-      const int level = held.mBlock.mLevel;
-      if (beyond && mCapacity.Outstanding(entry.mAccount)[level] > 0) {
-        mCapacity.CoverByClaim(entry.mAccount, held.mBlock);
-        mTable.SetHold(slot, held.mBlock, Hold::eWithinGuarantee);
-      }
     }
   }
 }
@@ -222,41 +218,9 @@
   return blocks;
 }
 
-// Claims the smallest outstanding shape that contains the block and no work
-// that cannot be preempted.
-bool CentreState::ClaimAround(const Block& aBlock, int aAccount)
-{
-  for (int level = aBlock.mLevel; level < kLevels; ++level) {
-    const Block around = aBlock.Enclosing(level);
-    if (mCapacity.Outstanding(aAccount)[level] > 0 &&
-        mCapacity.Unclaimed().IsFree(around)) {
-      mCapacity.AddClaim(aAccount, around);
-      return true;
-    }
-  }
-  return false;
-}
-
-HeldBlock CentreState::AdoptBlock(const Block& aBlock,
-                                  int aAccount,
-                                  bool aReclaimable)
+void CentreState::AdoptBlocks(const Allocation& aAllocation,
+                              const std::vector<Block>& aBlocks)
 {
-  HeldBlock held{ aBlock, Hold::eReclaimable };
-  if (!aReclaimable) {
-    const bool claimed =
-      mCapacity.IsClaimedBy(aBlock, aAccount) || ClaimAround(aBlock, aAccount);
-    held.mHold = claimed ? Hold::eWithinGuarantee : Hold::eBeyondGuarantee;
-  }
-  mCapacity.Take(held.mBlock, held.mHold);
-  return held;
-}
-
-base::Expected<void> CentreState::Adopt(const Allocation& aAllocation)
-{
-  const auto blocks = ReadBlocks(aAllocation);
-  if (!blocks) {
-    return tl::unexpected(blocks.error());
-  }
   AllocationTable::Entry entry{ aAllocation.mRequest,
                                 aAllocation.mProperties,
                                 AccountNumber(aAllocation.mRequest.mAccount),
@@ -264,11 +228,30 @@
                                 aAllocation.mStarted,
                                 aAllocation.mExpectedEnd,
                                 aAllocation.mStopping };
-  const bool reclaimable = entry.mStopping || entry.mProperties.IsReclaimable();
-  for (const Block& block : *blocks) {
-    entry.mHeld.push_back(AdoptBlock(block, entry.mAccount, reclaimable));
+  const bool reclaimable =
+    entry.mStopping ||
+    (entry.mProperties.IsReclaimable() && !aAllocation.mWithinGuarantee);
+  const Hold hold = reclaimable ? Hold::eReclaimable : Hold::eBeyondGuarantee;
+  for (const Block& block : aBlocks) {
+    mCapacity.Take(block, hold);
+    entry.mHeld.push_back({ block, hold });
   }
   mTable.Add(std::move(entry));
+}
+
+base::Expected<void> CentreState::Adopt(
+  std::span<const Allocation> aAllocations)
+{
+  CentreState draft = *this;
+  for (const Allocation& allocation : aAllocations) {
+    const auto blocks = draft.ReadBlocks(allocation);
+    if (!blocks) {
+      return tl::unexpected(blocks.error());
+    }
+    draft.AdoptBlocks(allocation, *blocks);
+  }
+  CoverHeldWork(draft.mTable, draft.mCapacity);
+  *this = std::move(draft);
   return {};
 }
 
@@ -293,7 +276,7 @@
       if (entry.mAccount == aClaim.mAccount &&
           held.mHold == Hold::eBeyondGuarantee &&
           held.mBlock.mLevel == aClaim.mBlock.mLevel) {
-        mCapacity.CoverByClaim(entry.mAccount, held.mBlock);
+        mCapacity.CoverByClaim(entry.mAccount, held.mBlock, { held.mBlock });
         mTable.SetHold(slot, held.mBlock, Hold::eWithinGuarantee);
         return;
       }
--- a/flamingoloom/placement/centre_state.h
+++ b/flamingoloom/placement/centre_state.h
@@ -29,11 +29,11 @@
   void SetGuarantees(std::span<const Demand> aGuarantees);
 
   // Takes over work that is already running, such as after a change of the
-  // owner. Larger allocations first give the best use of the guarantees.
-  // Fails with eInvalid for a block that is not aligned or outside of the data
-  // centre, with eConflict when the request is known or a block is in use.
-  // Nothing changes on failure.
-  base::Expected<void> Adopt(const Allocation& aAllocation);
+  // owner. All of it should be given at once, after SetGuarantees: the claims
+  // of the guarantees are derived from it. Fails with eInvalid for a block that
+  // is not aligned or outside of the data centre, with eConflict when a request
+  // is known or a block is in use. Nothing changes on failure.
+  base::Expected<void> Adopt(std::span<const Allocation> aAllocations);
 
   // The work has ended, was cancelled or has left its blocks after preemption.
   // Returns false when the request holds nothing here.
@@ -110,10 +110,11 @@
   std::optional<Block> ToBlock(const Range& aRange) const;
   base::Expected<std::vector<Block>> ReadBlocks(
     const Allocation& aAllocation) const;
-  HeldBlock AdoptBlock(const Block& aBlock, int aAccount, bool aReclaimable);
-  bool ClaimAround(const Block& aBlock, int aAccount);
+  void AdoptBlocks(const Allocation& aAllocation,
+                   const std::vector<Block>& aBlocks);
   void CoverWithEndedClaim(const Claim& aClaim);
-  void ReclassifyHeldBlocks();
+  // Work whose claim has ended with the guarantees is beyond the guarantee.
+  void FollowDroppedClaims();
   Allocation ToAllocation(Slot aSlot) const;
   void SetServer(int aServer, ServerState aState);
 
--- a/flamingoloom/placement/placement_property_test.cpp
+++ b/flamingoloom/placement/placement_property_test.cpp
@@ -285,6 +285,7 @@
     if (allIn && kChecks == Checks::eAll) {
       RC_ASSERT(!deficit);
       CheckReclaim();
+      CheckTakeOver();
     }
   }
 
@@ -299,6 +300,16 @@
     return CanPackAll(mLeaves, single, taken, 0);
   }
 
+  // A new owner that learns only of the running work still has no deficit.
+  void CheckTakeOver()
+  {
+    P successor(kCapacity);
+    successor.SetGuarantees(mGuarantees);
+    RC_ASSERT(successor.Adopt(mPlacement.Allocations()));
+    RC_ASSERT(successor.FreeBlocks() == mPlacement.FreeBlocks());
+    RC_ASSERT(successor.DeficitNow() == LevelCounts{});
+  }
+
   // A client account without running work really gets its whole guarantee.
   void CheckReclaim()
   {
--- a/flamingoloom/placement/placement_test.cpp
+++ b/flamingoloom/placement/placement_test.cpp
@@ -140,16 +140,16 @@
   MustBePlaced(before.Place(MakeJob("y", "1", 32, kStoppable), At(0)));
   Placement after(kTwoRacks);
   after.SetGuarantees(guarantees);
-  for (const Allocation& allocation : before.Allocations()) {
-    REQUIRE(after.Adopt(allocation));
-    CHECK(after.Adopt(allocation).error().mCode == base::ErrorCode::eConflict);
-  }
+  REQUIRE(after.Adopt(before.Allocations()));
+  CHECK(after.Adopt(before.Allocations()).error().mCode ==
+        base::ErrorCode::eConflict);
   CHECK(after.Allocations() == before.Allocations());
   CHECK(after.FreeBlocks() == before.FreeBlocks());
   Allocation unaligned = before.Allocations()[0];
   unaligned.mRequest.mKey = "other";
   unaligned.mBlocks = { { 70, 4 } };
-  CHECK(after.Adopt(unaligned).error().mCode == base::ErrorCode::eInvalid);
+  CHECK(after.Adopt(std::vector{ unaligned }).error().mCode ==
+        base::ErrorCode::eInvalid);
 }
 
 // Guards against guarantees that still reflect an older configuration.
