--- a/flamingoloom/placement/capacity_state.h
+++ b/flamingoloom/placement/capacity_state.h
@@ -81,6 +81,13 @@
   // The deficit if the block were claimed for an outstanding shape.
   Deficit DeficitWithClaim(const Block& aBlock) const;
 
+  // Equal for blocks of one level that change the deficit in the same way: the
+  // count of free blocks after a change depends only on the sizes of the
+  // maximal free blocks that are split. Less than kRooms. Precondition: the
+  // block is free in Unclaimed().
+  int RoomOf(const Block& aBlock) const;
+  static constexpr int kRooms = kLevels * kLevels;
+
   // Replaces all guarantees; aShapes is indexed by account. Claims that the
   // new guarantees do not cover end, and their work is beyond the guarantee
   // from then on; IsClaimed tells which work that is.
@@ -94,12 +101,14 @@
   void Take(const Block& aBlock, Hold aHold);
   // Ends the claim when this was its last work. Returns the ended claim.
   std::optional<Claim> Release(const Block& aBlock, Hold aHold);
-  // Makes a claim of work beyond the guarantee that has exactly the level of
-  // an outstanding shape.
-  void CoverByClaim(int aAccount, const Block& aBlock);
+  // Makes a claim of aBlock for aHeld, the blocks inside of it that hold the
+  // account's work beyond its guarantee. Precondition: the rest of aBlock is
+  // free in Unclaimed(), and a shape of its level is outstanding.
+  void CoverByClaim(int aAccount,
+                    const Block& aBlock,
+                    const std::vector<Block>& aHeld);
 
   bool IsClaimed(const Block& aBlock) const;
-  bool IsClaimedBy(const Block& aBlock, int aAccount) const;
 
   void Disable(int aPosition);
   void Enable(int aPosition);
--- a/flamingoloom/placement/placement_search.h
+++ b/flamingoloom/placement/placement_search.h
@@ -4,6 +4,7 @@
 // placed in part. Used by BasicPlacement.
 #pragma once
 
+#include <array>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -25,6 +26,34 @@
   std::optional<Block> mNewClaim;
 };
 
+// Remembers the outcome of a check of the deficit for blocks of one level.
+class OutcomeByRoom
+{
+public:
+  template <class Allows>
+  bool Allowed(const CapacityState& aCapacity,
+               const Block& aBlock,
+               Allows aAllows)
+  {
+    std::optional<bool>& outcome = mOutcomes.at(aCapacity.RoomOf(aBlock));
+    if (!outcome) {
+      outcome = aAllows();
+    }
+    return *outcome;
+  }
+
+private:
+  std::array<std::optional<bool>, CapacityState::kRooms> mOutcomes{};
+};
+
+// Whose work may be preempted for the job.
+enum class Victims
+{
+  eNone,
+  eOtherAccounts,
+  eAnyAccount,
+};
+
 // A way of placing the whole job.
 struct Plan
 {
@@ -48,15 +77,20 @@
   // Places aCount blocks of aLevel on free capacity, to be held as reclaimable.
   std::optional<Plan> FindReclaimable(int aCount, int aLevel);
 
-  // Places aCount blocks of aLevel that cannot be preempted. aMayPreempt is
-  // false when only free blocks count.
-  std::optional<Plan> FindFirm(int aCount, int aLevel, bool aMayPreempt);
+  // Places aCount blocks of aLevel that cannot be preempted.
+  std::optional<Plan> FindFirm(int aCount, int aLevel, Victims aVictims);
 
 private:
   bool TakeInOwnClaim(int aLevel);
   bool TakeInNewClaim(int aLevel);
-  bool TakeBeyondGuarantee(int aLevel);
-  bool TakeByPreempting(int aLevel);
+  // aPreferred is the block of the lowest rank without regard to the deficit.
+  bool TakeBeyondGuarantee(int aLevel, const std::optional<Block>& aPreferred);
+  bool TakeByPreempting(int aLevel, Victims aVictims);
+
+  // Offers the free blocks of one tree outside of claims.
+  void OfferUnclaimed(int aTree, int aLevel, LowestRank& aLowest);
+  // The free block outside of claims that leaves no deficit.
+  std::optional<Block> FindBeyondGuarantee(int aLevel);
 
   // The cheapest place within the guarantee so far.
   struct Cheapest
@@ -73,6 +107,10 @@
   // Calls aVisit for each block of aLevel that could become a claim.
   template <class Visit>
   void ForEachClaimable(int aLevel, Visit aVisit);
+  // The level of the smallest outstanding shape that has room for a block of
+  // aLevel and a place. Larger shapes are left for larger work, even if
+  // preemption is needed.
+  std::optional<int> ClaimLevel(int aLevel);
   // Best free part of aLevel inside of aWhole.
   std::optional<Block> FreePart(const Block& aWhole, int aLevel);
   bool HasFreePart(const Block& aWhole, int aLevel) const;
@@ -125,12 +163,14 @@
   if (BlocksAt(mOpen.FreeBlocks(), aLevel) < aCount) {
     return std::nullopt;
   }
+  auto finder = FreeBlockFinder(mOpen, aLevel, mFit);
   for (int i = 0; i < aCount; ++i) {
-    const auto block = FindFree(mOpen, aLevel, mFit);
+    const auto block = finder.Find();
     if (!block) {
       return std::nullopt;
     }
     Take({ *block, Hold::eReclaimable, std::nullopt });
+    finder.Update(*block);
   }
   return std::move(mPlan);
 }
@@ -138,18 +178,24 @@
 template <FitPolicy Fit, GuaranteeCheck Check>
 std::optional<Plan> PlacementSearch<Fit, Check>::FindFirm(int aCount,
                                                           int aLevel,
-                                                          bool aMayPreempt)
+                                                          Victims aVictims)
 {
   if (BlocksAt(mCapacity.Reclaimable().FreeBlocks(), aLevel) < aCount) {
     return std::nullopt;
   }
+  BlockFinder finder(mOpen.Trees(), [&](int aTree, LowestRank& aLowest) {
+    OfferUnclaimed(aTree, aLevel, aLowest);
+  });
   for (int i = 0; i < aCount; ++i) {
-    const bool taken = TakeInOwnClaim(aLevel) || TakeInNewClaim(aLevel) ||
-                       TakeBeyondGuarantee(aLevel) ||
-                       (aMayPreempt && TakeByPreempting(aLevel));
+    const bool taken =
+      TakeInOwnClaim(aLevel) || TakeInNewClaim(aLevel) ||
+      TakeBeyondGuarantee(aLevel, finder.Find()) ||
+      (aVictims != Victims::eNone && TakeByPreempting(aLevel, aVictims));
     if (!taken) {
       return std::nullopt;
     }
+    // A new claim lies in the same tree as the block.
+    finder.Update(mPlan.mChoices.back().mBlock);
   }
   return std::move(mPlan);
 }
@@ -183,8 +229,12 @@
     return;
   }
   const Deficit before = mCapacity.CurrentDeficit();
+  OutcomeByRoom outcomes;
   mCapacity.Unclaimed().ForEachFree(aLevel, [&](const Block& aBlock) {
-    if (Check::AllowsWithin(before, mCapacity.DeficitWithClaim(aBlock))) {
+    const auto allows = [&] {
+      return Check::AllowsWithin(before, mCapacity.DeficitWithClaim(aBlock));
+    };
+    if (outcomes.Allowed(mCapacity, aBlock, allows)) {
       aVisit(aBlock);
     }
   });
@@ -216,46 +266,89 @@
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
-bool PlacementSearch<Fit, Check>::TakeInNewClaim(int aLevel)
+std::optional<int> PlacementSearch<Fit, Check>::ClaimLevel(int aLevel)
 {
   for (int level = aLevel; level < kLevels; ++level) {
-    LowestRank lowest;
-    ForEachClaimable(level, [&](const Block& aClaim) {
-      if (HasFreePart(aClaim, aLevel)) {
-        lowest.Offer(mFit.Rank(mCapacity.Unclaimed(), aClaim), aClaim);
-      }
-    });
-    if (lowest.Best()) {
-      const auto part = FreePart(*lowest.Best(), aLevel);
-      Take({ *part, Hold::eWithinGuarantee, lowest.Best() });
-      return true;
+    bool found = false;
+    ForEachClaimable(level, [&](const Block&) { found = true; });
+    if (found) {
+      return level;
     }
   }
-  return false;
+  return std::nullopt;
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
-bool PlacementSearch<Fit, Check>::TakeBeyondGuarantee(int aLevel)
+bool PlacementSearch<Fit, Check>::TakeInNewClaim(int aLevel)
 {
-  if (!Check::AllowsBeyond(mCapacity.CurrentDeficit())) {
+  const auto level = ClaimLevel(aLevel);
+  if (!level) {
     return false;
   }
   LowestRank lowest;
+  ForEachClaimable(*level, [&](const Block& aClaim) {
+    if (HasFreePart(aClaim, aLevel)) {
+      lowest.Offer(mFit.Rank(mCapacity.Unclaimed(), aClaim), aClaim);
+    }
+  });
+  if (!lowest.Best()) {
+    return false;
+  }
+  const auto part = FreePart(*lowest.Best(), aLevel);
+  Take({ *part, Hold::eWithinGuarantee, lowest.Best() });
+  return true;
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+void PlacementSearch<Fit, Check>::OfferUnclaimed(int aTree,
+                                                 int aLevel,
+                                                 LowestRank& aLowest)
+{
+  mOpen.ForEachFreeInTree(aTree, aLevel, [&](const Block& aBlock) {
+    if (mCapacity.Unclaimed().IsFree(aBlock)) {
+      aLowest.Offer(mFit.Rank(mCapacity.Unclaimed(), aBlock), aBlock);
+    }
+  });
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+std::optional<Block> PlacementSearch<Fit, Check>::FindBeyondGuarantee(
+  int aLevel)
+{
+  LowestRank lowest;
+  OutcomeByRoom outcomes;
   mOpen.ForEachFree(aLevel, [&](const Block& aBlock) {
+    const auto allows = [&] {
+      return Check::AllowsBeyond(mCapacity.DeficitWithout(aBlock));
+    };
     if (mCapacity.Unclaimed().IsFree(aBlock) &&
-        Check::AllowsBeyond(mCapacity.DeficitWithout(aBlock))) {
+        outcomes.Allowed(mCapacity, aBlock, allows)) {
       lowest.Offer(mFit.Rank(mCapacity.Unclaimed(), aBlock), aBlock);
     }
   });
-  if (!lowest.Best()) {
+  return lowest.Best();
+}
+
+template <FitPolicy Fit, GuaranteeCheck Check>
+bool PlacementSearch<Fit, Check>::TakeBeyondGuarantee(
+  int aLevel,
+  const std::optional<Block>& aPreferred)
+{
+  if (!aPreferred || !Check::AllowsBeyond(mCapacity.CurrentDeficit())) {
     return false;
   }
-  Take({ *lowest.Best(), Hold::eBeyondGuarantee, std::nullopt });
+  const bool allowed =
+    Check::AllowsBeyond(mCapacity.DeficitWithout(*aPreferred));
+  const auto block = allowed ? aPreferred : FindBeyondGuarantee(aLevel);
+  if (!block) {
+    return false;
+  }
+  Take({ *block, Hold::eBeyondGuarantee, std::nullopt });
   return true;
 }
 
 template <FitPolicy Fit, GuaranteeCheck Check>
-bool PlacementSearch<Fit, Check>::TakeByPreempting(int aLevel)
+bool PlacementSearch<Fit, Check>::TakeByPreempting(int aLevel, Victims aVictims)
 {
   Cheapest cheapest;
   for (const Claim& claim : mCapacity.Claims()) {
@@ -263,12 +356,13 @@
       OfferParts(cheapest, claim.mBlock, aLevel, std::nullopt);
     }
   }
-  for (int level = aLevel; level < kLevels; ++level) {
-    ForEachClaimable(level, [&](const Block& aClaim) {
+  if (const auto level = ClaimLevel(aLevel)) {
+    ForEachClaimable(*level, [&](const Block& aClaim) {
       OfferParts(cheapest, aClaim, aLevel, aClaim);
     });
   }
-  if (!cheapest.mChoice) {
+  if (!cheapest.mChoice ||
+      (aVictims == Victims::eOtherAccounts && cheapest.mCost.mOwnVictims > 0)) {
     return false;
   }
   Preempt(cheapest.mChoice->mBlock);
