Random schedules: a lease lost to its own renewal, gangs on two servers, proofs by switched-off mechanisms

With two servers: a gang without an aligned pair of servers waited for ever, and the retry of a failed gang went to the same servers. Ruled out: a longer lease (the lapse is not the fault), and the network of the fakes (the read and the answer are both allowed to arrive in this order).

--- a/flamingoloom/control/accelerator_table.cpp
+++ b/flamingoloom/control/accelerator_table.cpp
@@ -208,40 +208,88 @@
       mPlacement->Finish(aWaiting[i].mRequest);
       continue;
     }
+    auto allocation = mPlacement->FindAllocation(aWaiting[i].mRequest);
     placed.push_back({ aWaiting[i].mRequest,
                        std::move(*places),
-                       std::move(decision->mPreempted) });
+                       std::move(decision->mPreempted),
+                       allocation && allocation->mWithinGuarantee });
   }
   return placed;
 }
 
-bool AcceleratorTable::Adopt(const ledger::Record& aRecord,
-                             const config::JobKind& aKind,
+std::optional<placement::Allocation> AcceleratorTable::ToAllocation(
+  const RunningJob& aRunning,
+  base::Time aNow) const
+{
+  const ledger::Record& record = *aRunning.mRecord;
+  const config::JobKind& kind = *aRunning.mKind;
+  placement::Job job = MakeJob(record.mRequest, kind, kind.mDeclaredRunTime);
+  placement::Allocation allocation;
+  allocation.mRequest = record.mRequest;
+  allocation.mProperties = job.mProperties;
+  allocation.mStarted = aNow;
+  allocation.mExpectedEnd = aNow + job.mExpectedRunTime;
+  allocation.mWithinGuarantee = record.mAttempt->mWithinGuarantee;
+  for (const TaskPlace& place : record.mAttempt->mPlaces) {
+    auto number = mNumbers.find(place.mServer.mId.Value());
+    if (number == mNumbers.end() || place.mAccelerators.empty()) {
+      return std::nullopt;
+    }
+    // The first task of an adjacent job lies at the start of its block.
+    if (allocation.mBlocks.empty() || !job.mAdjacent) {
+      int first = number->second * mCapacity.mAcceleratorsPerServer +
+                  place.mAccelerators.front();
+      allocation.mBlocks.push_back(
+        { first, placement::ShapeOf(job.BlockSize()) });
+    }
+  }
+  return allocation;
+}
+
+void AcceleratorTable::Adopt(const std::vector<RunningJob>& aRunning,
                              base::Time aNow)
 {
-  if (!mPlacement || !aRecord.mAttempt) {
+  if (!mPlacement) {
+    return;
+  }
+  std::vector<placement::Allocation> allocations;
+  for (const RunningJob& running : aRunning) {
+    if (auto allocation = ToAllocation(running, aNow)) {
+      allocations.push_back(std::move(*allocation));
+    }
+  }
+  if (mPlacement->Adopt(allocations)) {
+    return;
+  }
+  // One that does not fit must not keep the others out.
+  for (const placement::Allocation& allocation : allocations) {
+    static_cast<void>(mPlacement->Adopt({ &allocation, 1 }));
+  }
+}
+
+bool AcceleratorTable::CouldFit(const config::JobKind& aKind) const
+{
+  int perServer = std::max(mCapacity.mAcceleratorsPerServer, 1);
+  int inService = static_cast<int>(mInService.size()) * perServer;
+  if (aKind.Accelerators() > inService) {
     return false;
   }
-  placement::Job job = MakeJob(aRecord.mRequest, aKind, aKind.mDeclaredRunTime);
-  std::vector<Range> blocks;
-  for (const TaskPlace& place : aRecord.mAttempt->mPlaces) {
-    auto number = mNumbers.find(place.mServer.mId.Value());
-    if (number == mNumbers.end() || place.mAccelerators.empty()) {
-      return false;
+  if (!aKind.mAdjacent || aKind.Accelerators() <= perServer) {
+    return true;
+  }
+  // An aligned run of whole servers.
+  int servers = placement::ShapeOf(aKind.Accelerators()) / perServer;
+  int all = mCapacity.mRacks * mCapacity.mServersPerRack;
+  for (int first = 0; first + servers <= all; first += servers) {
+    int found = 0;
+    while (found < servers && mInService.contains(first + found)) {
+      ++found;
     }
-    if (blocks.empty() || !job.mAdjacent) {
-      blocks.push_back({ number->second * mCapacity.mAcceleratorsPerServer +
-                           place.mAccelerators.front(),
-                         placement::ShapeOf(job.BlockSize()) });
+    if (found == servers) {
+      return true;
     }
   }
-  placement::Allocation allocation{ aRecord.mRequest,
-                                    job.mProperties,
-                                    std::move(blocks),
-                                    aNow,
-                                    aNow + job.mExpectedRunTime,
-                                    false };
-  return mPlacement->Adopt(allocation).has_value();
+  return false;
 }
 
 void AcceleratorTable::Finish(const base::RequestId& aRequest)
--- a/flamingoloom/control/accelerator_table.h
+++ b/flamingoloom/control/accelerator_table.h
@@ -23,6 +23,14 @@
   std::vector<ledger::TaskPlace> mPlaces;
   // Work that must end before the job may start.
   std::vector<placement::Preemption> mPreempted;
+  bool mWithinGuarantee = false;
+};
+
+// A job that holds accelerators already. The pointers are valid for one call.
+struct RunningJob
+{
+  const ledger::Record* mRecord = nullptr;
+  const config::JobKind* mKind = nullptr;
 };
 
 class AcceleratorTable
@@ -38,23 +46,19 @@
   void SetServers(const std::vector<platform::Member>& aListed,
                   const std::vector<platform::Member>& aUsable);
 
-  // Accelerators of the servers that may get new work.
-  int InService() const
-  {
-    return static_cast<int>(mInService.size()) *
-           mCapacity.mAcceleratorsPerServer;
-  }
+  // Whether the kind would find a place if all servers that may get new work
+  // were empty.
+  bool CouldFit(const config::JobKind& aKind) const;
 
   // Places waiting jobs in the given order, with a reservation for the first
   // large gang that must wait.
   std::vector<PlacedJob> Decide(const std::vector<placement::Job>& aWaiting,
                                 base::Time aNow);
 
-  // Takes over an attempt that is already running. False when its places
-  // cannot be found in the data centre.
-  bool Adopt(const ledger::Record& aRecord,
-             const config::JobKind& aKind,
-             base::Time aNow);
+  // Takes over attempts that are already running, best all at once. Attempts
+  // whose places cannot be found in the data centre are left out: their
+  // accelerators look free here, but their servers refuse a second task.
+  void Adopt(const std::vector<RunningJob>& aRunning, base::Time aNow);
   void Finish(const base::RequestId& aRequest);
   void Clear();
 
@@ -69,6 +73,8 @@
 private:
   int NumberFor(const platform::Member& aServer);
   bool HoldsWork(int aNumber) const;
+  std::optional<placement::Allocation> ToAllocation(const RunningJob& aRunning,
+                                                    base::Time aNow) const;
   std::optional<std::vector<ledger::TaskPlace>> ToPlaces(
     const placement::Job& aJob,
     const std::vector<placement::Range>& aBlocks) const;
--- a/flamingoloom/control/attempt_runner.h
+++ b/flamingoloom/control/attempt_runner.h
@@ -263,6 +263,12 @@
 
   void OnStatus(std::size_t aTask, const platform::TaskStatus& aStatus)
   {
+    if (aStatus.mAttempt != mAttempt.TaskId(aTask)) {
+      // The status of another attempt says nothing about this one.
+      ++mContext.mCounters.mBadAnswers;
+      Await(aTask, kRetryAfter);
+      return;
+    }
     mTasks[aTask].mLastContact = mContext.Now();
     switch (aStatus.mState) {
       case platform::TaskState::eAbsent:
@@ -305,8 +311,10 @@
       mTasks[aTask].mPhase = Phase::eAbsent;
       if (mCommitted) {
         AbortGang(aTask, Kind::eLost, "a task of the gang has gone");
-      } else {
+      } else if (mAdopted) {
         ContinueAdoption();
+      } else {
+        OnNotRun(aTask, "a task of the gang was not prepared", true);
       }
       return;
     }
@@ -485,7 +493,10 @@
       return;
     }
     base::Duration silent = mContext.Now() - mTasks[aTask].mLastContact;
-    if (silent >= mContext.mOptions.mServerLostAfter) {
+    base::Duration limit = mAttempt.IsGang()
+                             ? mContext.mOptions.mGangTaskLostAfter
+                             : mContext.mOptions.mServerLostAfter;
+    if (silent >= limit) {
       OnTaskEnded(aTask, Kind::eLost, aStatus.error().ToString());
       return;
     }
--- a/flamingoloom/control/centre_jobs.h
+++ b/flamingoloom/control/centre_jobs.h
@@ -35,6 +35,7 @@
     , mStore(aStore)
     , mKeeper(aKeeper)
     , mSlots(aContext.mOptions.mRecordedSlots)
+    , mFailures(MakeFailureOptions())
   {
   }
 
@@ -93,8 +94,9 @@
     mStore.Find(aRequest,
                 [this, generation = mGeneration](
                   const base::Expected<std::optional<StoredRecord>>& aFound) {
-                  if (generation == mGeneration && aFound && *aFound) {
-                    Add(**aFound);
+                  if (generation == mGeneration && aFound && *aFound &&
+                      Add(**aFound)) {
+                    AdoptPlaces({ **aFound });
                     Pump();
                   }
                 });
@@ -111,8 +113,9 @@
     if (job.mRunner) {
       job.mRunner->Stop(platform::TaskAction::eStop);
     } else if (!job.mWriting) {
-      Change(found->second,
-             ledger::Cancel(job.mStored.mRecord, "cancelled by the caller"));
+      EndUnstarted(
+        found->second,
+        ledger::Cancel(job.mStored.mRecord, "cancelled by the caller"));
     }
   }
 
@@ -200,6 +203,7 @@
     base::Time mNotBefore{};
     // Placed, but these requests must give up their accelerators first.
     std::vector<ledger::TaskPlace> mPlaces;
+    bool mWithinGuarantee = false;
     std::set<base::RequestId> mWaitsFor;
     std::shared_ptr<AttemptRunner<P>> mRunner;
     std::map<std::uint64_t, platform::Done<platform::RequestProgress>> mWaiters;
@@ -215,10 +219,19 @@
   static constexpr base::Duration kMoveAfter = std::chrono::seconds(5);
   static constexpr std::size_t kLargestAnswerInRow = 4096;
 
+  // Recorded work is rare and long, so the first failure on a server keeps the
+  // next try away from it for a while.
+  static dispatch::FailureOptions MakeFailureOptions()
+  {
+    dispatch::FailureOptions options;
+    options.mMinimumResults = 1;
+    return options;
+  }
+
   std::function<bool()> MayWrite()
   {
     return [this, generation = mGeneration] {
-      return generation == mGeneration && mKeeper.Holds();
+      return generation == mGeneration && mKeeper.IsOwner();
     };
   }
 
@@ -286,39 +299,49 @@
     for (StoredRecord& stored : aOpened) {
       stored.mIndexVersion =
         versions[ledger::IndexKey(stored.mRecord.mRequest)];
-      Add(stored);
     }
+    std::erase_if(
+      aOpened, [this](const StoredRecord& aStored) { return !Add(aStored); });
+    AdoptPlaces(aOpened);
     mLoaded = true;
     Pump();
   }
 
-  void Add(const StoredRecord& aStored)
+  // Whether the record is open, of this data centre and new.
+  bool Add(const StoredRecord& aStored)
   {
     const ledger::Record& record = aStored.mRecord;
     if (record.IsTerminal() || record.mDataCentre != mKeeper.Name() ||
         mJobs.contains(record.mRequest)) {
-      return;
+      return false;
     }
     auto job = std::make_shared<Job>();
     job->mStored = aStored;
     job->mArrival = ++mArrivals;
     job->mSince = mContext.Now();
     mJobs[record.mRequest] = job;
-    if (record.mState == ledger::RecordState::eStarting) {
-      AdoptPlaces(record);
-    }
+    return true;
   }
 
-  void AdoptPlaces(const ledger::Record& aRecord)
+  // Counts what running attempts hold. Their servers must be known before.
+  void AdoptPlaces(const std::vector<StoredRecord>& aStored)
   {
-    const config::JobKind* kind = FindKind(aRecord);
-    if (!kind || kind->mAcceleratorsPerTask == 0) {
-      mSlots.Adopt(aRecord.mRequest, aRecord.mAttempt->mPlaces);
-      return;
+    mAccelerators.SetServers(mContext.mMembers.ListedServers(mKeeper.Name()),
+                             {});
+    std::vector<RunningJob> running;
+    for (const StoredRecord& stored : aStored) {
+      const ledger::Record& record = stored.mRecord;
+      const config::JobKind* kind = FindKind(record);
+      if (record.mState != ledger::RecordState::eStarting) {
+        continue;
+      }
+      if (kind && kind->mAcceleratorsPerTask > 0) {
+        running.push_back({ &record, kind });
+      } else {
+        mSlots.Adopt(record.mRequest, record.mAttempt->mPlaces);
+      }
     }
-    // Places that cannot be adopted look free here, but their servers refuse a
-    // second task on them.
-    mAccelerators.Adopt(aRecord, *kind, mContext.Now());
+    mAccelerators.Adopt(running, mContext.Now());
   }
 
   const config::JobKind* FindKind(const ledger::Record& aRecord) const
@@ -407,6 +430,7 @@
   {
     JobPtr job = mJobs.at(aPlaced.mRequest);
     job->mPlaces = std::move(aPlaced.mPlaces);
+    job->mWithinGuarantee = aPlaced.mWithinGuarantee;
     for (const placement::Preemption& victim : aPlaced.mPreempted) {
       Preempt(job, victim);
     }
@@ -494,9 +518,8 @@
   // The servers in service could not run the kind even if all were free.
   bool IsTooSmall(const config::JobKind& aKind) const
   {
-    return aKind.Accelerators() == 0
-             ? !mSlots.HasServers()
-             : mAccelerators.InService() < aKind.Accelerators();
+    return aKind.Accelerators() == 0 ? !mSlots.HasServers()
+                                     : !mAccelerators.CouldFit(aKind);
   }
 
   // Refused when it never ran, else failed: it may have run before.
@@ -507,13 +530,18 @@
       Change(aJob, ledger::Cancel(record, aReason));
       return;
     }
-    auto refused = ledger::Refuse(record, aReason);
-    if (!mContext.mOptions.mMechanisms.mDurableRefusal && refused) {
-      Answer(*aJob,
-             platform::RequestProgress{ true, ledger::Encode(*refused) });
+    EndUnstarted(aJob, ledger::Refuse(record, aReason));
+  }
+
+  // The caller is told that the request did not run once that is written.
+  void EndUnstarted(const JobPtr& aJob,
+                    const base::Expected<ledger::Record>& aEnded)
+  {
+    if (!mContext.mOptions.mMechanisms.mDurableRefusal && aEnded) {
+      Answer(*aJob, platform::RequestProgress{ true, ledger::Encode(*aEnded) });
       return;
     }
-    Change(aJob, refused);
+    Change(aJob, aEnded);
   }
 
   void TryAdopt(const JobPtr& aJob)
@@ -528,11 +556,12 @@
         return;
       }
     }
-    MakeRunner(aJob);
-    aJob->mRunner->Adopt();
+    MakeRunner(aJob)->Adopt();
   }
 
-  void MakeRunner(const JobPtr& aJob)
+  // The caller keeps the runner while it calls it: its outcome may come at
+  // once and end the job's own hold on it.
+  std::shared_ptr<AttemptRunner<P>> MakeRunner(const JobPtr& aJob)
   {
     aJob->mRunner = std::make_shared<AttemptRunner<P>>(
       mContext,
@@ -545,6 +574,7 @@
           OnOutcome(aJob, aOutcome);
         }
       });
+    return aJob->mRunner;
   }
 
   void Start(const JobPtr& aJob, std::vector<ledger::TaskPlace> aPlaces)
@@ -552,18 +582,15 @@
     const ledger::Record& record = aJob->mStored.mRecord;
     ledger::Attempt attempt{ base::AttemptId(mContext.UniqueId()),
                              mKeeper.State().HeldEpoch(),
-                             std::move(aPlaces) };
+                             std::move(aPlaces),
+                             aJob->mWithinGuarantee };
     auto next = ledger::Start(record, std::move(attempt));
     if (!mContext.mOptions.mMechanisms.mDurableIntent && next) {
       aJob->mStored.mRecord = *next;
-      MakeRunner(aJob);
-      aJob->mRunner->Launch();
+      MakeRunner(aJob)->Launch();
       return;
     }
-    Change(aJob, next, [this, aJob] {
-      MakeRunner(aJob);
-      aJob->mRunner->Launch();
-    });
+    Change(aJob, next, [this, aJob] { MakeRunner(aJob)->Launch(); });
   }
 
   // --- Ending ------------------------------------------------------------
--- a/flamingoloom/control/centre_keeper.h
+++ b/flamingoloom/control/centre_keeper.h
@@ -45,6 +45,8 @@
   const ownership::Lease& State() const { return mLease; }
   const base::DataCentreId& Name() const { return mLease.DataCentreName(); }
   bool Holds() { return mLease.Holds(mContext.Now()); }
+  // As Holds, but also while the lease has lapsed and nobody has taken over.
+  bool IsOwner() const { return mLease.IsOwner(); }
 
   // Both rows as read together.
   void Observe(const std::optional<platform::Row>& aLease,
@@ -63,7 +65,7 @@
     } else if (!mWriting) {
       WriteIfDue();
     }
-    if (Holds()) {
+    if (Holds() && mContext.mOptions.mMechanisms.mFence) {
       FenceMissing();
     }
   }
@@ -102,8 +104,7 @@
       });
       return;
     }
-    auto write =
-      mLease.Release(mContext.Now(), aSuccessor, mContext.UniqueId());
+    auto write = mLease.Release(aSuccessor, mContext.UniqueId());
     NoticeChange();
     if (!write) {
       aDone();
@@ -129,22 +130,15 @@
         ? mContext.mMembers.UsableServers(Name())
         : mContext.mMembers.ListedServers(Name());
     std::erase_if(servers, [&](const platform::Member& aServer) {
-      return !mFences.IsFenced(base::ServerId(aServer.mId), mLease.HeldEpoch());
+      return !IsFenced(base::ServerId(aServer.mId));
     });
     return servers;
   }
 
-  // Every listed server refuses epochs below the held one.
-  bool AllFenced() const
-  {
-    return mFences
-      .Missing(mContext.mMembers.ListedServers(Name()), mLease.HeldEpoch())
-      .empty();
-  }
-
   bool IsFenced(const base::ServerId& aServer) const
   {
-    return mFences.IsFenced(aServer, mLease.HeldEpoch());
+    return !mContext.mOptions.mMechanisms.mFence ||
+           mFences.IsFenced(aServer, mLease.HeldEpoch());
   }
 
   base::Expected<platform::CreditGrant> GrantCredits(
@@ -241,9 +235,6 @@
     if (!write) {
       return;
     }
-    if (!mContext.mOptions.mMechanisms.mCheckDataCentre) {
-      write->mTransaction.mChecks.clear();
-    }
     Send(*write, {});
   }
 
@@ -270,8 +261,8 @@
 
   void NoticeChange()
   {
-    bool holds = Holds();
-    base::Epoch epoch = holds ? mLease.HeldEpoch() : base::Epoch();
+    bool holds = mLease.IsOwner();
+    base::Epoch epoch = mLease.HeldEpoch();
     if (epoch == mNoticedEpoch) {
       return;
     }
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -524,7 +524,7 @@
   void StepLeaving()
   {
     for (auto& [name, centre] : mCentres) {
-      if (centre->mKeeper.Holds() && centre->mJobs.IsQuiet() &&
+      if (centre->mKeeper.IsOwner() && centre->mJobs.IsQuiet() &&
           !centre->mReleasing) {
         centre->mReleasing = true;
         centre->mKeeper.Release(SuccessorFor(name), [owned = centre.get()] {
@@ -540,7 +540,7 @@
   bool HasLeft()
   {
     for (auto& [name, centre] : mCentres) {
-      if (centre->mKeeper.Holds() || centre->mReleasing) {
+      if (centre->mKeeper.IsOwner() || centre->mReleasing) {
         return false;
       }
     }
--- a/flamingoloom/control/options.h
+++ b/flamingoloom/control/options.h
@@ -12,8 +12,6 @@
 {
   // Starts carry the held epoch, and servers are fenced before they get work.
   bool mFence = true;
-  // A renewal checks the data centre's row.
-  bool mCheckDataCentre = true;
   // A gang is prepared everywhere before any task starts.
   bool mPrepareGangs = true;
   // A lost task stops the rest of its gang.
@@ -72,6 +70,8 @@
   base::Duration mRenewGangEvery = std::chrono::seconds(3);
   // A server that has not answered for this time has lost its work.
   base::Duration mServerLostAfter = std::chrono::seconds(10);
+  // The same for a task of a gang: the other tasks must not run on alone.
+  base::Duration mGangTaskLostAfter = std::chrono::seconds(4);
   // How long an operator's request waits for the acknowledgement.
   base::Duration mDrainWait = std::chrono::seconds(8);
   // Tries of a recorded request on different servers.
--- a/flamingoloom/ledger/record.h
+++ b/flamingoloom/ledger/record.h
@@ -51,6 +51,8 @@
   base::Epoch mEpoch;
   // One place for each task.
   std::vector<TaskPlace> mPlaces;
+  // It uses the guarantee of its client account and is not preempted.
+  bool mWithinGuarantee = false;
 
   bool IsGang() const { return mPlaces.size() > 1; }
   // Id of the attempt's task at the backend server.
--- a/flamingoloom/ledger/record_json.cpp
+++ b/flamingoloom/ledger/record_json.cpp
@@ -28,7 +28,8 @@
   }
   return { { "id", aAttempt.mId.Value() },
            { "epoch", aAttempt.mEpoch.Value() },
-           { "places", std::move(places) } };
+           { "places", std::move(places) },
+           { "withinGuarantee", aAttempt.mWithinGuarantee } };
 }
 
 Attempt AttemptFromJson(const json& aJson)
@@ -39,6 +40,7 @@
   for (const json& place : aJson.at("places")) {
     attempt.mPlaces.push_back(PlaceFromJson(place));
   }
+  attempt.mWithinGuarantee = aJson.at("withinGuarantee");
   return attempt;
 }
 
--- a/flamingoloom/ownership/lease.cpp
+++ b/flamingoloom/ownership/lease.cpp
@@ -90,7 +90,9 @@
   if (!mHasRead || mNeedsRead) {
     return std::nullopt;
   }
-  if (Holds(aNow)) {
+  // A lease that has lapsed unnoticed by others is renewed too: the write
+  // fails if anybody has taken over since.
+  if (mHeld) {
     return Renewal(aNow, aNonce);
   }
   return TakeOver(aNow, aStanding, aNonce);
@@ -110,7 +112,7 @@
     record.mEpoch = record.mEpoch.Next();
     record.mDataCentreVersion = mDataCentreVersion;
   }
-  return MakeWrite(std::move(record), mHeld->mRowVersion, aNonce);
+  return BeginWrite(std::move(record), mHeld->mRowVersion, aNonce, aNow);
 }
 
 std::optional<LeaseWrite> Lease::TakeOver(base::Time aNow,
@@ -120,7 +122,6 @@
   if (!MayTakeOver(aNow, aStanding)) {
     return std::nullopt;
   }
-  mHeld.reset();
   mLastRenewal = aNow;
   LeaseRecord record;
   record.mOwner = mSelf;
@@ -128,7 +129,19 @@
   record.mEpoch = mCurrent ? mCurrent->mEpoch.Next() : base::Epoch(1);
   record.mDuration = mTiming.mDuration;
   record.mDataCentreVersion = mDataCentreVersion;
-  return MakeWrite(std::move(record), mCurrentVersion, aNonce);
+  return BeginWrite(std::move(record), mCurrentVersion, aNonce, aNow);
+}
+
+// From now until its outcome is known, a row with the write's nonce is this
+// instance's own: a read may overtake the answer to the write.
+LeaseWrite Lease::BeginWrite(LeaseRecord aRecord,
+                             std::uint64_t aRowVersion,
+                             const std::string& aNonce,
+                             base::Time aNow)
+{
+  LeaseWrite write = MakeWrite(std::move(aRecord), aRowVersion, aNonce);
+  mUncertain.push_back({ write, aNow });
+  return write;
 }
 
 bool Lease::MayTakeOver(base::Time aNow, const Standing& aStanding) const
@@ -162,11 +175,10 @@
   return LeaseWrite{ std::move(transaction), std::move(aRecord) };
 }
 
-std::optional<LeaseWrite> Lease::Release(base::Time aNow,
-                                         const base::InstanceId& aSuccessor,
+std::optional<LeaseWrite> Lease::Release(const base::InstanceId& aSuccessor,
                                          const std::string& aNonce)
 {
-  if (!Holds(aNow)) {
+  if (!mHeld) {
     return std::nullopt;
   }
   LeaseRecord record = mHeld->mRecord;
@@ -184,15 +196,16 @@
   base::Time aSentAt,
   const base::Expected<platform::TransactionResult>& aOutcome)
 {
-  if (!aOutcome) {
-    if (aOutcome.error().mCode != base::ErrorCode::eUnavailable) {
-      mUncertain.push_back({ aWrite, aSentAt });
-      mNeedsRead = true;
-    }
+  if (!aOutcome && aOutcome.error().mCode != base::ErrorCode::eUnavailable) {
+    // It stays among the uncertain writes until a read tells.
+    mNeedsRead = true;
     return;
   }
-  if (!aOutcome->Committed()) {
-    mNeedsRead = true;
+  if (!aOutcome || !aOutcome->Committed()) {
+    std::erase_if(mUncertain, [&](const Uncertain& aUncertain) {
+      return aUncertain.mWrite.mRecord.mNonce == aWrite.mRecord.mNonce;
+    });
+    mNeedsRead = mNeedsRead || aOutcome.has_value();
     return;
   }
   for (const platform::RowVersion& row : aOutcome->mVersions) {
--- a/flamingoloom/ownership/lease.h
+++ b/flamingoloom/ownership/lease.h
@@ -83,10 +83,9 @@
                                       const Standing& aStanding,
                                       const std::string& aNonce);
 
-  // Gives the lease up ahead of its end. From now on Holds() is false.
-  // No value when the lease is not held.
-  std::optional<LeaseWrite> Release(base::Time aNow,
-                                    const base::InstanceId& aSuccessor,
+  // Gives the lease up ahead of its end. From now on IsOwner() is false. No
+  // value when this instance is not the owner.
+  std::optional<LeaseWrite> Release(const base::InstanceId& aSuccessor,
                                     const std::string& aNonce);
 
   // Takes the outcome of a write; aSentAt is the time before it was sent.
@@ -101,6 +100,10 @@
   // This instance owns the data centre until HeldUntil().
   bool Holds(base::Time aNow) const;
   base::Time HeldUntil() const;
+  // Nobody is known to have taken over since this instance last held the
+  // lease. It may have lapsed; then no work may be started until it is renewed,
+  // but work in progress is still this instance's to follow.
+  bool IsOwner() const { return mHeld.has_value(); }
   // Epoch of the held lease; call only while a lease is held.
   base::Epoch HeldEpoch() const;
   // Version of the data centre's row that the held epoch was made for.
@@ -128,7 +131,7 @@
     base::Time mUntil{};
   };
 
-  // A write whose outcome is not known.
+  // A write that is on its way or whose outcome is not known.
   struct Uncertain
   {
     LeaseWrite mWrite;
@@ -144,6 +147,10 @@
                                      const Standing& aStanding,
                                      const std::string& aNonce);
   bool MayTakeOver(base::Time aNow, const Standing& aStanding) const;
+  LeaseWrite BeginWrite(LeaseRecord aRecord,
+                        std::uint64_t aRowVersion,
+                        const std::string& aNonce,
+                        base::Time aNow);
   LeaseWrite MakeWrite(LeaseRecord aRecord,
                        std::uint64_t aRowVersion,
                        const std::string& aNonce) const;
--- a/testing/fakes/fake_world.h
+++ b/testing/fakes/fake_world.h
@@ -56,6 +56,8 @@
   bool mAlive = true;
   bool mFrozen = false;
   bool mFreezeAtStart = false;
+  // It has been told which peers there are.
+  bool mHasMemberList = false;
   // Dies before its n-th message from now on; 0 means never.
   int mKillAtMessage = 0;
   // Events and messages held back until the instance is thawed.
