Placement's Adopt gets a list of one allocation

The list has one entry, as before: adopting all work at once needs a change of the caller and is left to that work.

--- a/flamingoloom/control/accelerator_table.cpp
+++ b/flamingoloom/control/accelerator_table.cpp
@@ -241,7 +241,7 @@
                                     aNow,
                                     aNow + job.mExpectedRunTime,
                                     false };
-  return mPlacement->Adopt(allocation).has_value();
+  return mPlacement->Adopt({ &allocation, 1 }).has_value();
 }
 
 void AcceleratorTable::Finish(const base::RequestId& aRequest)
