--- /dev/null
+++ b/flamingoloom/report/burn_json.h
@@ -0,0 +1,34 @@
+// The counts of one instance as JSON, in which instances exchange them under
+// the status topic "burn".
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "flamingoloom/base/error.h"
+#include "flamingoloom/report/burn.h"
+
+namespace flamingoloom::report {
+
+struct InstanceBurn
+{
+  BurnCounts mCounts;
+  // Since the instance started to count.
+  base::Duration mCountingFor{};
+
+  friend bool operator==(const InstanceBurn&, const InstanceBurn&) = default;
+};
+
+std::string EncodeBurn(const InstanceBurn& aBurn);
+
+// Fails with eInvalid for text of another form, which includes more than
+// kMostPairs pairs.
+base::Expected<InstanceBurn> DecodeBurn(const std::string& aText);
+
+// Non-empty buckets as [age, in time, ended].
+nlohmann::json HistoryToJson(const History& aHistory);
+// Throws a nlohmann::json::exception or std::out_of_range for another form.
+History HistoryFromJson(const nlohmann::json& aJson);
+
+} // namespace flamingoloom::report
--- /dev/null
+++ b/flamingoloom/report/burn_report.h
@@ -0,0 +1,92 @@
+// The burn report as operators get it: the merged counts with the objectives
+// of the configuration, and which instances they come from.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "flamingoloom/base/error.h"
+#include "flamingoloom/config/configuration.h"
+#include "flamingoloom/report/burn.h"
+
+namespace flamingoloom::report {
+
+// Printed with every report.
+inline constexpr const char* kHistoryNote =
+  "The history is held only in the memory of the instances. An instance that "
+  "restarts begins from zero, and what a missing or replaced instance counted "
+  "is not in this report.";
+
+struct CountingInstance
+{
+  std::string mId;
+  base::Duration mCountingFor{};
+
+  friend bool operator==(const CountingInstance&,
+                         const CountingInstance&) = default;
+};
+
+// A listed instance whose counts are not in the report.
+struct MissingInstance
+{
+  std::string mId;
+  std::string mReason;
+
+  friend bool operator==(const MissingInstance&,
+                         const MissingInstance&) = default;
+};
+
+struct PairReport
+{
+  base::AccountId mAccount;
+  base::KindId mKind;
+  double mObjective = 0;
+  base::Duration mTarget{};
+  Windows mWindows{};
+
+  EndCounts Ended(std::size_t aWindow) const
+  {
+    return Total(mWindows[aWindow]);
+  }
+  std::optional<double> Rate(std::size_t aWindow) const
+  {
+    return BurnRate(Ended(aWindow), mObjective);
+  }
+  std::optional<double> Budget() const
+  {
+    return BudgetLeft(Ended(kBudgetWindow), mObjective);
+  }
+
+  friend bool operator==(const PairReport&, const PairReport&) = default;
+};
+
+struct BurnReport
+{
+  std::vector<PairReport> mPairs;
+  std::vector<CountingInstance> mInstances;
+  std::vector<MissingInstance> mMissing;
+  std::uint64_t mNotCounted = 0;
+
+  friend bool operator==(const BurnReport&, const BurnReport&) = default;
+};
+
+// The pairs whose kind is in the configuration and that have ended requests
+// within the longest window.
+std::vector<PairReport> ReportPairs(
+  const BurnCounts& aCounts,
+  const config::Configuration& aConfiguration);
+
+// The document of the view "burn".
+nlohmann::json ReportToJson(const BurnReport& aReport);
+// Fails with eBadAnswer for another form.
+base::Expected<BurnReport> ReportFromJson(const nlohmann::json& aJson);
+
+// "3.2" or "over" for a rate or share that has no bound.
+std::string RateText(const std::optional<double>& aRate);
+// "97.5%".
+std::string BudgetText(const std::optional<double>& aBudget);
+
+} // namespace flamingoloom::report
--- /dev/null
+++ b/flamingoloom/report/burn_test.cpp
@@ -0,0 +1,226 @@
+#include "flamingoloom/report/burn.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include "flamingoloom/report/burn_json.h"
+
+namespace flamingoloom::report {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t k5Minutes = 0;
+constexpr std::size_t k1Hour = 1;
+constexpr std::size_t k6Hours = 2;
+constexpr std::size_t k3Days = 3;
+
+const PairKey kQuote(base::AccountId("acme"), base::KindId("quote"));
+
+RequestEnd End(Result aResult, const PairKey& aKey = kQuote)
+{
+  return { aKey.first, aKey.second, aResult, 10ms };
+}
+
+base::Time At(base::Duration aTime)
+{
+  return base::Time(aTime);
+}
+
+EndCounts TotalOf(const BurnCounter& aCounter,
+                  base::Duration aNow,
+                  std::size_t aWindow)
+{
+  return Total(aCounter.Counts(At(aNow)).mPairs.at(kQuote)[aWindow]);
+}
+
+base::Expected<control::CallerAnswer> Answer(control::RequestState aState)
+{
+  control::CallerAnswer answer;
+  answer.mState = aState;
+  return answer;
+}
+
+} // namespace
+
+// Guards against late answers, refusals or cancellations on the wrong side.
+TEST_CASE("results follow from the answer, the time and the target")
+{
+  using control::RequestState;
+  auto result = [](RequestState aState, base::Duration aTook) {
+    return ResultOf(Answer(aState), aTook, 500ms);
+  };
+  CHECK(result(RequestState::eFinished, 500ms) == Result::eInTime);
+  CHECK(result(RequestState::eFinished, 501ms) == Result::eLate);
+  CHECK(result(RequestState::eFailed, 1ms) == Result::eFailed);
+  CHECK(result(RequestState::eRefused, 1ms) == Result::eRefused);
+  CHECK(result(RequestState::eUnknown, 1ms) == Result::eUnknown);
+  CHECK(result(RequestState::eCancelled, 1ms) == Result::eCancelled);
+  CHECK(!result(RequestState::ePending, 1ms));
+  CHECK(ResultOf(Answer(RequestState::eFinished), 9h, 0ms) == Result::eInTime);
+}
+
+// Guards against callers' mistakes that use up a budget.
+TEST_CASE("an error in the caller's input is no end")
+{
+  auto result = [](base::ErrorCode aCode) {
+    return ResultOf(
+      base::MakeError(aCode, "accept request", "caller", "no"), 1ms, 500ms);
+  };
+  CHECK(!result(base::ErrorCode::eConflict));
+  CHECK(!result(base::ErrorCode::eInvalid));
+  CHECK(result(base::ErrorCode::eUnavailable) == Result::eUnknown);
+}
+
+// Guards against a wrong rate: by hand, 5 bad of 100 against 1% allowed is 5,
+// 1 of 200 against 1% is 0.5, and 3 of 10 against 10% is 3.
+TEST_CASE("burn rate is the bad share over the allowed share")
+{
+  CHECK(*BurnRate({ 95, 100 }, 0.99) == doctest::Approx(5));
+  CHECK(*BurnRate({ 199, 200 }, 0.99) == doctest::Approx(0.5));
+  CHECK(*BurnRate({ 7, 10 }, 0.9) == doctest::Approx(3));
+  CHECK(*BurnRate({ 0, 0 }, 0.99) == 0);
+  CHECK(*BudgetLeft({ 199, 200 }, 0.99) == doctest::Approx(0.5));
+  CHECK(*BudgetLeft({ 95, 100 }, 0.99) == doctest::Approx(-4));
+  CHECK(*BudgetLeft({ 0, 0 }, 0.99) == 1);
+}
+
+// Guards against a division by zero.
+TEST_CASE("an objective of 100% has no finite rate")
+{
+  CHECK(*BurnRate({ 10, 10 }, 1) == 0);
+  CHECK(!BurnRate({ 9, 10 }, 1));
+  CHECK(!BudgetLeft({ 9, 10 }, 1));
+}
+
+// Guards against ends that are counted in the wrong column.
+TEST_CASE("only cancelled requests are left out")
+{
+  BurnCounter counter(At(0s));
+  for (Result result : { Result::eInTime,
+                         Result::eLate,
+                         Result::eFailed,
+                         Result::eRefused,
+                         Result::eUnknown,
+                         Result::eCancelled }) {
+    counter.Record(At(1s), End(result));
+  }
+  for (std::size_t i = 0; i < kWindowCount; ++i) {
+    CHECK(TotalOf(counter, 1s, i) == EndCounts{ 1, 5 });
+  }
+  CHECK(counter.CountingFor(At(9s)) == 9s);
+}
+
+// Guards against counts that stay in a window for ever or leave too early.
+TEST_CASE("buckets expire window by window")
+{
+  BurnCounter counter(At(0s));
+  counter.Record(At(0s), End(Result::eLate));
+  EndCounts one{ 0, 1 };
+  CHECK(TotalOf(counter, 5min - 1us, k5Minutes) == one);
+  CHECK(TotalOf(counter, 5min, k5Minutes) == EndCounts{});
+  CHECK(TotalOf(counter, 1h - 1us, k1Hour) == one);
+  CHECK(TotalOf(counter, 1h, k1Hour) == EndCounts{});
+  CHECK(TotalOf(counter, 6h - 1us, k6Hours) == one);
+  CHECK(TotalOf(counter, 6h, k6Hours) == EndCounts{});
+  CHECK(TotalOf(counter, 72h - 1us, k3Days) == one);
+  CHECK(TotalOf(counter, 72h, k3Days) == EndCounts{});
+}
+
+// Guards against slots of the ring that are used again without clearing, also
+// after a pause of many times the window.
+TEST_CASE("a ring that turns keeps only its window")
+{
+  BurnCounter counter(At(0s));
+  for (int minute = 0; minute < 600; ++minute) {
+    counter.Record(At(std::chrono::minutes(minute)), End(Result::eInTime));
+  }
+  CHECK(TotalOf(counter, 599min, k5Minutes) == EndCounts{ 5, 5 });
+  CHECK(TotalOf(counter, 599min, k1Hour) == EndCounts{ 60, 60 });
+  CHECK(TotalOf(counter, 599min, k6Hours) == EndCounts{ 360, 360 });
+  CHECK(TotalOf(counter, 599min, k3Days) == EndCounts{ 600, 600 });
+  counter.Record(At(1000h), End(Result::eLate));
+  CHECK(TotalOf(counter, 1000h, k3Days) == EndCounts{ 0, 1 });
+}
+
+// Guards against a history that is drawn the wrong way round.
+TEST_CASE("the history is ordered by age")
+{
+  BurnCounter counter(At(0s));
+  counter.Record(At(0min), End(Result::eInTime));
+  counter.Record(At(3min), End(Result::eLate));
+  History history = counter.Counts(At(4min)).mPairs.at(kQuote)[k1Hour];
+  CHECK(history[4] == EndCounts{ 1, 1 });
+  CHECK(history[1] == EndCounts{ 0, 1 });
+  CHECK(history[0] == EndCounts{});
+}
+
+// Guards against unlimited memory, and against new pairs that are refused
+// although old ones have expired.
+TEST_CASE("the number of pairs is bounded")
+{
+  BurnCounter counter(At(0s));
+  auto key = [](std::size_t aNumber) {
+    return PairKey(base::AccountId(fmt::format("a{}", aNumber)),
+                   base::KindId("quote"));
+  };
+  for (std::size_t i = 0; i < kMostPairs + 3; ++i) {
+    counter.Record(At(1s), End(Result::eInTime, key(i)));
+  }
+  CHECK(counter.Counts(At(1s)).mPairs.size() == kMostPairs);
+  CHECK(counter.Counts(At(1s)).mNotCounted == 3);
+  counter.Record(At(73h), End(Result::eInTime, kQuote));
+  CHECK(counter.Counts(At(73h)).mPairs.size() == 1);
+  CHECK(counter.Counts(At(73h)).mNotCounted == 3);
+}
+
+// Guards against a merge that replaces instead of adding, or drops pairs that
+// only one side has.
+TEST_CASE("counts of instances merge by addition")
+{
+  BurnCounter one(At(0s));
+  BurnCounter other(At(0s));
+  const PairKey render(base::AccountId("acme"), base::KindId("render"));
+  one.Record(At(1s), End(Result::eInTime));
+  one.Record(At(1s), End(Result::eLate));
+  other.Record(At(1s), End(Result::eInTime));
+  other.Record(At(1s), End(Result::eFailed, render));
+  BurnCounts merged = one.Counts(At(2s));
+  BurnCounts right = other.Counts(At(2s));
+  right.mNotCounted = 2;
+  Merge(merged, right);
+  CHECK(merged.mNotCounted == 2);
+  CHECK(Total(merged.mPairs.at(kQuote)[k3Days]) == EndCounts{ 2, 3 });
+  CHECK(Total(merged.mPairs.at(render)[k5Minutes]) == EndCounts{ 0, 1 });
+  Merge(right, one.Counts(At(2s)));
+  CHECK(merged == right);
+}
+
+// Guards against counts that change on the way between instances.
+TEST_CASE("the JSON form keeps all counts")
+{
+  BurnCounter counter(At(0s));
+  counter.Record(At(1s), End(Result::eInTime));
+  counter.Record(At(20min), End(Result::eLate));
+  InstanceBurn burn{ counter.Counts(At(30min)), 30min };
+  burn.mCounts.mNotCounted = 7;
+  auto decoded = DecodeBurn(EncodeBurn(burn));
+  REQUIRE(decoded);
+  CHECK(*decoded == burn);
+}
+
+// Guards against a crash on what a peer of another version sends.
+TEST_CASE("text of another form is an error")
+{
+  const char* ageOutside = R"({"countingForMs":1,"notCounted":0,"pairs":[
+    {"account":"a","kind":"k","windows":[[[60,1,1]],[],[],[]]}]})";
+  const char* noKind =
+    R"({"countingForMs":1,"notCounted":0,"pairs":[{"account":"a"}]})";
+  for (const char* text : { "", "[]", "{}", noKind, ageOutside }) {
+    auto decoded = DecodeBurn(text);
+    REQUIRE(!decoded);
+    CHECK(decoded.error().mCode == base::ErrorCode::eInvalid);
+  }
+}
+
+} // namespace flamingoloom::report
