Burn report over all instances, as view, table, page and metrics

Instance::Submit records the end of each request before the caller gets the answer; peers answer the status topic "burn"; the view asks all listed instances.

Pending answers are not counted: the submission has ended, the request has not, and counting later questions for the same key would count it twice.

--- a/flamingoloom/cli/view_commands.cpp
+++ b/flamingoloom/cli/view_commands.cpp
@@ -1,5 +1,6 @@
 #include "flamingoloom/cli/view_commands.h"
 
+#include "flamingoloom/cli/burn_command.h"
 #include "flamingoloom/cli/table.h"
 
 namespace flamingoloom::cli {
@@ -42,9 +43,7 @@
     View("capacity",
          "Show free, used and guaranteed accelerators",
          { "dataCentre", "free", "used" }),
-    View("burn",
-         "Show how fast each kind of job uses up its allowed late answers",
-         { "kind", "objective" }),
+    BurnCommand(),
   };
 }
 
--- a/flamingoloom/control/context.h
+++ b/flamingoloom/control/context.h
@@ -18,6 +18,7 @@
 #include "flamingoloom/ledger/group_commit.h"
 #include "flamingoloom/ownership/membership.h"
 #include "flamingoloom/platform/ports.h"
+#include "flamingoloom/report/request_end.h"
 
 namespace flamingoloom::control {
 
@@ -95,6 +96,13 @@
     }
   }
 
+  void ReportEnd(const report::RequestEnd& aEnd) const
+  {
+    if (mOnRequestEnd) {
+      mOnRequestEnd(aEnd);
+    }
+  }
+
   P& mPorts;
   const InstanceIdentity mIdentity;
   const InstanceOptions mOptions;
@@ -106,6 +114,8 @@
   bool mLeaving = false;
   // Where changes of state are reported; may be empty.
   std::function<void(const StateChange&)> mOnStateChange;
+  // Where ends of submitted requests are reported; may be empty.
+  std::function<void(const report::RequestEnd&)> mOnRequestEnd;
 
 private:
   std::uint64_t mIds = 0;
--- a/flamingoloom/control/control_test.cpp
+++ b/flamingoloom/control/control_test.cpp
@@ -302,4 +302,32 @@
   CHECK((**answer)->mState == RequestState::eCancelled);
 }
 
+// Guards against ends that are missing from the burn report, and against
+// callers' mistakes and pending requests that are counted as ends.
+TEST_CASE("ends of submitted requests are counted for the burn report")
+{
+  Fixture test;
+  test.Submit("a1", "quote", "");
+  test.Submit("a1", "quote", "");
+  test.Submit("a1", "dance", "k");
+  test.At("a1").Submit(
+    { base::AccountId("acme"), base::KindId("invoice"), "i1", "{}", 100ms },
+    [](const auto&) {});
+  test.Run(500ms);
+  auto conflict = test.Submit("a1", "invoice", "i1", "[]");
+  test.Run(5s);
+  REQUIRE(*conflict);
+  CHECK((**conflict).error().mCode == base::ErrorCode::eConflict);
+  base::Expected<std::string> status;
+  test.At("a1").Serve("burn", [&](const auto& aStatus) { status = aStatus; });
+  REQUIRE(status);
+  auto burn = report::DecodeBurn(*status);
+  REQUIRE(burn);
+  REQUIRE(burn->mCounts.mPairs.size() == 1);
+  const auto& [key, windows] = *burn->mCounts.mPairs.begin();
+  CHECK(key.second == base::KindId("quote"));
+  CHECK(report::Total(windows[0]) == report::EndCounts{ 2, 2 });
+  CHECK(burn->mCountingFor >= 15s);
+}
+
 } // namespace flamingoloom::control
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -26,6 +26,7 @@
 #include "flamingoloom/control/quick_requests.h"
 #include "flamingoloom/control/record_store.h"
 #include "flamingoloom/control/recorded_requests.h"
+#include "flamingoloom/report/burn_json.h"
 
 namespace flamingoloom::control {
 
@@ -42,6 +43,7 @@
     , mQuick(mContext)
     , mRecorded(mContext, mStore, MakeLinks())
     , mChanges(mContext, mCentres)
+    , mBurn(mContext.Now())
   {
   }
   Instance(const Instance&) = delete;
@@ -66,6 +68,7 @@
       return;
     }
     const config::JobKind& kind = *mContext.mConfig->Kind(aRequest.mKind);
+    aDone = CountEnd(aRequest, kind, std::move(aDone));
     if (NeedsRecord(kind)) {
       mRecorded.Submit(aRequest, std::move(aDone));
     } else {
@@ -214,7 +217,8 @@
     aDone(platform::Nothing{});
   }
 
-  // The topic "config" gives the document in force.
+  // The topic "config" gives the document in force, "burn" what this instance
+  // counted for the burn report.
   void OnQueryStatus(const std::string& aTopic,
                      platform::Done<std::string> aDone)
   {
@@ -222,6 +226,10 @@
       aDone(mConfig.Document());
       return;
     }
+    if (aTopic == "burn") {
+      aDone(report::EncodeBurn(Burn()));
+      return;
+    }
     aDone(base::MakeError(base::ErrorCode::eNotFound,
                           "query status",
                           mContext.mIdentity.mId.Value(),
@@ -229,7 +237,35 @@
                           "topic"));
   }
 
+  // What this instance counted for the burn report.
+  report::InstanceBurn Burn()
+  {
+    base::Time now = mContext.Now();
+    return { mBurn.Counts(now), mBurn.CountingFor(now) };
+  }
+
 private:
+  // Counts the end of a request before the caller gets the answer.
+  AnswerDone CountEnd(const CallerRequest& aRequest,
+                      const config::JobKind& aKind,
+                      AnswerDone aDone)
+  {
+    return [this,
+            account = aRequest.mAccount,
+            kind = aKind.mId,
+            target = aKind.mTarget,
+            arrived = mContext.Now(),
+            done = std::move(aDone)](base::Expected<CallerAnswer> aAnswer) {
+      base::Time now = mContext.Now();
+      if (auto result = report::ResultOf(aAnswer, now - arrived, target)) {
+        report::RequestEnd end{ account, kind, *result, now - arrived };
+        mBurn.Record(now, end);
+        mContext.ReportEnd(end);
+      }
+      done(std::move(aAnswer));
+    };
+  }
+
   static bool NeedsRecord(const config::JobKind& aKind)
   {
     return aKind.mDurable || !aKind.mIdempotent || aKind.mTasks > 1 ||
@@ -569,6 +605,7 @@
   QuickRequests<P, Routing> mQuick;
   RecordedRequests<P> mRecorded;
   CentreChanges<P> mChanges;
+  report::BurnCounter mBurn;
   base::Time mNextCredits{};
   std::function<void()> mOnLeft;
 };
--- a/flamingoloom/daemon/daemon.cpp
+++ b/flamingoloom/daemon/daemon.cpp
@@ -8,11 +8,13 @@
 #include <fmt/format.h>
 
 #include "flamingoloom/daemon/access_check.h"
+#include "flamingoloom/daemon/burn_view.h"
 #include "flamingoloom/daemon/daemon_ports.h"
 #include "flamingoloom/daemon/log.h"
 #include "flamingoloom/daemon/runtime.h"
 #include "flamingoloom/daemon/views.h"
 #include "flamingoloom/frontend/http_frontend.h"
+#include "flamingoloom/report/request_metrics.h"
 
 namespace flamingoloom::daemon {
 namespace {
@@ -161,6 +163,9 @@
       [this](const control::StateChange& aChange) {
         mLog.Write(config::LogLevel::eInfo, aChange.mName, aChange.mFields);
       };
+    mInstance->State().mOnRequestEnd = [this](const report::RequestEnd& aEnd) {
+      mRequestMetrics.Record(aEnd);
+    };
     mLog.Write(config::LogLevel::eInfo,
                "started",
                { { "http", HttpAddress() }, { "peer", PeerAddress() } });
@@ -196,7 +201,8 @@
   void Refresh()
   {
     bool withMetrics = mRefreshes++ % kRefreshesPerMetrics == 0;
-    std::string metrics = withMetrics ? MetricsOf(*mInstance) : std::string();
+    std::string metrics =
+      withMetrics ? MetricsOf(*mInstance) + mRequestMetrics.Text() : "";
     {
       std::scoped_lock lock(mSnapshotMutex);
       mSnapshot.mConfig = mInstance->State().mConfig;
@@ -290,7 +296,11 @@
     handler.mPutConfig = OnInstance(PutConfig);
     handler.mView =
       OnInstance([](auto& aInstance, const std::string& aTopic, auto aDone) {
-        aDone(ViewOf(aInstance, aTopic));
+        if (aTopic == report::kBurnTopic) {
+          ShowBurn(aInstance, std::move(aDone));
+        } else {
+          aDone(ViewOf(aInstance, aTopic));
+        }
       });
     handler.mMetrics = [this] { return CurrentSnapshot().mMetrics; };
     handler.mReady = [this]() -> base::Expected<platform::Nothing> {
@@ -338,6 +348,8 @@
   std::unique_ptr<DaemonPorts> mPorts;
   std::unique_ptr<DaemonInstance> mInstance;
   std::unique_ptr<frontend::HttpFrontend> mFrontend;
+  // Used on the runtime only.
+  report::RequestMetrics mRequestMetrics;
   bool mLeaving = false;
   int mRefreshes = 0;
   mutable std::mutex mSnapshotMutex;
