Burn counts stay below the size limit of messages between instances

An instance ends a connection on a message above 1 MiB, so 1024 busy pairs would have cut the connection, with all other calls on it, each time an operator asked for the report. Above 768 KiB an instance now sends the totals of its windows only and says so. Fewer buckets were ruled out: they coarsen every report and still give no bound.

--- a/flamingoloom/cli/burn_command.cpp
+++ b/flamingoloom/cli/burn_command.cpp
@@ -45,7 +45,8 @@
 {
   for (const auto& instance : aReport.mInstances) {
     aOut << "counted by " << instance.mId << " since "
-         << TimeText(aNow - instance.mCountingFor) << "\n";
+         << TimeText(aNow - instance.mCountingFor)
+         << (instance.mTotalsOnly ? report::kTotalsNote : "") << "\n";
   }
   for (const auto& missing : aReport.mMissing) {
     aOut << "missing: " << missing.mId << ": " << missing.mReason << "\n";
--- a/flamingoloom/report/burn_collector.h
+++ b/flamingoloom/report/burn_collector.h
@@ -98,7 +98,8 @@
   void Add(const std::string& aId, const InstanceBurn& aBurn)
   {
     Merge(mCollected.mCounts, aBurn.mCounts);
-    mCollected.mInstances.push_back({ aId, aBurn.mCountingFor });
+    mCollected.mInstances.push_back(
+      { aId, aBurn.mCountingFor, aBurn.mTotalsOnly });
   }
 
   void FinishWhenComplete()
--- a/flamingoloom/report/burn_html.cpp
+++ b/flamingoloom/report/burn_html.cpp
@@ -154,9 +154,10 @@
 {
   std::string items;
   for (const CountingInstance& instance : aReport.mInstances) {
-    items += fmt::format("<li>{} has counted for {} s</li>\n",
+    items += fmt::format("<li>{} has counted for {} s{}</li>\n",
                          Escape(instance.mId),
-                         base::ToMilliseconds(instance.mCountingFor) / 1000);
+                         base::ToMilliseconds(instance.mCountingFor) / 1000,
+                         instance.mTotalsOnly ? kTotalsNote : "");
   }
   for (const MissingInstance& missing : aReport.mMissing) {
     items += fmt::format("<li><strong>missing: {}</strong>: {}</li>\n",
--- a/flamingoloom/report/burn_json.cpp
+++ b/flamingoloom/report/burn_json.cpp
@@ -32,6 +32,7 @@
   InstanceBurn burn;
   burn.mCountingFor =
     std::chrono::milliseconds(aJson.at("countingForMs").get<std::int64_t>());
+  burn.mTotalsOnly = aJson.at("totalsOnly").get<bool>();
   burn.mCounts.mNotCounted = aJson.at("notCounted").get<std::uint64_t>();
   const json& pairs = aJson.at("pairs");
   if (pairs.size() > kMostPairs) {
@@ -45,6 +46,33 @@
   return burn;
 }
 
+InstanceBurn TotalsOf(const InstanceBurn& aBurn)
+{
+  InstanceBurn totals = aBurn;
+  totals.mTotalsOnly = true;
+  for (auto& [key, windows] : totals.mCounts.mPairs) {
+    for (History& history : windows) {
+      EndCounts total = Total(history);
+      history = {};
+      history[0] = total;
+    }
+  }
+  return totals;
+}
+
+std::string Text(const InstanceBurn& aBurn)
+{
+  json pairs = json::array();
+  for (const auto& [key, windows] : aBurn.mCounts.mPairs) {
+    pairs.push_back(PairToJson(key, windows));
+  }
+  json whole = { { "countingForMs", base::ToMilliseconds(aBurn.mCountingFor) },
+                 { "notCounted", aBurn.mCounts.mNotCounted },
+                 { "totalsOnly", aBurn.mTotalsOnly },
+                 { "pairs", std::move(pairs) } };
+  return whole.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 } // namespace
 
 json HistoryToJson(const History& aHistory)
@@ -72,14 +100,8 @@
 
 std::string EncodeBurn(const InstanceBurn& aBurn)
 {
-  json pairs = json::array();
-  for (const auto& [key, windows] : aBurn.mCounts.mPairs) {
-    pairs.push_back(PairToJson(key, windows));
-  }
-  json whole = { { "countingForMs", base::ToMilliseconds(aBurn.mCountingFor) },
-                 { "notCounted", aBurn.mCounts.mNotCounted },
-                 { "pairs", std::move(pairs) } };
-  return whole.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string text = Text(aBurn);
+  return text.size() <= kMostEncodedBytes ? text : Text(TotalsOf(aBurn));
 }
 
 base::Expected<InstanceBurn> DecodeBurn(const std::string& aText)
--- a/flamingoloom/report/burn_report.cpp
+++ b/flamingoloom/report/burn_report.cpp
@@ -57,7 +57,8 @@
     report.mInstances.push_back(
       { instance.at("id").get<std::string>(),
         std::chrono::milliseconds(
-          instance.at("countingForMs").get<std::int64_t>()) });
+          instance.at("countingForMs").get<std::int64_t>()),
+        instance.at("totalsOnly").get<bool>() });
   }
   for (const json& missing : aJson.at("missing")) {
     report.mMissing.push_back({ missing.at("id").get<std::string>(),
@@ -93,7 +94,8 @@
   for (const CountingInstance& instance : aReport.mInstances) {
     instances.push_back(
       { { "id", instance.mId },
-        { "countingForMs", base::ToMilliseconds(instance.mCountingFor) } });
+        { "countingForMs", base::ToMilliseconds(instance.mCountingFor) },
+        { "totalsOnly", instance.mTotalsOnly } });
   }
   json missing = json::array();
   for (const MissingInstance& instance : aReport.mMissing) {
--- a/flamingoloom/report/burn_report.h
+++ b/flamingoloom/report/burn_report.h
@@ -20,10 +20,15 @@
   "restarts begins from zero, and what a missing or replaced instance counted "
   "is not in this report.";
 
+inline constexpr const char* kTotalsNote =
+  " (totals only: the plots show its counts in the newest bar)";
+
 struct CountingInstance
 {
   std::string mId;
   base::Duration mCountingFor{};
+  // Its counts are in the newest bucket of each window.
+  bool mTotalsOnly = false;
 
   friend bool operator==(const CountingInstance&,
                          const CountingInstance&) = default;
--- a/flamingoloom/report/burn_report_test.cpp
+++ b/flamingoloom/report/burn_report_test.cpp
@@ -34,7 +34,7 @@
   counts.mPairs[{ base::AccountId("idle"), base::KindId("quote") }];
   BurnReport report;
   report.mPairs = ReportPairs(counts, MakeConfiguration());
-  report.mInstances = { { "i1", 61s } };
+  report.mInstances = { { "i1", 61s }, { "i3", 5s, true } };
   report.mMissing = { { "i2", "no answer within 1 s" } };
   report.mNotCounted = 4;
   return report;
@@ -89,7 +89,8 @@
                             "<td>-200.0%</td>",
                             "7 of 10 in time",
                             "<svg",
-                            "i1 has counted for 61 s",
+                            "i1 has counted for 61 s<",
+                            "i3 has counted for 5 s (totals only",
                             "missing: i2",
                             "4 requests were not counted",
                             kHistoryNote }) {
--- a/flamingoloom/report/burn_test.cpp
+++ b/flamingoloom/report/burn_test.cpp
@@ -209,13 +209,37 @@
   CHECK(*decoded == burn);
 }
 
+// Guards against a message so large that the peer ends the connection, with
+// the most pairs, full buckets, large counts and long names.
+TEST_CASE("counts that do not fit into a message are sent as totals")
+{
+  InstanceBurn burn;
+  for (std::size_t i = 0; i < kMostPairs; ++i) {
+    PairKey key(base::AccountId(fmt::format("{:064}", i)),
+                base::KindId(std::string(64, 'k')));
+    for (History& history : burn.mCounts.mPairs[key]) {
+      history.fill({ 10000000, 20000000 });
+    }
+  }
+  std::string text = EncodeBurn(burn);
+  CHECK(text.size() <= kMostEncodedBytes);
+  auto decoded = DecodeBurn(text);
+  REQUIRE(decoded);
+  CHECK(decoded->mTotalsOnly);
+  REQUIRE(decoded->mCounts.mPairs.size() == kMostPairs);
+  for (const History& history : decoded->mCounts.mPairs.begin()->second) {
+    CHECK(history[0] == EndCounts{ 600000000, 1200000000 });
+    CHECK(history[1] == EndCounts{});
+  }
+}
+
 // Guards against a crash on what a peer of another version sends.
 TEST_CASE("text of another form is an error")
 {
-  const char* ageOutside = R"({"countingForMs":1,"notCounted":0,"pairs":[
-    {"account":"a","kind":"k","windows":[[[60,1,1]],[],[],[]]}]})";
+  const char* ageOutside = R"({"countingForMs":1,"notCounted":0,
+    "totalsOnly":false,"pairs":[{"account":"a","kind":"k","windows":[[[60,1,1]],[],[],[]]}]})";
   const char* noKind =
-    R"({"countingForMs":1,"notCounted":0,"pairs":[{"account":"a"}]})";
+    R"({"countingForMs":1,"notCounted":0,"totalsOnly":false,"pairs":[{}]})";
   for (const char* text : { "", "[]", "{}", noKind, ageOutside }) {
     auto decoded = DecodeBurn(text);
     REQUIRE(!decoded);
