Command line: no configuration yet is "not found"; operator errors name the operator

An instance without a configuration answers GET /v1/config with 200 and a null document. The command line tool took that for a broken answer: config show ended with 8 ("may have taken effect") and config apply at a terminal could not apply a first configuration. It now ends with 5, and apply replaces version 0. Both forms, null and 404, stay covered by tests.

A wrong operator key was answered with the peer "caller"; it now names the operator, as the check of the header's form does.

Ruled out: answering 404 from the daemon, because GET /v1/config gives the version to replace, and 0 is that version.

--- a/flamingoloom/cli/config_commands.cpp
+++ b/flamingoloom/cli/config_commands.cpp
@@ -30,13 +30,21 @@
   return tl::unexpected(config::Combine(aChecked.error()));
 }
 
-// Instances send the configuration either alone or beside other keys.
+// Instances send the configuration either alone or beside other keys; null
+// before the first one is accepted.
 Expected<Configuration> Decode(const ApiAnswer& aAnswer)
 {
   const auto& body = aAnswer.mBody;
   bool isWrapped = body.is_object() && body.contains("configuration");
-  auto configuration = Single(config::ConfigurationFromJson(
-    isWrapped ? body.at("configuration") : body, aAnswer.mServer));
+  const auto& document = isWrapped ? body.at("configuration") : body;
+  if (document.is_null()) {
+    return base::MakeError(ErrorCode::eNotFound,
+                           "read configuration",
+                           aAnswer.mServer,
+                           "there is no configuration yet");
+  }
+  auto configuration =
+    Single(config::ConfigurationFromJson(document, aAnswer.mServer));
   if (!configuration) {
     configuration.error().mCode = ErrorCode::eBadAnswer;
   }
--- a/flamingoloom/cli/config_commands_test.cpp
+++ b/flamingoloom/cli/config_commands_test.cpp
@@ -165,10 +165,26 @@
   ScratchFolder folder;
   auto file = folder.Write("c.json", config::ToText(Changed()));
   FakeInstance instance;
-  instance.WillAnswer(404, Error("not_found"));
+  instance.WillAnswer(200, { { "version", 0 }, { "configuration", nullptr } });
   instance.WillAnswer(200, { { "version", 1 } });
   CHECK(RunTyped(instance, file, "yes\n").mCode == ExitCode::eDone);
   CHECK(json::parse(instance.Requests().at(1).mBody)["expectedVersion"] == 0);
+  FakeInstance without;
+  without.WillAnswer(404, Error("not_found"));
+  without.WillAnswer(200, { { "version", 1 } });
+  CHECK(RunTyped(without, file, "yes\n").mCode == ExitCode::eDone);
+  CHECK(json::parse(without.Requests().at(1).mBody)["expectedVersion"] == 0);
+}
+
+// Guards against an instance without a configuration that is reported as one
+// with a broken answer.
+TEST_CASE("config show says that there is no configuration yet")
+{
+  FakeInstance instance;
+  instance.WillAnswer(200, { { "version", 0 }, { "configuration", nullptr } });
+  auto result = RunAt({ instance.Address() }, { "config", "show" });
+  CHECK(result.mCode == ExitCode::eNotFound);
+  CHECK(result.mOut.empty());
 }
 
 // Guards against a lost race that is reported as applied.
--- a/flamingoloom/daemon/access_check.cpp
+++ b/flamingoloom/daemon/access_check.cpp
@@ -34,7 +34,8 @@
   }
   return base::MakeError(base::ErrorCode::eDenied,
                          "check key",
-                         "caller",
+                         aRole == frontend::Role::eCaller ? "caller"
+                                                          : "operator",
                          aKey.empty() ? "a key is needed" : "the key is wrong",
                          "Authorization");
 }
