--- a/testing/fakes/fake_world.cpp
+++ b/testing/fakes/fake_world.cpp
@@ -111,7 +111,7 @@
   mClock.After(0s, [&aNode] { aNode.mInstance.reset(); });
 }
 
-FakeServer& FakeWorld::AddServer(const std::string& aName)
+FakeServer& FakeWorld::AddServer(const std::string& aName, int aRack)
 {
   ListedServer& entry = mServers[aName];
   if (!entry.mServer) {
@@ -122,6 +122,7 @@
     member.mDataCentre = endpoint.mDataCentre;
     member.mRegion = endpoint.mRegion;
     member.mAddress = fmt::format("10.0.1.{}:8080", mServers.size());
+    member.mRack = aRack;
     member.mSlots = mOptions.mSlots;
     member.mConnections = mOptions.mConnections;
     member.mAccelerators = mOptions.mAccelerators;
--- a/testing/fakes/fake_world.h
+++ b/testing/fakes/fake_world.h
@@ -91,7 +91,7 @@
   }
   // Runs aAction at the instance: now, at its thaw, or never when it is dead.
   void DeliverTo(Node& aNode, std::function<void()> aAction);
-  FakeServer& AddServer(const std::string& aName);
+  FakeServer& AddServer(const std::string& aName, int aRack = 0);
   FakeServer* FindServer(const std::string& aName);
   platform::MemberList Members() const;
 
