Comparison of the circuit breaker with failure-weighted routing

Instance's Routing parameter decides by FailureTracker only, so routing_benchmark repeats the calls of QuickRequests over CreditPool under the virtual clock instead.

Weakness seen in failure-weighted routing: a server with one or two failures is neither ejected nor probed, and its rate does not decay with time, so at a low load it gets no more work after its repair while others are idle.

--- a/testing/bench.sh
+++ b/testing/bench.sh
@@ -25,6 +25,8 @@
 
 run decisions 80 "$build/testing/bench/decision_benchmark" \
   --json "$parts/decisions.json"
+run routing 30 "$build/testing/bench/routing_benchmark" \
+  --json "$parts/routing.json"
 echo "== placement"
 placement || failed+=(placement)
 
