Tables count long lists; a missing history is explained

Cause: the daemon's listing of capacity has lists of servers and allocations in each row, which filled a table for people with JSON text. The daemon serves no history of configurations (docs/design.md, section 9.1, has none), and the plain "not found" told the operator to check a name.

--- a/flamingoloom/cli/config_commands.cpp
+++ b/flamingoloom/cli/config_commands.cpp
@@ -108,9 +108,20 @@
   });
 }
 
+// Instances keep the current version only, unless they offer a history.
+base::Error ExplainNoHistory(base::Error aError)
+{
+  if (aError.mCode == ErrorCode::eNotFound) {
+    aError.mMessage = "this instance keeps no earlier versions; compare with "
+                      "files by flamingoloom config diff";
+  }
+  return aError;
+}
+
 Expected<ExitCode> History(Context& aContext, const Arguments&)
 {
   return aContext.mClient->SendChecked({ "GET", "/v1/config/history" })
+    .map_error(ExplainNoHistory)
     .map([&](const ApiAnswer& aAnswer) {
       if (aContext.mIsJson) {
         PrintJson(aContext.mConsole.mOut, aAnswer.mBody);
--- a/flamingoloom/cli/config_commands_test.cpp
+++ b/flamingoloom/cli/config_commands_test.cpp
@@ -112,8 +112,9 @@
   CHECK(result.mOut == "version  operator\n3        sigrun\n");
   FakeInstance without;
   without.WillAnswer(404, Error("not_found"));
-  CHECK(RunAt({ without.Address() }, { "config", "history" }).mCode ==
-        ExitCode::eNotFound);
+  auto refused = RunAt({ without.Address() }, { "config", "history" });
+  CHECK(refused.mCode == ExitCode::eNotFound);
+  CHECK(refused.ErrHas("keeps no earlier versions"));
 }
 
 // Guards against an operator who replaces a version that he has not seen (P9).
--- a/flamingoloom/cli/table.cpp
+++ b/flamingoloom/cli/table.cpp
@@ -12,6 +12,29 @@
 
 constexpr int kIndent = 2;
 
+// Longer lists are counted, because they make a table unreadable; --json has
+// all of them.
+constexpr std::size_t kMostListed = 4;
+
+std::string Text(const json& aValue);
+
+std::string ListText(const json& aList)
+{
+  bool hasParts =
+    std::any_of(aList.begin(), aList.end(), [](const json& aPart) {
+      return aPart.is_structured();
+    });
+  if (hasParts || aList.size() > kMostListed) {
+    return fmt::format(
+      "{} entr{}", aList.size(), aList.size() == 1 ? "y" : "ies");
+  }
+  std::string text;
+  for (const auto& part : aList) {
+    text += (text.empty() ? "" : ",") + Text(part);
+  }
+  return text.empty() ? "-" : text;
+}
+
 std::string Text(const json& aValue)
 {
   if (aValue.is_null()) {
@@ -20,6 +43,9 @@
   if (aValue.is_boolean()) {
     return aValue.get<bool>() ? "yes" : "no";
   }
+  if (aValue.is_array()) {
+    return ListText(aValue);
+  }
   auto text = aValue.is_string() ? aValue.get<std::string>() : aValue.dump();
   return text.empty() ? "-" : text;
 }
--- a/flamingoloom/cli/view_commands.cpp
+++ b/flamingoloom/cli/view_commands.cpp
@@ -41,7 +41,7 @@
          { "id", "dataCentre", "region", "state", "address" }),
     View("capacity",
          "Show free, used and guaranteed accelerators",
-         { "dataCentre", "free", "used" }),
+         { "dataCentre", "accelerators", "free", "fragmentation" }),
     View("burn",
          "Show how fast each kind of job uses up its allowed late answers",
          { "kind", "objective" }),
--- a/flamingoloom/cli/view_commands_test.cpp
+++ b/flamingoloom/cli/view_commands_test.cpp
@@ -48,6 +48,21 @@
                        "s    -      3\n");
 }
 
+// Guards against a table that one long cell makes unreadable.
+TEST_CASE("long lists are counted")
+{
+  FakeInstance instance;
+  instance.WillAnswer(
+    200,
+    json::array({ { { "a", json::array() },
+                    { "b", { "s1", "s2" } },
+                    { "c", { 1, 2, 3, 4, 5 } },
+                    { "d", json::array({ { { "first", 1 } } }) } } }));
+  auto result = RunAt({ instance.Address() }, { "capacity" });
+  CHECK(result.mOut == "a  b      c          d\n"
+                       "-  s1,s2  5 entries  1 entry\n");
+}
+
 // Guards against an empty listing that looks like a failure, and against a
 // crash on bodies of another form.
 TEST_CASE("views print whatever form the answer has")
