Waiting work leaves a data centre that has lost half of its servers

Ruled out: moving whatever has waited for long, because two busy data centres would then pass the same work to and fro with three rows written each time. Conclusion: work that has waited 10 s moves when at most half of the configured servers get new work.

--- a/flamingoloom/control/centre_jobs.h
+++ b/flamingoloom/control/centre_jobs.h
@@ -217,6 +217,7 @@
   static constexpr base::Duration kStartArrives = std::chrono::seconds(1);
   // A data centre without enough servers gets so long to get them back.
   static constexpr base::Duration kMoveAfter = std::chrono::seconds(5);
+  static constexpr base::Duration kMoveWaitingAfter = std::chrono::seconds(10);
   static constexpr std::size_t kLargestAnswerInRow = 4096;
 
   // Recorded work is rare and long, so the first failure on a server keeps the
@@ -388,6 +389,7 @@
       base::ServerId id(aServer.mId);
       return mFailures.IsEjected(id) && !mFailures.MayProbe(id, mContext.Now());
     });
+    mUsableServers = static_cast<int>(usable.size());
     mSlots.SetServers(usable);
     mAccelerators.SetServers(mContext.mMembers.ListedServers(mKeeper.Name()),
                              usable);
@@ -500,8 +502,10 @@
       EndWithoutRun(aJob, "could not be started within its deadline");
     } else if (!CanStart()) {
       return;
-    } else if (IsTooSmall(*kind) &&
-               mContext.Now() - aJob->mSince > kMoveAfter) {
+    } else if (mContext.Now() - aJob->mSince > kMoveAfter &&
+               (IsTooSmall(*kind) ||
+                (IsHalfLost() && !aJob->mRunner && aJob->mPlaces.empty() &&
+                 mContext.Now() - aJob->mSince > kMoveWaitingAfter))) {
       aJob->mSince = mContext.Now();
       MoveAway(aJob);
     } else if (kind->mAcceleratorsPerTask == 0) {
@@ -515,6 +519,15 @@
     }
   }
 
+  // At most half of the configured servers get new work, so that what waits
+  // here is better off elsewhere.
+  bool IsHalfLost() const
+  {
+    const config::DataCentre* centre = mContext.mConfig->Centre(mKeeper.Name());
+    return centre &&
+           2 * mUsableServers <= centre->mRacks * centre->mServersPerRack;
+  }
+
   // The servers in service could not run the kind even if all were free.
   bool IsTooSmall(const config::JobKind& aKind) const
   {
@@ -826,6 +839,7 @@
     mChooseOther;
   std::function<void(const base::RequestId&, const base::DataCentreId&)>
     mOnMoved;
+  int mUsableServers = 0;
   bool mOwned = false;
   bool mLoaded = false;
   bool mPumping = false;
