Process tests: crash, freeze, store outage, planned stop, bad input, command line

Each script starts daemons and stand-ins on loopback and judges the answers and the histories of the backend servers. processes.sh has the shared steps.

--- a/testing/processes.sh
+++ b/testing/processes.sh
@@ -63,13 +63,14 @@
   address_of[$id]=$(await_line "$work/$id.out" '127[0-9.]+:[0-9]+')
 }
 
-# start_instance ID DATA_CENTRE REGION
+# start_instance ID DATA_CENTRE REGION: with the further settings that the
+# variable more_settings holds, such as ", \"keys\": {...}".
 start_instance() {
   cat >"$work/$1.json" <<SETTINGS
 {
   "instance": {"id": "$1", "dataCentre": "$2", "region": "$3"},
   "listen": {"httpAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0"},
-  "platform": {"address": "$platform"}
+  "platform": {"address": "$platform"}${more_settings:-}
 }
 SETTINGS
   start "$1" "$build/flamingoloom/daemon/flamingoloomd" "$work/$1.json"
@@ -93,12 +94,16 @@
   "$build/flamingoloom/cli/flamingoloom" "${servers[@]}" "$@"
 }
 
-# Starts the deployment of examples/demo.answers.json: three data centres with
-# four backend servers each and one instance, or as many as the argument says.
+# The answers to the questionnaire and the data centres with their regions.
+answers=examples/demo.answers.json
+places=(akureyri-1:akureyri akureyri-2:akureyri reykjavik-1:reykjavik)
+
+# Starts the deployment of $answers: three data centres with four backend
+# servers each and one instance, or as many as the argument says.
 start_deployment() {
   local count=${1:-1} rest=${*:2}
   start_platform
-  for place in akureyri-1:akureyri akureyri-2:akureyri reykjavik-1:reykjavik; do
+  for place in "${places[@]}"; do
     local centre=${place%%:*} region=${place##*:}
     for i in 1 2 3 4; do
       # shellcheck disable=SC2086
@@ -112,7 +117,7 @@
 
 # Generates the configuration from the answers and puts it in force.
 configure_deployment() {
-  cli questionnaire --answers examples/demo.answers.json \
+  cli questionnaire --answers "$answers" \
     --save-configuration "$work/configuration.json" >"$work/summary.txt" ||
     fail "the questionnaire failed: $(cat "$work/summary.txt")"
   cli config apply "$work/configuration.json" --expected-version 0 ||
@@ -123,3 +128,104 @@
 history_count() {
   cat "$work"/*.history 2>/dev/null | grep -cE "$1" || true
 }
+
+# at INSTANCE ARGUMENT...: the command line tool, with only this instance.
+at() {
+  local instance=$1
+  shift
+  "$build/flamingoloom/cli/flamingoloom" \
+    --server "${address_of[$instance]}" --json "$@"
+}
+
+# owner_of DATA_CENTRE INSTANCE: the id of the settings of the data centre's
+# owner, as the instance knows it; empty when it knows none.
+owner_of() {
+  at "$2" instances | jq -r --arg centre "$1" \
+    '.instances[] | select(.owns | index($centre)) | .id' |
+    sed -E 's/\.[0-9a-f]{8}$//'
+}
+
+# await_true SECONDS TEXT COMMAND...: repeats the command until it succeeds;
+# fails with the text when it does not within the time.
+await_true() {
+  local end=$((SECONDS + $1)) text=$2
+  shift 2
+  until "$@"; do
+    [ $SECONDS -lt "$end" ] || fail "$text"
+    sleep 0.1
+  done
+}
+
+is_owned() {
+  [ -n "$(owner_of "$1" "$2")" ]
+}
+
+# A request of this account and kind, without a record or harmless when run
+# twice, shows that an instance answers.
+probe=(--account blekhus --kind quote)
+
+answers_quote() {
+  at "$1" submit "${probe[@]}" --payload '{"runMs":1}' >/dev/null 2>&1
+}
+
+# Waits until each data centre has an owner and each instance answers quotes.
+await_ready() {
+  local place instance
+  for place in "${places[@]}"; do
+    await_true 15 "${place%%:*} has no owner" \
+      is_owned "${place%%:*}" "${instances[0]}"
+  done
+  for instance in "${instances[@]}"; do
+    await_true 15 "$instance answers no quote" answers_quote "$instance"
+  done
+}
+
+# Starts the deployment with this many instances per data centre, puts the
+# configuration in force and waits until requests are answered.
+start_ready_deployment() {
+  start_deployment "$1"
+  configure_deployment >"$work/configure.txt" 2>&1 ||
+    fail "no configuration: $(cat "$work/configure.txt")"
+  await_ready
+}
+
+# submit_to NAME INSTANCE ARGUMENT...: sends a request of the client account
+# blekhus in the background; its answer goes to $work/NAME.out.
+submit_to() {
+  local name=$1 instance=$2
+  shift 2
+  start "$name" at "$instance" submit --account blekhus "$@"
+}
+
+# Lines of the histories of all servers as one JSON array, each with the id of
+# its server; jq FILTER is applied to it. The arguments are given to jq.
+history_query() {
+  local file
+  for file in "$work"/*.history; do
+    jq -c --arg server "$(basename "$file" .history)" '. + {server: $server}' \
+      "$file"
+  done | jq -s "$@"
+}
+
+# has_started KEY [COUNT]: whether this many tasks of the request have started.
+has_started() {
+  [ "$(history_count '"event":"start".*"key":"'"$1"'"')" -ge "${2:-1}" ]
+}
+
+# expect_finished FILE KEY: FILE is the answer of a finished request and the
+# answer is that of the request, not of another one.
+expect_finished() {
+  jq -e --arg answer "blekhus/$2" \
+    '.state == "finished" and (.answer | rtrimstr(".") == $answer)' \
+    "$1" >/dev/null || fail "no finished answer to $2: $(cat "$1")"
+}
+
+# store_fault FAULT: sets the fault of the platform's store.
+store_fault() {
+  curl -sf --max-time 5 -X POST "http://$platform/fault" \
+    -d "{\"store\":\"$1\"}" >/dev/null || fail "the fault $1 was not set"
+}
+
+now_ms() {
+  echo $(($(date +%s%N) / 1000000))
+}
