--- a/testing/fakes/fake_world.cpp
+++ b/testing/fakes/fake_world.cpp
@@ -379,6 +379,26 @@
   if (aFrom.mRegion != aTo.mRegion) {
     mCrossRegionBytes += aBytes;
   }
+  if (mNodes.contains(aFrom.mName)) {
+    mInstanceBytes[{ aFrom.mName, KindOf(aTo) }] += aBytes;
+  }
+  if (mNodes.contains(aTo.mName)) {
+    mInstanceBytes[{ aTo.mName, KindOf(aFrom) }] += aBytes;
+  }
+}
+
+PeerKind FakeWorld::KindOf(const Endpoint& aEndpoint) const
+{
+  return mNodes.contains(aEndpoint.mName)     ? PeerKind::eInstance
+         : mServers.contains(aEndpoint.mName) ? PeerKind::eServer
+                                              : PeerKind::ePlatform;
+}
+
+std::uint64_t FakeWorld::InstanceBytes(const std::string& aInstance,
+                                       PeerKind aPeers) const
+{
+  auto found = mInstanceBytes.find({ aInstance, aPeers });
+  return found == mInstanceBytes.end() ? 0 : found->second;
 }
 
 } // namespace flamingoloom::testing::fakes
--- a/testing/fakes/fake_world.h
+++ b/testing/fakes/fake_world.h
@@ -31,6 +31,14 @@
   base::RegionId mRegion;
 };
 
+enum class PeerKind
+{
+  // The store and the member list.
+  ePlatform,
+  eInstance,
+  eServer,
+};
+
 struct WorldOptions
 {
   std::uint64_t mSeed = 1;
@@ -123,6 +131,10 @@
   void CountBytes(const Endpoint& aFrom,
                   const Endpoint& aTo,
                   std::size_t aBytes);
+  // Bytes to and from an instance by kind of the other side. The sizes are
+  // estimates of FakePorts.
+  std::uint64_t InstanceBytes(const std::string& aInstance,
+                              PeerKind aPeers) const;
   const Endpoint& StoreEndpoint() const { return mStoreEndpoint; }
   StoreMode Mode() const { return mStoreMode; }
   double LossProbability() const { return mLossProbability; }
@@ -131,6 +143,7 @@
   void End(Node& aNode, base::Duration aListedFor);
 
 private:
+  PeerKind KindOf(const Endpoint& aEndpoint) const;
   void BeginFault(std::string aName);
   void EndFault(const std::string& aName);
 
@@ -154,6 +167,7 @@
   std::vector<std::pair<std::string, std::string>> mCuts;
   std::vector<std::string> mFaults;
   std::uint64_t mCrossRegionBytes = 0;
+  std::map<std::pair<std::string, PeerKind>, std::uint64_t> mInstanceBytes;
 };
 
 } // namespace flamingoloom::testing::fakes
