--- a/flamingoloom/control/centre_jobs.h
+++ b/flamingoloom/control/centre_jobs.h
@@ -199,6 +199,9 @@
     base::Time mSince{};
     bool mWriting = false;
     bool mCancelled = false;
+    // How it is to be stopped for a guarantee. Its start may still be being
+    // written; then it is stopped as soon as it has been sent.
+    std::optional<platform::TaskAction> mStopWith;
     // Not tried again before this time.
     base::Time mNotBefore{};
     // Placed, but these requests must give up their accelerators first.
@@ -385,9 +388,14 @@
   void SetServers()
   {
     std::vector<platform::Member> usable = mKeeper.StartableServers();
+    mProbed.clear();
     std::erase_if(usable, [this](const platform::Member& aServer) {
       base::ServerId id(aServer.mId);
-      return mFailures.IsEjected(id) && !mFailures.MayProbe(id, mContext.Now());
+      if (!mFailures.IsEjected(id)) {
+        return false;
+      }
+      mProbed.push_back(id);
+      return !mFailures.MayProbe(id, mContext.Now());
     });
     mUsableServers = static_cast<int>(usable.size());
     mSlots.SetServers(usable);
@@ -448,18 +456,21 @@
       return;
     }
     ++mContext.mCounters.mPreemptions;
-    if (!victim->second->mRunner) {
-      // It holds places, but has not been sent yet.
-      victim->second->mPlaces.clear();
-      victim->second->mWaitsFor.clear();
+    Job& job = *victim->second;
+    if (!job.mRunner && !job.mWriting) {
+      // It holds places, but nothing of it has been written or sent.
+      job.mPlaces.clear();
+      job.mWaitsFor.clear();
       mAccelerators.Finish(aVictim.mRequest);
       return;
     }
     aFor->mWaitsFor.insert(aVictim.mRequest);
-    victim->second->mRunner->Stop(aVictim.mMethod ==
-                                      placement::PreemptionMethod::eCheckpoint
-                                    ? platform::TaskAction::eCheckpoint
-                                    : platform::TaskAction::eStop);
+    job.mStopWith = aVictim.mMethod == placement::PreemptionMethod::eCheckpoint
+                      ? platform::TaskAction::eCheckpoint
+                      : platform::TaskAction::eStop;
+    if (job.mRunner) {
+      job.mRunner->Stop(*job.mStopWith);
+    }
   }
 
   // Urgent kinds first, then by arrival.
@@ -509,8 +520,12 @@
       aJob->mSince = mContext.Now();
       MoveAway(aJob);
     } else if (kind->mAcceleratorsPerTask == 0) {
-      auto places =
-        mSlots.Place(record.mRequest, kind->mTasks, record.mFailedServers);
+      std::vector<base::ServerId> avoid = record.mFailedServers;
+      if (!kind->mIdempotent) {
+        // A probe must have another try left.
+        avoid.insert(avoid.end(), mProbed.begin(), mProbed.end());
+      }
+      auto places = mSlots.Place(record.mRequest, kind->mTasks, avoid);
       if (places) {
         Start(aJob, std::move(*places));
       }
@@ -603,7 +618,13 @@
       MakeRunner(aJob)->Launch();
       return;
     }
-    Change(aJob, next, [this, aJob] { MakeRunner(aJob)->Launch(); });
+    Change(aJob, next, [this, aJob] {
+      auto runner = MakeRunner(aJob);
+      runner->Launch();
+      if (aJob->mStopWith && aJob->mRunner) {
+        runner->Stop(*aJob->mStopWith);
+      }
+    });
   }
 
   // --- Ending ------------------------------------------------------------
@@ -611,6 +632,7 @@
   void OnOutcome(const JobPtr& aJob, const AttemptOutcome& aOutcome)
   {
     aJob->mRunner.reset();
+    aJob->mStopWith.reset();
     ReleasePlaces(aJob->mStored.mRecord.mRequest);
     NoteEvidence(aOutcome);
     using Kind = AttemptOutcome::Kind;
@@ -839,6 +861,8 @@
     mChooseOther;
   std::function<void(const base::RequestId&, const base::DataCentreId&)>
     mOnMoved;
+  // Ejected servers, of which some may get probes now.
+  std::vector<base::ServerId> mProbed;
   int mUsableServers = 0;
   bool mOwned = false;
   bool mLoaded = false;
--- a/flamingoloom/control/config_keeper.h
+++ b/flamingoloom/control/config_keeper.h
@@ -82,6 +82,26 @@
     }
   }
 
+  // All accepted versions, oldest first.
+  void History(platform::Done<std::vector<ConfigRow>> aDone)
+  {
+    mContext.mPorts.Scan(
+      kHistoryPrefix,
+      [aDone](const base::Expected<std::vector<platform::Row>>& aRows) {
+        if (!aRows) {
+          aDone(tl::unexpected(aRows.error()));
+          return;
+        }
+        std::vector<ConfigRow> versions;
+        for (const platform::Row& row : *aRows) {
+          if (auto version = DecodeConfigRow(row.mValue)) {
+            versions.push_back(std::move(*version));
+          }
+        }
+        aDone(std::move(versions));
+      });
+  }
+
   // Writes the next version. eConflict when aExpectedVersion is not the one in
   // force. The answer comes when the write is known to have taken effect.
   void Put(std::uint64_t aExpectedVersion,
--- a/flamingoloom/control/config_row.cpp
+++ b/flamingoloom/control/config_row.cpp
@@ -10,7 +10,7 @@
 std::string HistoryKey(std::uint64_t aVersion)
 {
   // Padded, so that rows are listed in the order of their versions.
-  return fmt::format("config/history/{:012}", aVersion);
+  return fmt::format("{}{:012}", kHistoryPrefix, aVersion);
 }
 
 std::string EncodeConfigRow(const ConfigRow& aRow)
--- a/flamingoloom/control/config_row.h
+++ b/flamingoloom/control/config_row.h
@@ -23,6 +23,8 @@
 
 inline const std::string kConfigKey = "config/current";
 
+inline const std::string kHistoryPrefix = "config/history/";
+
 // Row that keeps which document a version had.
 std::string HistoryKey(std::uint64_t aVersion);
 
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -118,6 +118,12 @@
     mOnLeft = std::move(aDone);
   }
 
+  // All accepted versions, oldest first, as far as the store can be read.
+  void ConfigHistory(platform::Done<std::vector<ConfigRow>> aDone)
+  {
+    mConfig.History(std::move(aDone));
+  }
+
   std::uint64_t ConfigVersion() const { return mConfig.Version(); }
   const std::string& ConfigDocument() const { return mConfig.Document(); }
 
@@ -402,7 +408,9 @@
       centre->mJobs.Step();
     }
     mQuick.Step();
-    if (mContext.Now() >= mNextCredits) {
+    // Waiting requests have at most a few hundred milliseconds left, so they
+    // do not wait for the next regular time.
+    if (mContext.Now() >= mNextCredits || mQuick.IsStarved()) {
       mNextCredits = mContext.Now() + mContext.mOptions.mCreditEvery;
       AskForCredits();
     }
--- a/flamingoloom/control/quick_requests.h
+++ b/flamingoloom/control/quick_requests.h
@@ -69,6 +69,11 @@
   // Small requests that the instance may want to run at once.
   int Wanted() const { return static_cast<int>(mInProgress) + kSpareCredits; }
   std::size_t InProgress() const { return mInProgress; }
+  // Requests wait and no credit is free.
+  bool IsStarved()
+  {
+    return !mWaiting.empty() && mPool.Free(mContext.Now()).empty();
+  }
   bool HasNearCredits()
   {
     for (const dispatch::FreeSlot& slot : mPool.Free(mContext.Now())) {
--- a/flamingoloom/daemon/daemon.cpp
+++ b/flamingoloom/daemon/daemon.cpp
@@ -298,6 +298,12 @@
       OnInstance([](auto& aInstance, const std::string& aTopic, auto aDone) {
         if (aTopic == report::kBurnTopic) {
           ShowBurn(aInstance, std::move(aDone));
+        } else if (aTopic == kHistoryTopic) {
+          aInstance.ConfigHistory(
+            [done = std::move(aDone)](
+              const base::Expected<std::vector<control::ConfigRow>>& aRows) {
+              done(aRows.map(HistoryView));
+            });
         } else {
           aDone(ViewOf(aInstance, aTopic));
         }
--- a/flamingoloom/daemon/views.cpp
+++ b/flamingoloom/daemon/views.cpp
@@ -226,6 +226,16 @@
     -1, ' ', false, json::error_handler_t::replace);
 }
 
+std::string HistoryView(const std::vector<control::ConfigRow>& aVersions)
+{
+  json versions = json::array();
+  for (const control::ConfigRow& row : aVersions) {
+    versions.push_back(
+      { { "version", row.mVersion }, { "digest", row.mDigest } });
+  }
+  return json{ { "history", std::move(versions) } }.dump();
+}
+
 std::string MetricsOf(DaemonInstance& aInstance)
 {
   prometheus::Registry registry;
--- a/flamingoloom/daemon/views.h
+++ b/flamingoloom/daemon/views.h
@@ -15,6 +15,11 @@
 base::Expected<std::string> ViewOf(DaemonInstance& aInstance,
                                    const std::string& aTopic);
 
+inline constexpr std::string_view kHistoryTopic = "config/history";
+
+// The JSON document about the accepted versions of the configuration.
+std::string HistoryView(const std::vector<control::ConfigRow>& aVersions);
+
 // All counters in Prometheus' text format. To be called on the runtime.
 std::string MetricsOf(DaemonInstance& aInstance);
 
--- a/flamingoloom/dispatch/dispatch_test.cpp
+++ b/flamingoloom/dispatch/dispatch_test.cpp
@@ -135,6 +135,18 @@
   CHECK_FALSE(failures.IsEjected(bad));
 }
 
+// Guards against a server that failed once or twice, gets no work since others
+// look better, and so can never show that it has recovered.
+TEST_CASE("the evidence against a server fades with time")
+{
+  FailureTracker failures;
+  ServerId server("s");
+  failures.OnFailure(server, Time(0s));
+  double fresh = failures.FailureRate(server, Time(0s));
+  CHECK(failures.FailureRate(server, Time(5s)) == doctest::Approx(fresh / 2));
+  CHECK(failures.FailureRate(server, Time(60s)) < 0.01);
+}
+
 // Guards against ejecting a server for rare failures.
 TEST_CASE("one failure in five does not eject")
 {
--- a/flamingoloom/dispatch/failure_tracker.cpp
+++ b/flamingoloom/dispatch/failure_tracker.cpp
@@ -1,6 +1,7 @@
 #include "flamingoloom/dispatch/failure_tracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace flamingoloom::dispatch {
 
@@ -19,6 +20,7 @@
 {
   Evidence& evidence = mServers[aServer];
   bool wasEjected = IsEjected(aServer);
+  evidence.mLastFailure = aNow;
   ++evidence.mResults;
   evidence.mRate += mOptions.mGain * (1 - evidence.mRate);
   // The decaying rate starts at zero and would need several results to pass
@@ -58,10 +60,17 @@
   evidence.mNextProbe = aNow + evidence.mProbeEvery;
 }
 
-double FailureTracker::FailureRate(const base::ServerId& aServer) const
+double FailureTracker::FailureRate(const base::ServerId& aServer,
+                                   base::Time aNow) const
 {
   auto found = mServers.find(aServer);
-  return found == mServers.end() ? 0 : found->second.mRate;
+  if (found == mServers.end()) {
+    return 0;
+  }
+  double halfLives =
+    std::chrono::duration<double>(aNow - found->second.mLastFailure) /
+    std::chrono::duration<double>(mOptions.mHalfLife);
+  return found->second.mRate * std::exp2(-std::max(halfLives, 0.0));
 }
 
 } // namespace flamingoloom::dispatch
--- a/flamingoloom/dispatch/failure_tracker.h
+++ b/flamingoloom/dispatch/failure_tracker.h
@@ -25,6 +25,7 @@
   // long, up to mProbeEveryMost.
   base::Duration mProbeEvery = std::chrono::seconds(2);
   base::Duration mProbeEveryMost = std::chrono::seconds(30);
+  base::Duration mHalfLife = std::chrono::seconds(5);
 
   friend bool operator==(const FailureOptions&,
                          const FailureOptions&) = default;
@@ -49,14 +50,17 @@
   // Notes that a probe was sent.
   void OnProbe(const base::ServerId& aServer, base::Time aNow);
 
-  // Between 0 (never fails) and 1.
-  double FailureRate(const base::ServerId& aServer) const;
+  // Between 0 (never fails) and 1. Halves with each mHalfLife since the last
+  // failure, so that a server that gets no work for a few failures gets some
+  // again.
+  double FailureRate(const base::ServerId& aServer, base::Time aNow) const;
 
 private:
   struct Evidence
   {
     double mRate = 0;
     int mResults = 0;
+    base::Time mLastFailure{};
     base::Time mNextProbe{};
     base::Duration mProbeEvery{};
   };
--- a/flamingoloom/dispatch/route.cpp
+++ b/flamingoloom/dispatch/route.cpp
@@ -55,7 +55,7 @@
     }
   }
   auto order = [&](const FreeSlot& aSlot) {
-    double rate = aFailures.FailureRate(aSlot.mServer.mId);
+    double rate = aFailures.FailureRate(aSlot.mServer.mId, aQuery.mNow);
     double load = static_cast<double>(aSlot.mInUse + 1) /
                   static_cast<double>(aSlot.mInUse + aSlot.mFree);
     return std::tuple(
--- a/flamingoloom/frontend/router.cpp
+++ b/flamingoloom/frontend/router.cpp
@@ -14,8 +14,8 @@
 using base::ErrorCode;
 
 constexpr std::string_view kWorkPrefix = "/v1/";
-constexpr std::array<std::string_view, 5> kTopics = {
-  "instances", "servers", "jobs", "capacity", "burn",
+constexpr std::array<std::string_view, 6> kTopics = {
+  "instances", "servers", "jobs", "capacity", "burn", "config/history",
 };
 
 // What follows aPrefix in aText; none when aText does not start with it.
