--- a/flamingoloom/control/centre_jobs.h
+++ b/flamingoloom/control/centre_jobs.h
@@ -244,66 +244,26 @@
   void Load()
   {
     mNextScan = mContext.Now() + mContext.mOptions.mRescanEvery;
-    mContext.mPorts.Scan(
-      ledger::OpenPrefix(mKeeper.Name()),
+    mStore.FindOpen(
+      mKeeper.Name(),
+      [this](const base::RequestId& aRequest) {
+        return mJobs.contains(aRequest);
+      },
       [this, generation = mGeneration](
-        const base::Expected<std::vector<platform::Row>>& aRows) {
-        if (generation != mGeneration) {
-          return;
-        }
-        if (!aRows) {
-          ++mContext.mCounters.mStoreFailures;
-          mNextScan = mContext.Now() + kScanRetry;
-          return;
-        }
-        ReadIndexes(*aRows);
-      });
-  }
-
-  // The rows of the keys are needed to end the requests.
-  void ReadIndexes(const std::vector<platform::Row>& aRows)
-  {
-    std::vector<StoredRecord> opened;
-    std::vector<std::string> keys;
-    for (const platform::Row& row : aRows) {
-      auto record = ledger::Decode(row.mValue);
-      if (record && !mJobs.contains(record->mRequest)) {
-        keys.push_back(ledger::IndexKey(record->mRequest));
-        opened.push_back({ *record, row.mVersion, 0 });
-      }
-    }
-    if (opened.empty()) {
-      mLoaded = true;
-      Pump();
-      return;
-    }
-    mContext.mPorts.Read(
-      keys,
-      [this, generation = mGeneration, opened](
-        const base::Expected<std::vector<platform::Row>>& aRows) {
+        const base::Expected<std::vector<StoredRecord>>& aFound) {
         if (generation != mGeneration) {
           return;
         }
-        if (!aRows) {
-          ++mContext.mCounters.mStoreFailures;
+        if (aFound) {
+          AddLoaded(*aFound);
+        } else {
           mNextScan = mContext.Now() + kScanRetry;
-          return;
         }
-        AddLoaded(opened, *aRows);
       });
   }
 
-  void AddLoaded(std::vector<StoredRecord> aOpened,
-                 const std::vector<platform::Row>& aIndexes)
+  void AddLoaded(std::vector<StoredRecord> aOpened)
   {
-    std::map<std::string, std::uint64_t> versions;
-    for (const platform::Row& row : aIndexes) {
-      versions[row.mKey] = row.mVersion;
-    }
-    for (StoredRecord& stored : aOpened) {
-      stored.mIndexVersion =
-        versions[ledger::IndexKey(stored.mRecord.mRequest)];
-    }
     std::erase_if(
       aOpened, [this](const StoredRecord& aStored) { return !Add(aStored); });
     AdoptPlaces(aOpened);
--- a/flamingoloom/control/record_store.h
+++ b/flamingoloom/control/record_store.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -83,6 +84,32 @@
       });
   }
 
+  // All open records of a data centre but those that aIsKnown names, with the
+  // versions that are needed to change them.
+  void FindOpen(const base::DataCentreId& aDataCentre,
+                std::function<bool(const base::RequestId&)> aIsKnown,
+                platform::Done<std::vector<StoredRecord>> aDone)
+  {
+    mContext.mPorts.Scan(
+      ledger::OpenPrefix(aDataCentre),
+      [this, aIsKnown, aDone](
+        const base::Expected<std::vector<platform::Row>>& aRows) {
+        if (!aRows) {
+          ++mContext.mCounters.mStoreFailures;
+          aDone(tl::unexpected(aRows.error()));
+          return;
+        }
+        std::vector<StoredRecord> opened;
+        for (const platform::Row& row : *aRows) {
+          auto record = ledger::Decode(row.mValue);
+          if (record && !aIsKnown(record->mRequest)) {
+            opened.push_back({ *record, row.mVersion, 0 });
+          }
+        }
+        ReadIndexes(std::move(opened), aDone);
+      });
+  }
+
 private:
   struct Change
   {
@@ -99,6 +126,39 @@
     return ledger::OpenKey(aRecord.mDataCentre, aRecord.mRequest);
   }
 
+  // Adds the versions of the rows of the keys.
+  void ReadIndexes(std::vector<StoredRecord> aOpened,
+                   platform::Done<std::vector<StoredRecord>> aDone)
+  {
+    if (aOpened.empty()) {
+      aDone(std::move(aOpened));
+      return;
+    }
+    std::vector<std::string> keys;
+    for (const StoredRecord& stored : aOpened) {
+      keys.push_back(ledger::IndexKey(stored.mRecord.mRequest));
+    }
+    mContext.mPorts.Read(
+      keys,
+      [this, opened = std::move(aOpened), aDone](
+        const base::Expected<std::vector<platform::Row>>& aRows) mutable {
+        if (!aRows) {
+          ++mContext.mCounters.mStoreFailures;
+          aDone(tl::unexpected(aRows.error()));
+          return;
+        }
+        std::map<std::string, std::uint64_t> versions;
+        for (const platform::Row& row : *aRows) {
+          versions[row.mKey] = row.mVersion;
+        }
+        for (StoredRecord& stored : opened) {
+          stored.mIndexVersion =
+            versions[ledger::IndexKey(stored.mRecord.mRequest)];
+        }
+        aDone(std::move(opened));
+      });
+  }
+
   void FollowIndex(const platform::Row& aIndex,
                    const base::RequestId& aRequest,
                    platform::Done<std::optional<StoredRecord>> aDone)
