Code that nothing uses goes; a setting without effect is refused

The policy "promises" could be set but did nothing; the extension of leases by promises, the age of the member list and the sum of credits were called by nobody. Conclusion: flamingoloomd now refuses settings that ask for promises.

--- a/flamingoloom/control/context.h
+++ b/flamingoloom/control/context.h
@@ -45,7 +45,6 @@
   std::uint64_t mBadAnswers = 0;
   std::uint64_t mTakeOvers = 0;
   std::uint64_t mLeasesLost = 0;
-  std::uint64_t mLeaseExtensions = 0;
   std::uint64_t mStaleEpochs = 0;
   std::uint64_t mMovedRequests = 0;
   std::uint64_t mPreemptions = 0;
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -354,7 +354,7 @@
       [this](const base::Expected<platform::MemberList>& aList) {
         // Without an answer the last list is kept.
         if (aList) {
-          mContext.mMembers.Update(mContext.Now(), *aList);
+          mContext.mMembers.Update(*aList);
         }
       });
     mContext.mPorts.After(mContext.mOptions.mMembersEvery,
--- a/flamingoloom/control/options.h
+++ b/flamingoloom/control/options.h
@@ -34,20 +34,9 @@
   friend bool operator==(const Mechanisms&, const Mechanisms&) = default;
 };
 
-enum class StoreDownPolicy
-{
-  // An owner stops starting work when its lease ends.
-  eStop,
-  // An owner goes on while all other instances promise not to take over.
-  ePromises,
-};
-
 struct InstanceOptions
 {
   ownership::LeaseTiming mLease;
-  StoreDownPolicy mStoreDownPolicy = StoreDownPolicy::eStop;
-  // Upper bound of the lag of the platform's member list, under ePromises.
-  base::Duration mListLag = std::chrono::seconds(5);
 
   base::Duration mTickEvery = std::chrono::milliseconds(100);
   // How often the rows that all instances follow are read.
--- a/flamingoloom/daemon/daemon.cpp
+++ b/flamingoloom/daemon/daemon.cpp
@@ -44,10 +44,7 @@
   control::InstanceOptions options;
   options.mLease.mDuration = aSettings.mOwnership.mLease;
   options.mLease.mRenewEvery = aSettings.mOwnership.mRenew;
-  if (aSettings.mOwnership.mStoreDownPolicy ==
-      config::StoreDownPolicy::ePromises) {
-    options.mStoreDownPolicy = control::StoreDownPolicy::ePromises;
-  }
+
   return options;
 }
 
@@ -372,6 +369,14 @@
 base::Expected<std::unique_ptr<Daemon>> Daemon::Start(
   const config::Settings& aSettings)
 {
+  if (aSettings.mOwnership.mStoreDownPolicy ==
+      config::StoreDownPolicy::ePromises) {
+    return base::MakeError(base::ErrorCode::eInvalid,
+                           "start",
+                           "settings",
+                           "the policy \"promises\" is not available yet",
+                           "/ownership/storeDownPolicy");
+  }
   auto impl = std::make_unique<Impl>(aSettings);
   if (auto started = impl->Start(); !started) {
     return tl::unexpected(started.error());
--- a/flamingoloom/dispatch/credit_pool.cpp
+++ b/flamingoloom/dispatch/credit_pool.cpp
@@ -47,20 +47,6 @@
   }
 }
 
-int CreditPool::Capacity(base::Time aNow) const
-{
-  int capacity = 0;
-  for (const auto& [dataCentre, grant] : mGrants) {
-    if (grant.mUntil <= aNow) {
-      continue;
-    }
-    for (const platform::Credit& credit : grant.mGrant.mCredits) {
-      capacity += credit.mCount;
-    }
-  }
-  return capacity;
-}
-
 int CreditPool::InUse(const base::ServerId& aServer) const
 {
   auto found = mInUse.find(aServer);
--- a/flamingoloom/dispatch/credit_pool.h
+++ b/flamingoloom/dispatch/credit_pool.h
@@ -52,8 +52,6 @@
   void Acquire(const base::ServerId& aServer) { ++mInUse[aServer]; }
   void Release(const base::ServerId& aServer);
 
-  // Valid slots in total, used or not.
-  int Capacity(base::Time aNow) const;
   int InUse(const base::ServerId& aServer) const;
 
 private:
--- a/flamingoloom/ownership/lease.cpp
+++ b/flamingoloom/ownership/lease.cpp
@@ -215,13 +215,6 @@
   }
 }
 
-void Lease::ExtendByPromises(base::Time aUntil)
-{
-  if (mHeld) {
-    mHeld->mUntil = std::max(mHeld->mUntil, aUntil);
-  }
-}
-
 bool Lease::Holds(base::Time aNow) const
 {
   return mHeld && aNow < mHeld->mUntil;
--- a/flamingoloom/ownership/lease.h
+++ b/flamingoloom/ownership/lease.h
@@ -93,10 +93,6 @@
                  base::Time aSentAt,
                  const base::Expected<platform::TransactionResult>& aOutcome);
 
-  // Extends a held lease without the store, up to aUntil. Used only under the
-  // policy that rests on promises of all other instances.
-  void ExtendByPromises(base::Time aUntil);
-
   // This instance owns the data centre until HeldUntil().
   bool Holds(base::Time aNow) const;
   base::Time HeldUntil() const;
--- a/flamingoloom/ownership/membership.cpp
+++ b/flamingoloom/ownership/membership.cpp
@@ -10,10 +10,9 @@
 using platform::MemberKind;
 using platform::MemberState;
 
-void Membership::Update(base::Time aNow, const platform::MemberList& aList)
+void Membership::Update(const platform::MemberList& aList)
 {
-  mUpdatedAt = aNow;
-  mListAge = aList.mAge;
+  mHasList = true;
   std::map<std::string, bool> stillLeaving;
   mMembers.clear();
   for (Member member : aList.mMembers) {
@@ -37,11 +36,6 @@
   return isNews;
 }
 
-base::Duration Membership::Age(base::Time aNow) const
-{
-  return mUpdatedAt ? aNow - *mUpdatedAt + mListAge : base::Duration::max();
-}
-
 const Member* Membership::Find(const std::string& aMember) const
 {
   auto found = mMembers.find(aMember);
--- a/flamingoloom/ownership/membership.h
+++ b/flamingoloom/ownership/membership.h
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,17 +18,15 @@
 class Membership
 {
 public:
-  // Takes a list that arrived at aNow. A member that has announced that it is
+  // Takes a newly arrived list. A member that has announced that it is
   // leaving stays leaving, whatever the list says, until it is listed no more.
-  void Update(base::Time aNow, const platform::MemberList& aList);
+  void Update(const platform::MemberList& aList);
 
   // Notes that a member is leaving, ahead of the list. Returns whether that
   // is news.
   bool MarkLeaving(const std::string& aMember);
 
-  bool HasList() const { return mUpdatedAt.has_value(); }
-  // Age of the newest list, with the age that the platform stated.
-  base::Duration Age(base::Time aNow) const;
+  bool HasList() const { return mHasList; }
 
   // Null when the member is not listed. Valid until the next Update.
   const platform::Member* Find(const std::string& aMember) const;
@@ -53,8 +50,7 @@
                       const base::RegionId& aRegion) const;
 
 private:
-  std::optional<base::Time> mUpdatedAt;
-  base::Duration mListAge{};
+  bool mHasList = false;
   std::map<std::string, platform::Member> mMembers;
   std::map<std::string, bool> mLeaving;
 };
--- a/flamingoloom/ownership/membership_test.cpp
+++ b/flamingoloom/ownership/membership_test.cpp
@@ -25,14 +25,14 @@
 {
   auto server = MakeMember("s1", platform::MemberKind::eServer, "dc1", "r1");
   Membership members;
-  members.Update(base::Time{}, { { server }, {} });
+  members.Update({ { server }, {} });
   CHECK(members.UsableServers(base::DataCentreId("dc1")).size() == 1);
   CHECK(members.MarkLeaving("s1"));
-  members.Update(base::Time{}, { { server }, {} });
+  members.Update({ { server }, {} });
   CHECK(members.UsableServers(base::DataCentreId("dc1")).empty());
   CHECK(members.ListedServers(base::DataCentreId("dc1")).size() == 1);
-  members.Update(base::Time{}, {});
-  members.Update(base::Time{}, { { server }, {} });
+  members.Update({});
+  members.Update({ { server }, {} });
   CHECK(members.UsableServers(base::DataCentreId("dc1")).size() == 1);
 }
 
@@ -42,8 +42,7 @@
 {
   auto kind = platform::MemberKind::eInstance;
   Membership members;
-  members.Update(base::Time{},
-                 { { MakeMember("far", kind, "dc3", "r2"),
+  members.Update({ { MakeMember("far", kind, "dc3", "r2"),
                      MakeMember("near", kind, "dc2", "r1"),
                      MakeMember("same", kind, "dc1", "r1") },
                    {} });
