--- a/flamingoloom/control/record_store.h
+++ b/flamingoloom/control/record_store.h
@@ -135,6 +135,7 @@
       return;
     }
     std::vector<std::string> keys;
+    keys.reserve(aOpened.size());
     for (const StoredRecord& stored : aOpened) {
       keys.push_back(ledger::IndexKey(stored.mRecord.mRequest));
     }
