--- a/flamingoloom/control/config_keeper.h
+++ b/flamingoloom/control/config_keeper.h
@@ -67,7 +67,7 @@
   // instance that can reach neither the store nor the announcer gets it too.
   void AnnounceToOne()
   {
-    auto peers = Peers();
+    auto peers = mContext.Peers();
     if (Version() > 0 && !peers.empty()) {
       AnnounceTo(peers[mContext.mPorts.Random() % peers.size()]);
     }
@@ -77,7 +77,7 @@
   // cannot be read.
   void AskPeers()
   {
-    for (const platform::PeerAddress& peer : Peers()) {
+    for (const platform::PeerAddress& peer : mContext.Peers()) {
       AskPeer(peer);
     }
   }
@@ -189,17 +189,6 @@
     mOnChange();
   }
 
-  std::vector<platform::PeerAddress> Peers() const
-  {
-    std::vector<platform::PeerAddress> peers;
-    for (const platform::Member& peer : mContext.mMembers.Instances()) {
-      if (peer.mId != mContext.mIdentity.mId.Value()) {
-        peers.push_back({ base::InstanceId(peer.mId), peer.mPeerAddress });
-      }
-    }
-    return peers;
-  }
-
   void AskPeer(const platform::PeerAddress& aPeer)
   {
     mContext.mPorts.QueryStatus(
@@ -220,7 +209,7 @@
 
   void Announce()
   {
-    for (const platform::PeerAddress& peer : Peers()) {
+    for (const platform::PeerAddress& peer : mContext.Peers()) {
       AnnounceTo(peer);
     }
   }
--- a/flamingoloom/control/context.h
+++ b/flamingoloom/control/context.h
@@ -77,6 +77,26 @@
 
   bool IsLeaving() const { return mLeaving; }
 
+  // All other listed instances.
+  std::vector<platform::PeerAddress> Peers() const
+  {
+    std::vector<platform::PeerAddress> peers;
+    for (const platform::Member& peer : mMembers.Instances()) {
+      if (peer.mId != mIdentity.mId.Value()) {
+        peers.push_back({ base::InstanceId(peer.mId), peer.mPeerAddress });
+      }
+    }
+    return peers;
+  }
+
+  // Tells all other instances that a member is leaving.
+  void AnnounceLeaving(const std::string& aMember)
+  {
+    for (const platform::PeerAddress& peer : Peers()) {
+      mPorts.AnnounceLeaving(peer, { aMember }, [](const auto&) {});
+    }
+  }
+
   // 0 for the same data centre, 1 for the same region, 2 for another region.
   int Distance(const base::DataCentreId& aDataCentre) const
   {
--- a/flamingoloom/control/instance.h
+++ b/flamingoloom/control/instance.h
@@ -114,7 +114,8 @@
   {
     mContext.mLeaving = true;
     mContext.Log({ "leaving", {} });
-    AnnounceLeaving();
+    mContext.mMembers.MarkLeaving(mContext.mIdentity.mId.Value());
+    mContext.AnnounceLeaving(mContext.mIdentity.mId.Value());
     mOnLeft = std::move(aDone);
   }
 
@@ -551,20 +552,6 @@
 
   // --- Leaving -----------------------------------------------------------
 
-  void AnnounceLeaving()
-  {
-    std::string self = mContext.mIdentity.mId.Value();
-    mContext.mMembers.MarkLeaving(self);
-    for (const platform::Member& peer : mContext.mMembers.Instances()) {
-      if (peer.mId != self) {
-        mContext.mPorts.AnnounceLeaving(
-          { base::InstanceId(peer.mId), peer.mPeerAddress },
-          { self },
-          [](const auto&) {});
-      }
-    }
-  }
-
   void StepLeaving()
   {
     for (auto& [name, centre] : mCentres) {
--- a/flamingoloom/control/quick_requests.h
+++ b/flamingoloom/control/quick_requests.h
@@ -219,7 +219,9 @@
         mPool.Drop(aSlot.mDataCentre);
         break;
       case base::ErrorCode::eLeaving:
-        NoticeLeaving(aSlot.mServer.mId.Value());
+        if (mContext.mMembers.MarkLeaving(aSlot.mServer.mId.Value())) {
+          mContext.AnnounceLeaving(aSlot.mServer.mId.Value());
+        }
         break;
       case base::ErrorCode::eBusy:
         break;
@@ -234,21 +236,6 @@
     Retry(aCall, aSlot, aError.ToString(), !certainlyNotRun);
   }
 
-  void NoticeLeaving(const std::string& aServer)
-  {
-    if (!mContext.mMembers.MarkLeaving(aServer)) {
-      return;
-    }
-    for (const platform::Member& peer : mContext.mMembers.Instances()) {
-      if (peer.mId != mContext.mIdentity.mId.Value()) {
-        mContext.mPorts.AnnounceLeaving(
-          { base::InstanceId(peer.mId), peer.mPeerAddress },
-          { aServer },
-          [](const auto&) {});
-      }
-    }
-  }
-
   // Tries another server. Only tries that may have run use up the budget.
   void Retry(const CallPtr& aCall,
              const dispatch::FreeSlot& aSlot,
--- a/flamingoloom/ownership/membership.cpp
+++ b/flamingoloom/ownership/membership.cpp
@@ -42,46 +42,48 @@
   return found == mMembers.end() ? nullptr : &found->second;
 }
 
-std::vector<Member> Membership::Servers() const
+template <class Predicate>
+std::vector<Member> Membership::Select(Predicate aPredicate) const
 {
-  std::vector<Member> servers;
+  std::vector<Member> selected;
   for (const auto& [id, member] : mMembers) {
-    if (member.mKind == MemberKind::eServer) {
-      servers.push_back(member);
+    if (aPredicate(member)) {
+      selected.push_back(member);
     }
   }
-  return servers;
+  return selected;
+}
+
+std::vector<Member> Membership::Servers() const
+{
+  return Select(
+    [](const Member& aMember) { return aMember.mKind == MemberKind::eServer; });
 }
 
 std::vector<Member> Membership::ListedServers(
   const base::DataCentreId& aDataCentre) const
 {
-  std::vector<Member> servers = Servers();
-  std::erase_if(servers, [&](const Member& aMember) {
-    return aMember.mDataCentre != aDataCentre;
+  return Select([&](const Member& aMember) {
+    return aMember.mKind == MemberKind::eServer &&
+           aMember.mDataCentre == aDataCentre;
   });
-  return servers;
 }
 
 std::vector<Member> Membership::UsableServers(
   const base::DataCentreId& aDataCentre) const
 {
-  std::vector<Member> servers = ListedServers(aDataCentre);
-  std::erase_if(servers, [](const Member& aMember) {
-    return aMember.mState == MemberState::eLeaving;
+  return Select([&](const Member& aMember) {
+    return aMember.mKind == MemberKind::eServer &&
+           aMember.mDataCentre == aDataCentre &&
+           aMember.mState != MemberState::eLeaving;
   });
-  return servers;
 }
 
 std::vector<Member> Membership::Instances() const
 {
-  std::vector<Member> instances;
-  for (const auto& [id, member] : mMembers) {
-    if (member.mKind == MemberKind::eInstance) {
-      instances.push_back(member);
-    }
-  }
-  return instances;
+  return Select([](const Member& aMember) {
+    return aMember.mKind == MemberKind::eInstance;
+  });
 }
 
 Standing Membership::StandingOf(const base::InstanceId& aSelf,
--- a/flamingoloom/ownership/membership.h
+++ b/flamingoloom/ownership/membership.h
@@ -50,6 +50,10 @@
                       const base::RegionId& aRegion) const;
 
 private:
+  // In order of their ids.
+  template <class Predicate>
+  std::vector<platform::Member> Select(Predicate aPredicate) const;
+
   bool mHasList = false;
   std::map<std::string, platform::Member> mMembers;
   std::map<std::string, bool> mLeaving;
