--- /dev/null
+++ b/flamingoloom/event_loop/stream_log_test.cpp
@@ -0,0 +1,62 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+#include "flamingoloom/event_loop/stream_log.h"
+
+namespace flamingoloom::event_loop {
+namespace {
+
+struct FakeLoop : node::Loop
+{
+  base::Time Now() const override { return mNow; }
+  std::int64_t UnixMs() const override { return 1500; }
+  void After(base::Duration, std::function<void()>) override {}
+
+  base::Time mNow{ std::chrono::seconds(10) };
+};
+
+std::string
+ReadAll(int aDescriptor)
+{
+  std::string text(1 << 20, ' ');
+  const auto size = read(aDescriptor, text.data(), text.size());
+  text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  return text;
+}
+
+// Guards against values that break a line apart.
+TEST_CASE("A value with blanks or line ends stays one value on one line")
+{
+  FakeLoop loop;
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  StreamLog log(loop, ends[1]);
+  log.Write("event", { { "a", "x" }, { "b", "two\nlines \"q\"" } });
+  log.Flush();
+  CHECK(ReadAll(ends[0]) ==
+        "time=1.500 event=event a=x b=\"two lines \\\"q\\\"\"\n");
+}
+
+// Guards against a log that grows with the load or blocks on its reader.
+TEST_CASE("Lines over the rate are dropped and counted")
+{
+  FakeLoop loop;
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  StreamLog log(loop, ends[1]);
+  for (int i = 0; i < kLogLinesPerSecond + 7; ++i) {
+    log.Write("e", {});
+  }
+  CHECK(log.Dropped() == 7);
+  loop.mNow += std::chrono::seconds(1);
+  log.Write("later", {});
+  log.Flush();
+  CHECK(ReadAll(ends[0]).find("event=log_lines_dropped count=7") !=
+        std::string::npos);
+}
+
+} // namespace
+} // namespace flamingoloom::event_loop
--- /dev/null
+++ b/flamingoloom/http/client.cpp
@@ -0,0 +1,317 @@
+#include "flamingoloom/http/client.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace flamingoloom::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+const std::string&
+HeaderValue(const Headers& aHeaders, const char* aName)
+{
+  static const std::string sNone;
+  for (const auto& [name, value] : aHeaders) {
+    if (beast::iequals(name, aName)) {
+      return value;
+    }
+  }
+  return sNone;
+}
+
+namespace {
+
+struct Connection
+{
+  explicit Connection(asio::io_context& aLoop)
+    : mStream(aLoop)
+  {
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  SteadyTime mIdleSince;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+std::optional<Tcp::endpoint>
+ParseEndpoint(const std::string& aPeer)
+{
+  const auto colon = aPeer.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto address =
+    asio::ip::make_address(aPeer.substr(0, colon), error);
+  const int port = std::atoi(aPeer.c_str() + colon + 1);
+  if (error || port <= 0 || port > 65535) {
+    return std::nullopt;
+  }
+  return Tcp::endpoint(address, static_cast<unsigned short>(port));
+}
+
+bool
+IsOpen(Connection& aConnection)
+{
+  auto& socket = aConnection.mStream.socket();
+  if (!socket.is_open()) {
+    return false;
+  }
+  // A peer that has closed makes the socket readable; a response without a
+  // request would be as unusable.
+  char byte = 0;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  const auto flags = Tcp::socket::message_peek;
+  socket.receive(asio::buffer(&byte, 1), flags, error);
+  return error == asio::error::would_block;
+}
+
+} // namespace
+
+class Client::Impl : public std::enable_shared_from_this<Client::Impl>
+{
+public:
+  Impl(asio::io_context& aLoop, ClientOptions aOptions)
+    : mLoop(aLoop)
+    , mOptions(aOptions)
+  {
+  }
+
+  ConnectionPtr TakeIdle(const std::string& aPeer)
+  {
+    auto& idle = mIdle[aPeer];
+    const auto oldest = std::chrono::steady_clock::now() - mOptions.mMaxIdleTime;
+    while (!idle.empty()) {
+      auto connection = idle.back();
+      idle.pop_back();
+      if (connection->mIdleSince >= oldest && IsOpen(*connection)) {
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void KeepIdle(const std::string& aPeer, ConnectionPtr aConnection)
+  {
+    aConnection->mIdleSince = std::chrono::steady_clock::now();
+    auto& idle = mIdle[aPeer];
+    idle.push_back(std::move(aConnection));
+    if (static_cast<int>(idle.size()) > mOptions.mMaxIdlePerPeer) {
+      idle.pop_front();
+    }
+  }
+
+  asio::io_context& mLoop;
+  ClientOptions mOptions;
+  ClientCounters mCounters;
+  std::map<std::string, std::deque<ConnectionPtr>> mIdle;
+};
+
+namespace {
+
+// One call, from taking a connection to its callback.
+template <class Pool>
+struct Exchange : std::enable_shared_from_this<Exchange<Pool>>
+{
+  Exchange(std::shared_ptr<Pool> aPool,
+           std::string aPeer,
+           Client::Callback aCallback)
+    : mPool(std::move(aPool))
+    , mPeer(std::move(aPeer))
+    , mCallback(std::move(aCallback))
+    , mTimer(mPool->mLoop)
+  {
+  }
+
+  void Start(Request aRequest, base::Duration aTimeout)
+  {
+    ++mPool->mCounters.mCalls;
+    mRequest.method_string(aRequest.mMethod);
+    mRequest.target(aRequest.mTarget);
+    mRequest.version(11);
+    mRequest.set(beast::http::field::host, mPeer);
+    for (const auto& [name, value] : aRequest.mHeaders) {
+      mRequest.set(name, value);
+    }
+    mRequest.body() = std::move(aRequest.mBody);
+    mRequest.prepare_payload();
+    auto self = this->shared_from_this();
+    mTimer.expires_after(aTimeout);
+    mTimer.async_wait([self](auto aError) {
+      if (!aError) {
+        self->OnTimeout();
+      }
+    });
+    mConnection = mPool->TakeIdle(mPeer);
+    if (mConnection) {
+      Send();
+      return;
+    }
+    const auto endpoint = ParseEndpoint(mPeer);
+    if (!endpoint) {
+      asio::post(mPool->mLoop, [self] {
+        self->Finish(base::MakeError(
+          base::ErrorCode::eInvalid, "connect", self->mPeer, "bad address"));
+      });
+      return;
+    }
+    ++mPool->mCounters.mConnections;
+    mConnection = std::make_shared<Connection>(mPool->mLoop);
+    mConnection->mStream.async_connect(*endpoint, [self](auto aError) {
+      if (aError) {
+        self->Fail("connect", aError);
+        return;
+      }
+      boost::system::error_code ignored;
+      self->mConnection->mStream.socket().set_option(Tcp::no_delay(true),
+                                                     ignored);
+      self->Send();
+    });
+  }
+
+  void Send()
+  {
+    auto self = this->shared_from_this();
+    mSent = true;
+    beast::http::async_write(
+      mConnection->mStream, mRequest, [self](auto aError, std::size_t) {
+        if (aError) {
+          self->Fail("send request", aError);
+          return;
+        }
+        self->Receive();
+      });
+  }
+
+  void Receive()
+  {
+    auto self = this->shared_from_this();
+    mParser.body_limit(mPool->mOptions.mMaxBodyBytes);
+    beast::http::async_read(
+      mConnection->mStream,
+      mConnection->mBuffer,
+      mParser,
+      [self](auto aError, std::size_t) {
+        if (aError) {
+          self->Fail("read response", aError);
+          return;
+        }
+        self->Complete();
+      });
+  }
+
+  void Complete()
+  {
+    if (mDone) {
+      return;
+    }
+    auto message = mParser.release();
+    Response response;
+    response.mStatus = static_cast<int>(message.result_int());
+    for (const auto& field : message) {
+      response.mHeaders.emplace_back(std::string(field.name_string()),
+                                     std::string(field.value()));
+    }
+    response.mBody = std::move(message.body());
+    if (message.keep_alive()) {
+      mPool->KeepIdle(mPeer, mConnection);
+    }
+    Finish(std::move(response));
+  }
+
+  void OnTimeout()
+  {
+    if (mDone) {
+      return;
+    }
+    ++mPool->mCounters.mTimeouts;
+    Finish(base::MakeError(mSent ? base::ErrorCode::eOutcomeUnknown
+                                 : base::ErrorCode::eUnavailable,
+                           mSent ? "await response" : "connect",
+                           mPeer,
+                           "timed out"));
+    Close();
+  }
+
+  void Fail(const char* aStep, const boost::system::error_code& aError)
+  {
+    Finish(base::MakeError(mSent ? base::ErrorCode::eOutcomeUnknown
+                                 : base::ErrorCode::eUnavailable,
+                           aStep,
+                           mPeer,
+                           aError.message()));
+    Close();
+  }
+
+  void Close()
+  {
+    boost::system::error_code ignored;
+    if (mConnection) {
+      mConnection->mStream.socket().close(ignored);
+    }
+  }
+
+  void Finish(base::Expected<Response> aResult)
+  {
+    if (mDone) {
+      return;
+    }
+    mDone = true;
+    mTimer.cancel();
+    auto callback = std::move(mCallback);
+    callback(std::move(aResult));
+  }
+
+  std::shared_ptr<Pool> mPool;
+  std::string mPeer;
+  Client::Callback mCallback;
+  asio::steady_timer mTimer;
+  ConnectionPtr mConnection;
+  beast::http::request<beast::http::string_body> mRequest;
+  beast::http::response_parser<beast::http::string_body> mParser;
+  bool mSent = false;
+  bool mDone = false;
+};
+
+} // namespace
+
+Client::Client(asio::io_context& aLoop, ClientOptions aOptions)
+  : mImpl(std::make_shared<Impl>(aLoop, aOptions))
+{
+}
+
+Client::~Client() = default;
+
+void
+Client::Call(const std::string& aPeer,
+             Request aRequest,
+             base::Duration aTimeout,
+             Callback aCallback)
+{
+  std::make_shared<Exchange<Impl>>(mImpl, aPeer, std::move(aCallback))
+    ->Start(std::move(aRequest), aTimeout);
+}
+
+const ClientCounters&
+Client::Counters() const
+{
+  return mImpl->mCounters;
+}
+
+} // namespace flamingoloom::http
--- /dev/null
+++ b/flamingoloom/http/http_test.cpp
@@ -0,0 +1,119 @@
+#include <doctest/doctest.h>
+
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "flamingoloom/http/client.h"
+#include "flamingoloom/http/server.h"
+
+namespace flamingoloom::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Fixture
+{
+  explicit Fixture(Server::Handler aHandler, ServerLimits aLimits = {})
+    : mServer(mLoop, aLimits, std::move(aHandler))
+    , mClient(mLoop, {})
+  {
+    REQUIRE(mServer.Listen("127.0.0.1:0"));
+    mPeer = "127.0.0.1:" + std::to_string(mServer.Port());
+  }
+
+  base::Expected<Response> Call(Request aRequest,
+                                base::Duration aTimeout = milliseconds(500))
+  {
+    std::optional<base::Expected<Response>> result;
+    mClient.Call(mPeer, std::move(aRequest), aTimeout, [&](auto aResult) {
+      result = std::move(aResult);
+    });
+    while (!result) {
+      mLoop.run_one();
+    }
+    return *result;
+  }
+
+  boost::asio::io_context mLoop;
+  Server mServer;
+  Client mClient;
+  std::string mPeer;
+};
+
+// Guards against a new connection for each call; connections are priced.
+TEST_CASE("A connection serves one call after the other")
+{
+  Fixture fixture([](const Request& aRequest, Server::Responder aDone) {
+    aDone({ 200, {}, aRequest.mBody + aRequest.mTarget });
+  });
+  for (int i = 0; i < 3; ++i) {
+    const auto response = fixture.Call({ "POST", "/x", {}, "body" });
+    REQUIRE(response);
+    CHECK(response->mBody == "body/x");
+  }
+  CHECK(fixture.mClient.Counters().mConnections == 1);
+}
+
+// Guards against a call without an answer being taken for one without effect.
+TEST_CASE("A response that never comes leaves the outcome unknown")
+{
+  std::vector<Server::Responder> pending;
+  Fixture fixture([&](const Request&, Server::Responder aDone) {
+    pending.push_back(std::move(aDone));
+  });
+  const auto response = fixture.Call({}, milliseconds(50));
+  REQUIRE(!response);
+  CHECK(response.error().mCode == base::ErrorCode::eOutcomeUnknown);
+}
+
+// Guards against an unreachable peer being reported as an unknown outcome.
+TEST_CASE("A refused connection had no effect")
+{
+  Fixture fixture([](const Request&, Server::Responder aDone) { aDone({}); });
+  fixture.mPeer = "127.0.0.1:1";
+  const auto response = fixture.Call({});
+  REQUIRE(!response);
+  CHECK(response.error().mCode == base::ErrorCode::eUnavailable);
+}
+
+// Guards against unbounded bodies: the limit is answered, not dropped.
+TEST_CASE("A body over the limit is answered with 413")
+{
+  ServerLimits limits;
+  limits.mMaxBodyBytes = 10;
+  Fixture fixture(
+    [](const Request&, Server::Responder aDone) { aDone({}); }, limits);
+  const auto response =
+    fixture.Call({ "POST", "/", {}, std::string(100, 'x') });
+  REQUIRE(response);
+  CHECK(response->mStatus == 413);
+}
+
+// Guards against bytes that are no HTTP reaching the handler.
+TEST_CASE("Bytes that are no request are answered with 400")
+{
+  bool handled = false;
+  Fixture fixture([&](const Request&, Server::Responder aDone) {
+    handled = true;
+    aDone({});
+  });
+  boost::asio::ip::tcp::socket socket(fixture.mLoop);
+  socket.connect({ boost::asio::ip::make_address("127.0.0.1"),
+                   static_cast<unsigned short>(fixture.mServer.Port()) });
+  boost::asio::write(socket, boost::asio::buffer("no request\r\n\r\n", 14));
+  std::string answer(12, ' ');
+  bool done = false;
+  socket.async_receive(boost::asio::buffer(answer),
+                       [&](auto, std::size_t) { done = true; });
+  while (!done) {
+    fixture.mLoop.run_one();
+  }
+  CHECK(answer == "HTTP/1.1 400");
+  CHECK(!handled);
+}
+
+} // namespace
+} // namespace flamingoloom::http
--- /dev/null
+++ b/flamingoloom/jobs/records.cpp
@@ -0,0 +1,245 @@
+#include "flamingoloom/jobs/records.h"
+
+#include <nlohmann/json.hpp>
+
+namespace flamingoloom::jobs {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr char kCancelSuffix[] = ".c";
+
+Json
+EncodeResources(const Resources& aResources)
+{
+  return Json::array({ aResources.mCpuMilli,
+                       aResources.mMemoryMb,
+                       aResources.mAccelerators });
+}
+
+Resources
+DecodeResources(const Json& aValue)
+{
+  return { aValue.at(0), aValue.at(1), aValue.at(2) };
+}
+
+base::Duration
+DecodeDuration(const Json& aValue)
+{
+  return base::Duration(aValue.get<std::int64_t>());
+}
+
+Json
+EncodeStepSpec(const StepSpec& aStep)
+{
+  return { { "count", aStep.mTaskCount },
+           { "needs", EncodeResources(aStep.mPerTask) },
+           { "estimateUs", aStep.mEstimate.count() },
+           { "after", aStep.mAfter },
+           { "gang", aStep.mGang },
+           { "sameRack", aStep.mSameRack },
+           { "checkpoints", aStep.mCheckpoints },
+           { "speculative", aStep.mSpeculative },
+           { "longRunning", aStep.mLongRunning },
+           { "idleCpu", aStep.mUsesIdleCpu },
+           { "label", aStep.mRequiredLabel },
+           { "dataRack", aStep.mDataRack },
+           { "image", aStep.mImage },
+           { "maxPerServer", aStep.mMaxPerServer },
+           { "missAllowed", aStep.mMissAllowed },
+           { "tailTargetUs", aStep.mTailTarget.count() } };
+}
+
+StepSpec
+DecodeStepSpec(const Json& aValue)
+{
+  StepSpec step;
+  step.mTaskCount = aValue.at("count");
+  step.mPerTask = DecodeResources(aValue.at("needs"));
+  step.mEstimate = DecodeDuration(aValue.at("estimateUs"));
+  step.mAfter = aValue.at("after").get<std::vector<int>>();
+  step.mGang = aValue.at("gang");
+  step.mSameRack = aValue.at("sameRack");
+  step.mCheckpoints = aValue.at("checkpoints");
+  step.mSpeculative = aValue.at("speculative");
+  step.mLongRunning = aValue.at("longRunning");
+  step.mUsesIdleCpu = aValue.at("idleCpu");
+  step.mRequiredLabel = aValue.at("label");
+  step.mDataRack = aValue.at("dataRack");
+  step.mImage = aValue.at("image");
+  step.mMaxPerServer = aValue.at("maxPerServer");
+  step.mMissAllowed = aValue.at("missAllowed");
+  step.mTailTarget = DecodeDuration(aValue.at("tailTargetUs"));
+  return step;
+}
+
+Json
+EncodeRules(const QueueRules& aRules)
+{
+  return { { "queue", aRules.mQueue },
+           { "service", aRules.mService },
+           { "priority", aRules.mPriority },
+           { "maxAttempts", aRules.mMaxAttempts },
+           { "stretch", aRules.mStretch },
+           { "targetLatencyUs", aRules.mTargetLatency.count() },
+           { "advice", aRules.mNeedsAdvice } };
+}
+
+QueueRules
+DecodeRules(const Json& aValue)
+{
+  QueueRules rules;
+  rules.mQueue = aValue.at("queue");
+  rules.mService = aValue.at("service");
+  rules.mPriority = aValue.at("priority");
+  rules.mMaxAttempts = aValue.at("maxAttempts");
+  rules.mStretch = aValue.at("stretch");
+  rules.mTargetLatency = DecodeDuration(aValue.at("targetLatencyUs"));
+  rules.mNeedsAdvice = aValue.at("advice");
+  return rules;
+}
+
+// Runs aDecode on the parsed value and turns exceptions into an error.
+template <class T, class Decode>
+base::Expected<T>
+Decoded(const char* aWhat, const std::string& aValue, Decode aDecode)
+{
+  try {
+    return aDecode(Json::parse(aValue));
+  } catch (const Json::exception& error) {
+    return base::MakeError(
+      base::ErrorCode::eInvalid, aWhat, "store", error.what());
+  }
+}
+
+} // namespace
+
+std::string
+CancelKey(const std::string& aJob)
+{
+  return aJob + kCancelSuffix;
+}
+
+bool
+IsCancelKey(const std::string& aKey)
+{
+  return aKey.size() > 2 && aKey.compare(aKey.size() - 2, 2, kCancelSuffix) == 0;
+}
+
+std::string
+JobOfKey(const std::string& aKey)
+{
+  return aKey.substr(0, aKey.find_first_of("./"));
+}
+
+std::string
+PendingKey(const std::string& aQueue, const std::string& aJob)
+{
+  return aQueue + "/" + aJob;
+}
+
+std::string
+RunKey(const std::string& aJob, int aOccurrence, int aStep)
+{
+  return aJob + "/" + std::to_string(aOccurrence) + "/" +
+         std::to_string(aStep);
+}
+
+std::string
+EncodeJob(const JobSpec& aJob)
+{
+  Json steps = Json::array();
+  for (const auto& step : aJob.mSteps) {
+    steps.push_back(EncodeStepSpec(step));
+  }
+  return Json{ { "account", aJob.mAccount.Value() },
+               { "rules", EncodeRules(aJob.mRules) },
+               { "payload", aJob.mPayload },
+               { "steps", std::move(steps) },
+               { "occurrences", aJob.mOccurrences },
+               { "firstDueMs", aJob.mFirstDueMs },
+               { "intervalMs", aJob.mIntervalMs },
+               { "acceptedMs", aJob.mAcceptedMs } }
+    .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+base::Expected<JobSpec>
+DecodeJob(const std::string& aId, const std::string& aValue)
+{
+  return Decoded<JobSpec>("read job", aValue, [&](const Json& aJson) {
+    JobSpec job;
+    job.mId = aId;
+    job.mAccount = base::AccountId(aJson.at("account").get<std::string>());
+    job.mRules = DecodeRules(aJson.at("rules"));
+    job.mPayload = aJson.at("payload");
+    for (const auto& step : aJson.at("steps")) {
+      job.mSteps.push_back(DecodeStepSpec(step));
+    }
+    job.mOccurrences = aJson.at("occurrences");
+    job.mFirstDueMs = aJson.at("firstDueMs");
+    job.mIntervalMs = aJson.at("intervalMs");
+    job.mAcceptedMs = aJson.at("acceptedMs");
+    return job;
+  });
+}
+
+std::string
+EncodeState(const StateRecord& aState)
+{
+  return Json::array({ static_cast<int>(aState.mState),
+                       aState.mAccount.Value(),
+                       aState.mEndedAtStoreMs })
+    .dump();
+}
+
+base::Expected<StateRecord>
+DecodeState(const std::string& aValue)
+{
+  return Decoded<StateRecord>("read job state", aValue, [](const Json& aJson) {
+    StateRecord state;
+    state.mState = static_cast<JobState>(aJson.at(0).get<int>());
+    state.mAccount = base::AccountId(aJson.at(1).get<std::string>());
+    state.mEndedAtStoreMs = aJson.at(2);
+    return state;
+  });
+}
+
+std::string
+EncodeStep(const StepRecord& aStep)
+{
+  Json tasks = Json::array();
+  for (const auto& task : aStep.mTasks) {
+    tasks.push_back(Json::array({ task.mIndex,
+                                  static_cast<int>(task.mOutcome),
+                                  task.mRun,
+                                  task.mServer.Value(),
+                                  task.mFailures,
+                                  task.mCheckpoint }));
+  }
+  return Json::array({ aStep.mOccurrence, aStep.mStep, std::move(tasks) })
+    .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+base::Expected<StepRecord>
+DecodeStep(const std::string& aValue)
+{
+  return Decoded<StepRecord>("read step", aValue, [](const Json& aJson) {
+    StepRecord step;
+    step.mOccurrence = aJson.at(0);
+    step.mStep = aJson.at(1);
+    for (const auto& value : aJson.at(2)) {
+      TaskRecord task;
+      task.mIndex = value.at(0);
+      task.mOutcome = static_cast<TaskOutcome>(value.at(1).get<int>());
+      task.mRun = value.at(2);
+      task.mServer = base::ServerId(value.at(3).get<std::string>());
+      task.mFailures = value.at(4);
+      task.mCheckpoint = value.at(5);
+      step.mTasks.push_back(std::move(task));
+    }
+    return step;
+  });
+}
+
+} // namespace flamingoloom::jobs
--- /dev/null
+++ b/flamingoloom/jobs/records_test.cpp
@@ -0,0 +1,75 @@
+#include <doctest/doctest.h>
+
+#include "flamingoloom/jobs/records.h"
+
+namespace flamingoloom::jobs {
+namespace {
+
+JobSpec SampleJob()
+{
+  JobSpec job;
+  job.mId = "5c0e7a21d94b36f8";
+  job.mAccount = base::AccountId("shop");
+  job.mRules = { "quotes", "desk", 0, 3, 1.5, std::chrono::milliseconds(500) };
+  job.mPayload = "{\"text\": \"\xc3\xbe\"}";
+  StepSpec first;
+  first.mTaskCount = 4;
+  first.mPerTask = { 500, 256, 1 };
+  first.mEstimate = std::chrono::milliseconds(900);
+  first.mDataRack = "r1-3";
+  StepSpec second = first;
+  second.mAfter = { 0 };
+  second.mGang = second.mSameRack = second.mCheckpoints = true;
+  job.mSteps = { first, second };
+  job.mOccurrences = 2;
+  job.mFirstDueMs = 1'780'000'000'000;
+  job.mIntervalMs = 2000;
+  return job;
+}
+
+// Guards against a field that is lost between accepting and running a job.
+TEST_CASE("A job is read as it was written")
+{
+  const auto job = SampleJob();
+  CHECK(DecodeJob(job.mId, EncodeJob(job)).value() == job);
+}
+
+// Guards against a successor that misreads what its predecessor placed.
+TEST_CASE("A step's tasks are read as they were written")
+{
+  StepRecord step{
+    1, 2, { { 7, TaskOutcome::ePlaced, 3, base::ServerId("s1"), 2, "cp" } }
+  };
+  CHECK(DecodeStep(EncodeStep(step)).value() == step);
+  StateRecord state{ JobState::eFailed, base::AccountId("shop"), 17 };
+  CHECK(DecodeState(EncodeState(state)).value() == state);
+}
+
+// Guards against a foreign row ending the process.
+TEST_CASE("An unreadable row is an error")
+{
+  CHECK(!DecodeJob("x", "no json"));
+  CHECK(!DecodeJob("x", "{}"));
+  CHECK(!DecodeState("{\"a\":1}"));
+  CHECK(!DecodeStep("[1]"));
+}
+
+TEST_CASE("Keys name their job")
+{
+  CHECK(JobOfKey(CancelKey("ab")) == "ab");
+  CHECK(IsCancelKey(CancelKey("ab")));
+  CHECK(!IsCancelKey("ab"));
+  CHECK(JobOfKey(RunKey("ab", 1, 2)) == "ab");
+}
+
+// Guards against an objective that counts steps that run side by side twice.
+TEST_CASE("The longest chain follows the order of steps")
+{
+  auto job = SampleJob();
+  CHECK(job.LongestChain() == std::chrono::milliseconds(1800));
+  job.mSteps[1].mAfter.clear();
+  CHECK(job.LongestChain() == std::chrono::milliseconds(900));
+}
+
+} // namespace
+} // namespace flamingoloom::jobs
--- /dev/null
+++ b/flamingoloom/node/caller_desk.h
@@ -0,0 +1,116 @@
+// Answers callers: accepts jobs, tells their state, cancels them.
+//
+// Every instance does this, whether it schedules or not, and only through the
+// store: a job is accepted once its rows are stored, and its state is read
+// from the store. Not thread-safe.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "flamingoloom/node/configuration.h"
+#include "flamingoloom/node/ports.h"
+
+namespace flamingoloom::node {
+
+enum class CallerVerdict
+{
+  eAccepted,
+  // The job's state, or the queue's length, is in the answer.
+  eFound,
+  eCancelled,
+  eNoSuchQueue,
+  eNoSuchJob,
+  eUnknownKey,
+  eMalformed,
+  // Certainly not accepted; the caller may come back later.
+  eNotNow,
+  // It may have been accepted; asking again with the same id tells.
+  eUnknown,
+};
+
+struct CallerAnswer
+{
+  CallerVerdict mVerdict = CallerVerdict::eNotNow;
+  jobs::JobState mState = jobs::JobState::eQueued;
+  std::int64_t mPendingJobs = 0;
+  // For eNotNow.
+  base::Duration mRetryAfter{ 0 };
+};
+
+struct CallerTarget
+{
+  std::string mHost;
+  std::string mPath;
+  std::string mKey;
+  // Until the caller stops waiting.
+  base::Duration mPatience = std::chrono::seconds(3);
+};
+
+struct CallerDeskTiming
+{
+  // One try at the store. Its answer takes 4 ms, 44 ms from another region,
+  // and some hundred while it is slow.
+  base::Duration mTryTimeout = std::chrono::milliseconds(800);
+  // Refusals of the store that are worth another try at once.
+  int mQuickTries = 2;
+  base::Duration mQuickRetry = std::chrono::milliseconds(40);
+  // What a refused caller is told to wait. Outages of the store last seconds.
+  base::Duration mRetryAfter = std::chrono::seconds(1);
+};
+
+class CallerDesk
+{
+public:
+  using Then = std::function<void(CallerAnswer)>;
+
+  CallerDesk(Ports aPorts, CallerDeskTiming aTiming);
+
+  // Older versions than the one in force are ignored.
+  void SetConfiguration(const Configuration& aConfiguration);
+  // Whether the store has lately answered; if not, callers are refused at
+  // once instead of being kept waiting.
+  void SetStoreReachable(bool aReachable) { mStoreReachable = aReachable; }
+  bool HasConfiguration() const { return mConfiguration.has_value(); }
+
+  // aRead reads the job from the request's body; it is called only if the
+  // queue and the key are good.
+  void Submit(const CallerTarget& aTarget,
+              const std::function<base::Expected<jobs::JobSpec>()>& aRead,
+              Then aThen);
+  void Query(const CallerTarget& aTarget, Then aThen);
+  void Cancel(const CallerTarget& aTarget, Then aThen);
+
+private:
+  struct Place
+  {
+    const Queue* mQueue = nullptr;
+    base::AccountId mAccount;
+    // What follows the queue's prefix; empty for the queue itself.
+    std::string mJob;
+  };
+
+  std::optional<Place> Find(const CallerTarget& aTarget, const Then& aThen);
+  void Reply(const Then& aThen, CallerAnswer aAnswer);
+  void Store(jobs::JobSpec aJob, base::Time aUntil, int aTry, bool aUnknown, Then aThen);
+  void MarkCancelled(const std::string& aJob, base::Time aUntil, int aTry, Then aThen);
+  void ReadState(const std::string& aJob,
+                 base::Time aUntil,
+                 int aTry,
+                 std::function<void(std::optional<jobs::StateRecord>)> aFound,
+                 Then aThen);
+  void CountPending(const std::string& aQueue,
+                    const std::string& aFrom,
+                    std::int64_t aSoFar,
+                    Then aThen);
+  bool MayRetry(base::Time aUntil, int aTry) const;
+  CallerAnswer NotNow() const;
+
+  const Ports mPorts;
+  const CallerDeskTiming mTiming;
+  std::optional<Configuration> mConfiguration;
+  bool mStoreReachable = false;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/configuration.h
@@ -0,0 +1,65 @@
+// The operators' configuration in force: queues, keys and guarantees.
+//
+// Immutable once read.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/base/ids.h"
+#include "flamingoloom/base/time.h"
+#include "flamingoloom/jobs/job.h"
+
+namespace flamingoloom::node {
+
+struct Queue
+{
+  jobs::QueueRules mRules;
+  std::string mHost;
+  std::string mPathPrefix;
+  // Callers need no key.
+  bool mPublic = false;
+
+  friend bool operator==(const Queue&, const Queue&) = default;
+};
+
+struct Account
+{
+  base::AccountId mId;
+  std::set<std::string> mKeys;
+  // Accelerators that belong to the account's jobs of priority 0.
+  std::int64_t mGuaranteedAccelerators = 0;
+
+  friend bool operator==(const Account&, const Account&) = default;
+};
+
+struct RequestLimits
+{
+  std::size_t mMaxHeaderBytes = 16 * 1024;
+  std::size_t mMaxBodyBytes = 256 * 1024;
+  base::Duration mRequestTimeout = std::chrono::seconds(3);
+  base::Duration mIdleTimeout = std::chrono::seconds(15);
+
+  friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
+};
+
+struct Configuration
+{
+  std::int64_t mVersion = 0;
+  std::vector<Queue> mQueues;
+  std::vector<Account> mAccounts;
+  RequestLimits mLimits;
+
+  friend bool operator==(const Configuration&, const Configuration&) = default;
+
+  // The queue of aHost with the longest prefix of aPath; nullptr if none.
+  const Queue* FindQueue(const std::string& aHost,
+                         const std::string& aPath) const;
+  // The account that holds aKey; nullptr if none.
+  const Account* FindAccount(const std::string& aKey) const;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/election.h
@@ -0,0 +1,88 @@
+// Which instance schedules: a lease in the store, with an epoch that rises
+// with each change of holder.
+//
+// Two rows: kEpochKey changes only when the holder changes, so that a
+// scheduler's writes can be made conditional on it; kRenewalKey changes with
+// each renewal. Election is a state machine of one instance:
+//
+//   election.Observe(now, rows);              // changes of kLeadTable
+//   if (election.ClaimDue(now, contact)) {    // commit election.Claim()
+//
+// The holder counts its lease from before it sent the renewal; others count
+// from when they saw it. Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/base/ids.h"
+#include "flamingoloom/node/ports.h"
+
+namespace flamingoloom::node {
+
+inline constexpr const char* kLeadTable = "lead";
+inline constexpr const char* kEpochKey = "epoch";
+inline constexpr const char* kRenewalKey = "renewal";
+
+struct ElectionTiming
+{
+  // Without a renewal for this long, others may claim. Several renewals fit
+  // in, also while the store is slow.
+  base::Duration mLease = std::chrono::milliseconds(2000);
+  base::Duration mRenewEvery = std::chrono::milliseconds(500);
+  // A renewal that was not answered is tried again after this.
+  base::Duration mRenewRetry = std::chrono::milliseconds(150);
+  // Instances claim at different times, so that few claims collide.
+  base::Duration mMaxClaimDelay = std::chrono::milliseconds(250);
+};
+
+class Election
+{
+public:
+  // aSelf must differ between two lives of a process. aClaimDelay, between 0
+  // and mMaxClaimDelay, puts this instance into the order of claims.
+  Election(base::InstanceId aSelf,
+           ElectionTiming aTiming,
+           base::Duration aClaimDelay);
+
+  // Changed rows of kLeadTable, seen at aNow.
+  void Observe(base::Time aNow, const std::vector<Row>& aRows);
+
+  // When this instance may claim the lead, if nothing changes; none while it
+  // holds it. aStartedAt bounds what it can have seen.
+  std::optional<base::Time> ClaimAt() const;
+  Transaction Claim() const;
+  Transaction Renewal() const;
+  // Gives the lead up, so that others need not wait for the lease to end.
+  Transaction Release() const;
+
+  // The outcome of a claim that was sent at aSentAt.
+  void OnClaimed(base::Time aSentAt, const CommitResult& aResult);
+  void OnRenewed(base::Time aSentAt) { mValidUntil = aSentAt + mTiming.mLease; }
+  void OnLost() { mLeading = false; }
+
+  bool IsLeading() const { return mLeading; }
+  std::int64_t Epoch() const { return mEpoch; }
+  // Condition under which this epoch may write.
+  RowCondition EpochCondition() const;
+  // End of the lease that this instance holds.
+  base::Time ValidUntil() const { return mValidUntil; }
+  const base::InstanceId& Holder() const { return mHolder; }
+
+private:
+  const base::InstanceId mSelf;
+  const ElectionTiming mTiming;
+  const base::Duration mClaimDelay;
+  bool mLeading = false;
+  std::int64_t mEpoch = 0;
+  std::int64_t mEpochVersion = 0;
+  std::int64_t mRenewalVersion = 0;
+  base::InstanceId mHolder;
+  base::Time mChangedAt;
+  bool mSeen = false;
+  base::Time mValidUntil;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/instance.cpp
@@ -0,0 +1,272 @@
+#include "flamingoloom/node/instance.h"
+
+#include <algorithm>
+
+namespace flamingoloom::node {
+
+using base::Time;
+
+namespace {
+
+// Between looks at whether the store still answers; well below the interval
+// at which the platform asks for readiness (1 s).
+constexpr auto kContactCheck = std::chrono::milliseconds(200);
+constexpr auto kClaimTimeout = std::chrono::milliseconds(1000);
+
+} // namespace
+
+Instance::Instance(Ports aPorts, InstanceSettings aSettings)
+  : mPorts(aPorts)
+  , mSettings(aSettings)
+  , mCallers(aPorts, aSettings.mCallers)
+  , mElection(aSettings.mId, aSettings.mElection, aSettings.mClaimDelay)
+{
+}
+
+Instance::~Instance()
+{
+  EndLead();
+}
+
+void
+Instance::Start()
+{
+  mOperatorWatch = std::make_shared<TableWatch>(
+    mPorts,
+    mPorts.mForeign->OperatorTable(),
+    TableWatchTiming{},
+    [this](const std::vector<Row>& aRows) { OnOperatorRows(aRows); });
+  mOperatorWatch->Start();
+  mLeadWatch = std::make_shared<TableWatch>(
+    mPorts,
+    kLeadTable,
+    TableWatchTiming{},
+    [this](const std::vector<Row>& aRows) { OnLeadRows(aRows); });
+  mLeadWatch->Start();
+  WatchStore();
+}
+
+bool
+Instance::StoreAnswers() const
+{
+  return mOperatorWatch && mOperatorWatch->IsComplete() &&
+         mPorts.mLoop->Now() - mOperatorWatch->LastContact() <
+           mSettings.mStoreContact;
+}
+
+bool
+Instance::IsReady() const
+{
+  return !mLeaving && mInForce.has_value() && StoreAnswers();
+}
+
+void
+Instance::WatchStore()
+{
+  const bool ready = IsReady();
+  mCallers.SetStoreReachable(StoreAnswers());
+  if (ready != mWasReady) {
+    mWasReady = ready;
+    mPorts.mLog->Write("readiness", { { "ready", ready ? "1" : "0" } });
+  }
+  mPorts.mLoop->After(kContactCheck, [this] { WatchStore(); });
+}
+
+void
+Instance::OnOperatorRows(const std::vector<Row>& aRows)
+{
+  bool outChanged = false;
+  for (const auto& row : aRows) {
+    if (row.mKey == mPorts.mForeign->ConfigurationKey()) {
+      auto read = row.mValue
+                    ? mPorts.mForeign->ReadConfiguration(*row.mValue)
+                    : base::MakeError(base::ErrorCode::eNotFound,
+                                      "read configuration",
+                                      "store",
+                                      "the row was removed");
+      if (!read) {
+        mPorts.mLog->Write("config_unreadable",
+                           { { "error", read.error().ToString() } });
+        continue;
+      }
+      if (mInForce && read->mVersion <= mInForce->mVersion) {
+        continue;
+      }
+      mInForce = std::move(*read);
+      mPorts.mLog->Write(
+        "config_in_force",
+        { { "version", std::to_string(mInForce->mVersion) },
+          { "queues", std::to_string(mInForce->mQueues.size()) } });
+      mCallers.SetConfiguration(*mInForce);
+      if (mLead) {
+        mLead->SetConfiguration(*mInForce);
+      }
+      continue;
+    }
+    if (const auto out = mPorts.mForeign->DataCentreOut(row.mKey)) {
+      outChanged = true;
+      if (row.mValue) {
+        mDataCentresOut.insert(*out);
+      } else {
+        mDataCentresOut.erase(*out);
+      }
+      mPorts.mLog->Write(
+        "data_centre",
+        { { "name", out->Value() }, { "out", row.mValue ? "1" : "0" } });
+    }
+  }
+  if (outChanged && mLead) {
+    mLead->SetDataCentresOut(mDataCentresOut);
+  }
+  mCallers.SetStoreReachable(StoreAnswers());
+}
+
+// The lead ---------------------------------------------------------------------
+
+void
+Instance::OnLeadRows(const std::vector<Row>& aRows)
+{
+  mElection.Observe(mPorts.mLoop->Now(), aRows);
+  if (mLead && !mElection.IsLeading()) {
+    mPorts.mLog->Write("lead_superseded",
+                       { { "holder", mElection.Holder().Value() } });
+    EndLead();
+  }
+  ScheduleClaim();
+}
+
+void
+Instance::ScheduleClaim()
+{
+  const auto at = mElection.ClaimAt();
+  if (!at || mLeaving) {
+    return;
+  }
+  auto claimAt = *at;
+  if (mStoreDelay > mSettings.mFarStore) {
+    claimAt += mSettings.mFarStorePenalty;
+  }
+  const auto wait =
+    std::max<base::Duration>(base::Duration(0), claimAt - mPorts.mLoop->Now());
+  mPorts.mLoop->After(wait, [this, expected = *at] {
+    // Only if nothing has changed meanwhile.
+    if (mElection.ClaimAt() == expected) {
+      TryClaim();
+    }
+  });
+}
+
+void
+Instance::TryClaim()
+{
+  if (mClaiming || mLeaving || mLead) {
+    return;
+  }
+  // A holder that this instance cannot hear of may be alive: without contact
+  // the claim would fail, so only the try is spared.
+  mClaiming = true;
+  const Time sentAt = mPorts.mLoop->Now();
+  mPorts.mStore->Commit(
+    mElection.Claim(),
+    kClaimTimeout,
+    [this, sentAt](base::Expected<CommitResult> aResult) {
+      mClaiming = false;
+      if (aResult && aResult->mApplied) {
+        mElection.OnClaimed(sentAt, *aResult);
+      }
+      if (mLeaving || !mElection.IsLeading()) {
+        // Another claim was first, or the outcome is not known: the watch
+        // tells. Without any news, try again.
+        mPorts.mLoop->After(mSettings.mElection.mRenewEvery, [this] {
+          if (!mLead) {
+            ScheduleClaim();
+          }
+        });
+        return;
+      }
+      mLead = std::make_shared<Lead>(
+        mPorts,
+        mSettings.mLead,
+        mSettings.mScheduler,
+        mElection.EpochCondition(),
+        mElection.Epoch(),
+        [this] { return mElection.ValidUntil(); },
+        [this] {
+          mElection.OnLost();
+          // The lead is inside a call: let it return first.
+          mPorts.mLoop->After(base::Duration(0), [this] { EndLead(); });
+        });
+      if (mInForce) {
+        mLead->SetConfiguration(*mInForce);
+      }
+      mLead->SetDataCentresOut(mDataCentresOut);
+      mLead->Start();
+      mPorts.mLoop->After(mSettings.mElection.mRenewEvery,
+                          [this] { Renew(); });
+    });
+}
+
+void
+Instance::Renew()
+{
+  if (!mLead || !mElection.IsLeading() || mRenewalsInFlight > 0) {
+    return;
+  }
+  ++mRenewalsInFlight;
+  const Time sentAt = mPorts.mLoop->Now();
+  mPorts.mStore->Commit(
+    mElection.Renewal(),
+    kClaimTimeout,
+    [this, sentAt](base::Expected<CommitResult> aResult) {
+      --mRenewalsInFlight;
+      if (!mLead) {
+        return;
+      }
+      if (aResult && !aResult->mApplied) {
+        mElection.OnLost();
+        EndLead();
+        return;
+      }
+      const auto& timing = mSettings.mElection;
+      base::Duration wait = timing.mRenewRetry;
+      if (aResult) {
+        mStoreDelay = mPorts.mLoop->Now() - sentAt;
+        mElection.OnRenewed(sentAt);
+        wait = timing.mRenewEvery;
+      }
+      mPorts.mLoop->After(wait, [this] { Renew(); });
+    });
+}
+
+void
+Instance::EndLead()
+{
+  if (mLead) {
+    mLead->Stop();
+    mLead.reset();
+    ScheduleClaim();
+  }
+}
+
+void
+Instance::Leave()
+{
+  mLeaving = true;
+  if (!mLead) {
+    return;
+  }
+  mPorts.mLog->Write("lead_released", {});
+  mLead->Stop();
+  mLead.reset();
+  mElection.OnLost();
+  mPorts.mStore->Commit(
+    mElection.Release(),
+    kClaimTimeout,
+    [log = mPorts.mLog](const base::Expected<CommitResult>& aResult) {
+      if (!aResult) {
+        log->Write("release_failed", { { "error", aResult.error().ToString() } });
+      }
+    });
+}
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/instance.h
@@ -0,0 +1,80 @@
+// One instance of the system: follows the operators' configuration, answers
+// callers, and schedules while it holds the lead.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "flamingoloom/node/caller_desk.h"
+#include "flamingoloom/node/election.h"
+#include "flamingoloom/node/lead.h"
+#include "flamingoloom/node/ports.h"
+#include "flamingoloom/node/table_watch.h"
+
+namespace flamingoloom::node {
+
+struct InstanceSettings
+{
+  // Unique among the lives of all instances.
+  base::InstanceId mId;
+  ElectionTiming mElection;
+  // Between 0 and mElection.mMaxClaimDelay; differs between instances.
+  base::Duration mClaimDelay{ 0 };
+  // A store that takes longer than mFarStore to answer is in another region:
+  // instances that are nearer to it claim first.
+  base::Duration mFarStore = std::chrono::milliseconds(20);
+  base::Duration mFarStorePenalty = std::chrono::milliseconds(400);
+  // Not ready without an answer of the store for this long: one wait of the
+  // watch, an answer, and some slack.
+  base::Duration mStoreContact = std::chrono::milliseconds(2400);
+  LeadTiming mLead;
+  scheduler::SchedulerSettings mScheduler;
+  CallerDeskTiming mCallers;
+};
+
+class Instance
+{
+public:
+  Instance(Ports aPorts, InstanceSettings aSettings);
+  ~Instance();
+
+  void Start();
+  // Gives the lead up and never takes it again. Callers are still answered.
+  void Leave();
+
+  // Whether callers should be sent here.
+  bool IsReady() const;
+  CallerDesk& Callers() { return mCallers; }
+  const std::optional<Configuration>& InForce() const { return mInForce; }
+  // The lead, if this instance holds it.
+  const Lead* Leading() const { return mLead.get(); }
+
+private:
+  void OnOperatorRows(const std::vector<Row>& aRows);
+  void OnLeadRows(const std::vector<Row>& aRows);
+  void ScheduleClaim();
+  void TryClaim();
+  void Renew();
+  void EndLead();
+  void WatchStore();
+  bool StoreAnswers() const;
+
+  const Ports mPorts;
+  const InstanceSettings mSettings;
+  CallerDesk mCallers;
+  Election mElection;
+  std::shared_ptr<TableWatch> mOperatorWatch;
+  std::shared_ptr<TableWatch> mLeadWatch;
+  std::shared_ptr<Lead> mLead;
+  std::optional<Configuration> mInForce;
+  std::set<base::DataCentreId> mDataCentresOut;
+  base::Duration mStoreDelay{ 0 };
+  bool mClaiming = false;
+  bool mLeaving = false;
+  bool mWasReady = false;
+  int mRenewalsInFlight = 0;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/lead.cpp
@@ -0,0 +1,562 @@
+#include "flamingoloom/node/lead.h"
+
+#include <algorithm>
+
+#include "flamingoloom/jobs/records.h"
+
+namespace flamingoloom::node {
+
+using base::ServerId;
+using base::Time;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kLoadedTables[] = { jobs::kStateTable, jobs::kRunTable };
+constexpr auto kReadTimeout = milliseconds(1000);
+constexpr auto kReadRetry = milliseconds(150);
+
+} // namespace
+
+Lead::Lead(Ports aPorts,
+           LeadTiming aTiming,
+           scheduler::SchedulerSettings aSettings,
+           RowCondition aEpochCondition,
+           std::int64_t aEpoch,
+           std::function<Time()> aLeadValidUntil,
+           std::function<void()> aOnLost)
+  : mPorts(aPorts)
+  , mTiming(aTiming)
+  , mEpochCondition(std::move(aEpochCondition))
+  , mEpoch(aEpoch)
+  , mLeadValidUntil(std::move(aLeadValidUntil))
+  , mOnLost(std::move(aOnLost))
+  , mStartedAt(aPorts.mLoop->Now())
+  , mScheduler(aSettings, [log = aPorts.mLog](const scheduler::Decision& aDecision) {
+    EventLog::Fields fields;
+    fields.reserve(aDecision.mFields.size() + 1);
+    if (!aDecision.mJob.empty()) {
+      fields.emplace_back("job", aDecision.mJob);
+    }
+    fields.insert(
+      fields.end(), aDecision.mFields.begin(), aDecision.mFields.end());
+    log->Write(aDecision.mEvent, fields);
+  })
+{
+}
+
+Time
+Lead::EarlierLeasesEndBy() const
+{
+  // The servers' clocks may be 2% slow.
+  const auto bound = std::chrono::duration_cast<base::Duration>(
+    mTiming.mLeaseBeyondLead / mTiming.mLink.mSlowestClock);
+  return mStartedAt + bound;
+}
+
+void
+Lead::Start()
+{
+  mPorts.mLog->Write("lead_taken", { { "epoch", std::to_string(mEpoch) } });
+  Load(0, "");
+}
+
+void
+Lead::Stop()
+{
+  mPhase = Phase::eStopped;
+  if (mJobWatch) {
+    mJobWatch->Stop();
+  }
+  for (auto& [id, link] : mLinks) {
+    link->Close();
+  }
+}
+
+void
+Lead::Lose(const char* aReason)
+{
+  if (mPhase == Phase::eStopped) {
+    return;
+  }
+  mPorts.mLog->Write(
+    "lead_lost",
+    { { "epoch", std::to_string(mEpoch) }, { "reason", aReason } });
+  Stop();
+  mOnLost();
+}
+
+// Taking over -----------------------------------------------------------------
+
+void
+Lead::Load(std::size_t aTable, const std::string& aFrom)
+{
+  mPorts.mStore->Read(
+    kLoadedTables[aTable],
+    aFrom,
+    "",
+    kReadTimeout,
+    [self = shared_from_this(), aTable, aFrom](base::Expected<Rows> aPage) {
+      if (self->mPhase != Phase::eLoading) {
+        return;
+      }
+      if (!aPage) {
+        self->mPorts.mLoop->After(kReadRetry, [self, aTable, aFrom] {
+          if (self->mPhase == Phase::eLoading) {
+            self->Load(aTable, aFrom);
+          }
+        });
+        return;
+      }
+      self->mStoreMs = aPage->mStoreNowMs;
+      self->mStoreMsReadAt = self->mPorts.mLoop->Now();
+      auto& rows = aTable == 0 ? self->mLoadedStates : self->mLoadedSteps;
+      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      if (aPage->mMore && !aPage->mRows.empty()) {
+        self->Load(aTable, aPage->mRows.back().mKey + '\0');
+      } else if (aTable + 1 < std::size(kLoadedTables)) {
+        self->Load(aTable + 1, "");
+      } else {
+        self->FinishLoading();
+      }
+    });
+}
+
+void
+Lead::FinishLoading()
+{
+  // Jobs are read last: a job whose state is missing was accepted meanwhile,
+  // and its state row has the version of the job's row.
+  std::weak_ptr<Lead> weak = shared_from_this();
+  mJobWatch = std::make_shared<TableWatch>(
+    mPorts,
+    jobs::kJobTable,
+    TableWatchTiming{},
+    [weak](const std::vector<Row>& aRows) {
+      if (const auto self = weak.lock()) {
+        self->OnJobRows(aRows);
+      }
+    });
+  mJobWatch->Start();
+}
+
+void
+Lead::OnJobRows(const std::vector<Row>& aRows)
+{
+  if (mPhase == Phase::eStopped) {
+    return;
+  }
+  const Time now = mPorts.mLoop->Now();
+  for (const auto& row : aRows) {
+    if (!row.mValue || jobs::IsCancelKey(row.mKey)) {
+      continue;
+    }
+    auto job = jobs::DecodeJob(row.mKey, *row.mValue);
+    if (!job) {
+      mPorts.mLog->Write(
+        "row_unreadable",
+        { { "key", row.mKey }, { "error", job.error().ToString() } });
+      continue;
+    }
+    mPorts.mLog->Write("job_seen",
+                       { { "job", row.mKey },
+                         { "queue", job->mRules.mQueue },
+                         { "version", std::to_string(row.mVersion) } });
+    mScheduler.AddJob(now, std::move(*job), row.mVersion);
+  }
+  if (mPhase == Phase::eLoading) {
+    for (const auto& row : mLoadedStates) {
+      const auto state = jobs::DecodeState(row.mValue.value_or(""));
+      if (state) {
+        mScheduler.RestoreState(row.mKey, *state, row.mVersion);
+      }
+    }
+    for (const auto& row : mLoadedSteps) {
+      const auto step = jobs::DecodeStep(row.mValue.value_or(""));
+      if (step) {
+        mScheduler.RestoreStep(
+          jobs::JobOfKey(row.mKey), *step, row.mVersion, EarlierLeasesEndBy());
+      } else {
+        mPorts.mLog->Write(
+          "row_unreadable",
+          { { "key", row.mKey }, { "error", step.error().ToString() } });
+      }
+    }
+    mScheduler.Resume(now);
+    mPorts.mLog->Write(
+      "jobs_loaded",
+      { { "jobs", std::to_string(mScheduler.Jobs().size()) },
+        { "steps", std::to_string(mLoadedSteps.size()) },
+        { "after_ms",
+          std::to_string(base::ToMilliseconds(now - mStartedAt)) } });
+    mLoadedStates.clear();
+    mLoadedSteps.clear();
+    mPhase = Phase::eScheduling;
+    PollServerList("", {});
+    Clean();
+  }
+  for (const auto& row : aRows) {
+    if (row.mValue && jobs::IsCancelKey(row.mKey)) {
+      mScheduler.Cancel(now, jobs::JobOfKey(row.mKey));
+    }
+  }
+  Poke();
+}
+
+void
+Lead::SetConfiguration(const Configuration& aConfiguration)
+{
+  std::map<base::AccountId, std::int64_t> guarantees;
+  for (const auto& account : aConfiguration.mAccounts) {
+    guarantees[account.mId] = account.mGuaranteedAccelerators;
+  }
+  mScheduler.SetGuarantees(std::move(guarantees));
+  Poke();
+}
+
+void
+Lead::SetDataCentresOut(const std::set<base::DataCentreId>& aOut)
+{
+  mScheduler.SetDataCentresOut(aOut);
+  Poke();
+}
+
+// Servers ----------------------------------------------------------------------
+
+void
+Lead::PollServerList(const std::string& aFrom,
+                     std::vector<scheduler::ServerInfo> aSoFar)
+{
+  mPorts.mStore->Read(
+    mPorts.mForeign->ServerTable(),
+    aFrom,
+    "",
+    kReadTimeout,
+    [self = shared_from_this(), servers = std::move(aSoFar)](
+      base::Expected<Rows> aPage) mutable {
+      if (self->mPhase != Phase::eScheduling) {
+        return;
+      }
+      if (aPage) {
+        self->mStoreMs = aPage->mStoreNowMs;
+        self->mStoreMsReadAt = self->mPorts.mLoop->Now();
+        for (const auto& row : aPage->mRows) {
+          auto server = self->mPorts.mForeign->ReadServer(
+            row.mKey, row.mValue.value_or(""));
+          // Other writers leave entries that name no server to use.
+          if (server) {
+            servers.push_back(std::move(*server));
+          }
+        }
+        if (aPage->mMore && !aPage->mRows.empty()) {
+          self->PollServerList(aPage->mRows.back().mKey + '\0',
+                               std::move(servers));
+          return;
+        }
+        self->TakeServerList(servers);
+      }
+      self->mPorts.mLoop->After(self->mTiming.mServerListEvery, [self] {
+        if (self->mPhase == Phase::eScheduling) {
+          self->PollServerList("", {});
+        }
+      });
+    });
+}
+
+void
+Lead::TakeServerList(const std::vector<scheduler::ServerInfo>& aServers)
+{
+  const auto fresh =
+    mScheduler.UpdateServers(aServers, EarlierLeasesEndBy());
+  for (const auto& info : aServers) {
+    const auto link = mLinks.find(info.mId);
+    if (link != mLinks.end()) {
+      link->second->Update(info);
+    }
+  }
+  for (auto link = mLinks.begin(); link != mLinks.end();) {
+    if (mScheduler.Servers().Find(link->first) == nullptr) {
+      link->second->Close();
+      link = mLinks.erase(link);
+    } else {
+      ++link;
+    }
+  }
+  for (const auto& id : fresh) {
+    mPorts.mLog->Write("server_found", { { "server", id.Value() } });
+  }
+  AskServers();
+  Poke();
+}
+
+ServerLink*
+Lead::LinkTo(const ServerId& aServer)
+{
+  const auto known = mLinks.find(aServer);
+  if (known != mLinks.end()) {
+    return known->second.get();
+  }
+  const auto* server = mScheduler.Servers().Find(aServer);
+  if (server == nullptr || server->mInfo.mAddress.empty()) {
+    return nullptr;
+  }
+  auto link = std::make_shared<ServerLink>(
+    mPorts, server->mInfo, mEpoch, mTiming.mLink, LinkEvents(aServer));
+  return mLinks.emplace(aServer, std::move(link)).first->second.get();
+}
+
+ServerLink::Events
+Lead::LinkEvents(const ServerId& aServer)
+{
+  // A link is owned by the lead and closed before it goes.
+  ServerLink::Events events;
+  events.mOnReport = [this, aServer](const scheduler::ServerReport& aReport,
+                                     Time aSentAt) {
+    mScheduler.OnReport(mPorts.mLoop->Now(), aServer, aReport, aSentAt);
+    Poke();
+  };
+  events.mOnSilence = [this, aServer] {
+    mScheduler.OnSilence(mPorts.mLoop->Now(), aServer);
+  };
+  events.mOnReplaced = [this, aServer] {
+    mScheduler.OnReplaced(mPorts.mLoop->Now(), aServer);
+    Poke();
+  };
+  events.mOnFenced = [this] { Lose("a server saw a higher epoch"); };
+  events.mOnStart = [this, aServer](const scheduler::StartOrder& aOrder,
+                                    scheduler::StartAnswer aAnswer,
+                                    bool aEarlierUnknown) {
+    mScheduler.OnStart(mPorts.mLoop->Now(), aOrder, aAnswer, aEarlierUnknown);
+    if (ServerLink* link = LinkTo(aServer)) {
+      link->Ask();
+    }
+    Poke();
+  };
+  events.mOnStop = [this](const scheduler::StopOrder& aOrder, bool aAnswered) {
+    mScheduler.OnStop(mPorts.mLoop->Now(), aOrder, aAnswered);
+    Poke();
+  };
+  events.mOnLease = [this, aServer](Time aEndsBy) {
+    mScheduler.NoteLease(aServer, aEndsBy);
+  };
+  events.mNeedsReports = [this, aServer] {
+    return mPhase == Phase::eScheduling && mScheduler.NeedsReports(aServer);
+  };
+  events.mAckThrough = [this, aServer] {
+    return mScheduler.AcknowledgedEnds(aServer);
+  };
+  events.mHasUnstoredEnds = [this, aServer] {
+    const auto* server = mScheduler.Servers().Find(aServer);
+    return server != nullptr && !server->mUnstoredEnds.empty();
+  };
+  events.mLeaseLimit = [this] {
+    return mLeadValidUntil() + mTiming.mLeaseBeyondLead;
+  };
+  return events;
+}
+
+void
+Lead::AskServers()
+{
+  std::vector<ServerId> ids;
+  for (const auto& [id, server] : mScheduler.Servers().Servers()) {
+    if (mScheduler.NeedsReports(id)) {
+      ids.push_back(id);
+    }
+  }
+  for (const auto& id : ids) {
+    if (ServerLink* link = LinkTo(id)) {
+      link->Ask();
+    }
+  }
+}
+
+// Passes and commits -------------------------------------------------------------
+
+void
+Lead::Poke()
+{
+  if (mPassPending || mPhase != Phase::eScheduling) {
+    return;
+  }
+  mPassPending = true;
+  mPorts.mLoop->After(mTiming.mPassDelay, [self = shared_from_this()] {
+    self->mPassPending = false;
+    if (self->mPhase == Phase::eScheduling) {
+      self->Pass();
+    }
+  });
+}
+
+void
+Lead::Pass()
+{
+  const Time now = mPorts.mLoop->Now();
+  const auto unixMs = mPorts.mLoop->UnixMs();
+  mLastPass = now;
+  mScheduler.Schedule(now, unixMs);
+  SendOrders();
+  CommitNext();
+  auto next = mTiming.mPassEvery;
+  if (const auto due = mScheduler.MillisecondsToNextDue(unixMs)) {
+    next = std::min<base::Duration>(next, milliseconds(*due + 1));
+  }
+  mPorts.mLoop->After(next, [self = shared_from_this(), now] {
+    if (self->mLastPass == now) {
+      self->Poke();
+    }
+  });
+}
+
+void
+Lead::CommitNext()
+{
+  if (mCommitting || mPhase != Phase::eScheduling || !mScheduler.HasChanges()) {
+    return;
+  }
+  SendCommit(mScheduler.TakeBatch(StoreNowMs()), false);
+}
+
+void
+Lead::SendCommit(scheduler::Batch aBatch, bool aRetry)
+{
+  mCommitting = true;
+  Transaction transaction;
+  transaction.mConditions = { mEpochCondition };
+  transaction.mChanges = aBatch.mRows;
+  mPorts.mStore->Commit(
+    transaction,
+    mTiming.mCommitTimeout,
+    [self = shared_from_this(), batch = std::move(aBatch), aRetry](
+      base::Expected<CommitResult> aResult) {
+      if (self->mPhase == Phase::eScheduling) {
+        self->OnCommit(batch, aRetry, std::move(aResult));
+      }
+    });
+}
+
+bool
+Lead::IsOwnEarlierWrite(const scheduler::Batch& aBatch,
+                        const CommitResult& aResult,
+                        std::int64_t& aVersion) const
+{
+  bool found = false;
+  for (const auto& current : aResult.mCurrent) {
+    if (current.mTable == kLeadTable) {
+      if (current.mRow.mVersion != mEpochCondition.mVersion) {
+        return false;
+      }
+      continue;
+    }
+    for (const auto& row : aBatch.mRows) {
+      if (row.mTable != current.mTable || row.mKey != current.mRow.mKey) {
+        continue;
+      }
+      if (row.mValue != current.mRow.mValue) {
+        return false;
+      }
+      aVersion = std::max(aVersion, current.mRow.mVersion);
+      found = true;
+    }
+  }
+  return found;
+}
+
+void
+Lead::OnCommit(const scheduler::Batch& aBatch,
+               bool aRetry,
+               base::Expected<CommitResult> aResult)
+{
+  if (!aResult) {
+    const bool unknown =
+      aResult.error().mCode == base::ErrorCode::eOutcomeUnknown;
+    mPorts.mLog->Write("commit_failed",
+                       { { "rows", std::to_string(aBatch.mRows.size()) },
+                         { "error", aResult.error().ToString() } });
+    mPorts.mLoop->After(
+      mTiming.mCommitRetry,
+      [self = shared_from_this(), aBatch, retry = aRetry || unknown] {
+        if (self->mPhase == Phase::eScheduling) {
+          self->SendCommit(aBatch, retry);
+        }
+      });
+    return;
+  }
+  std::int64_t version = aResult->mVersion;
+  if (!aResult->mApplied) {
+    version = 0;
+    if (!aRetry || !IsOwnEarlierWrite(aBatch, *aResult, version)) {
+      Lose("the store has newer rows");
+      return;
+    }
+  }
+  mCommitting = false;
+  if (aResult->mStoreNowMs > 0) {
+    mStoreMs = aResult->mStoreNowMs;
+    mStoreMsReadAt = mPorts.mLoop->Now();
+  }
+  mScheduler.OnStored(mPorts.mLoop->Now(), aBatch, version);
+  SendOrders();
+  AskServers();
+  CommitNext();
+}
+
+void
+Lead::SendOrders()
+{
+  const auto orders = mScheduler.TakeOrders();
+  for (const auto& stop : orders.mStops) {
+    if (ServerLink* link = LinkTo(stop.mServer)) {
+      link->Stop(stop);
+    }
+  }
+  for (const auto& start : orders.mStarts) {
+    ServerLink* link = LinkTo(start.mServer);
+    if (link == nullptr) {
+      mScheduler.OnStart(mPorts.mLoop->Now(),
+                         start,
+                         scheduler::StartAnswer::eTooLate,
+                         false);
+      continue;
+    }
+    link->Start(start);
+  }
+}
+
+std::int64_t
+Lead::StoreNowMs() const
+{
+  return mStoreMs + base::ToMilliseconds(mPorts.mLoop->Now() - mStoreMsReadAt);
+}
+
+void
+Lead::Clean()
+{
+  if (mPhase != Phase::eScheduling) {
+    return;
+  }
+  const auto rows = mScheduler.TakeExpired(
+    StoreNowMs() - base::ToMilliseconds(mTiming.mKeepFinal));
+  if (!rows.empty()) {
+    Transaction transaction;
+    transaction.mConditions = { mEpochCondition };
+    transaction.mChanges.assign(
+      rows.begin(),
+      rows.begin() + std::min<std::ptrdiff_t>(
+                       static_cast<std::ptrdiff_t>(rows.size()), 90));
+    mPorts.mStore->Commit(
+      transaction,
+      mTiming.mCommitTimeout,
+      [self = shared_from_this()](const base::Expected<CommitResult>& aResult) {
+        // A row that stays is read again by the next lead.
+        if (!aResult) {
+          self->mPorts.mLog->Write(
+            "clean_failed", { { "error", aResult.error().ToString() } });
+        }
+      });
+  }
+  mPorts.mLoop->After(mTiming.mCleanEvery,
+                      [self = shared_from_this()] { self->Clean(); });
+}
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/lead.h
@@ -0,0 +1,121 @@
+// The instance that schedules: from winning the lead until losing it.
+//
+// Takes over the stored jobs, fences the servers with its epoch, and then
+// turns the scheduler's changes into commits and its orders into calls. A lead
+// lives for one epoch; losing it ends the object's work for good.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/node/configuration.h"
+#include "flamingoloom/node/election.h"
+#include "flamingoloom/node/ports.h"
+#include "flamingoloom/node/server_link.h"
+#include "flamingoloom/node/table_watch.h"
+#include "flamingoloom/scheduler/scheduler.h"
+
+namespace flamingoloom::node {
+
+struct LeadTiming
+{
+  ServerLinkTiming mLink;
+  // Between looks at the list of servers; the platform's bound for draining
+  // is 2.5 s and more.
+  base::Duration mServerListEvery = std::chrono::milliseconds(500);
+  // Changes within this time are placed in one pass.
+  base::Duration mPassDelay = std::chrono::milliseconds(2);
+  // At least one pass in this time, for work that waits for room or time.
+  base::Duration mPassEvery = std::chrono::milliseconds(250);
+  // Leases are granted until this long after the end of the own lease at the
+  // store, so that work survives while the store is away.
+  base::Duration mLeaseBeyondLead = std::chrono::milliseconds(12000);
+  // How long final jobs are kept for callers.
+  base::Duration mKeepFinal = std::chrono::seconds(150);
+  base::Duration mCleanEvery = std::chrono::seconds(5);
+  base::Duration mCommitTimeout = std::chrono::milliseconds(1000);
+  base::Duration mCommitRetry = std::chrono::milliseconds(100);
+};
+
+class Lead : public std::enable_shared_from_this<Lead>
+{
+public:
+  // aOnLost is called once if another instance has taken over.
+  Lead(Ports aPorts,
+       LeadTiming aTiming,
+       scheduler::SchedulerSettings aSettings,
+       RowCondition aEpochCondition,
+       std::int64_t aEpoch,
+       std::function<base::Time()> aLeadValidUntil,
+       std::function<void()> aOnLost);
+
+  void Start();
+  // Stops scheduling; calls in flight are not taken up any more.
+  void Stop();
+
+  void SetConfiguration(const Configuration& aConfiguration);
+  void SetDataCentresOut(const std::set<base::DataCentreId>& aOut);
+
+  const scheduler::Scheduler& Decisions() const { return mScheduler; }
+  bool IsScheduling() const { return mPhase == Phase::eScheduling; }
+
+private:
+  enum class Phase
+  {
+    eLoading,
+    eScheduling,
+    eStopped,
+  };
+
+  void Load(std::size_t aTable, const std::string& aFrom);
+  void FinishLoading();
+  void OnJobRows(const std::vector<Row>& aRows);
+  void PollServerList(const std::string& aFrom,
+                      std::vector<scheduler::ServerInfo> aSoFar);
+  void TakeServerList(const std::vector<scheduler::ServerInfo>& aServers);
+  ServerLink* LinkTo(const base::ServerId& aServer);
+  ServerLink::Events LinkEvents(const base::ServerId& aServer);
+  void Poke();
+  void Pass();
+  void CommitNext();
+  void SendCommit(scheduler::Batch aBatch, bool aRetry);
+  void OnCommit(const scheduler::Batch& aBatch,
+                bool aRetry,
+                base::Expected<CommitResult> aResult);
+  bool IsOwnEarlierWrite(const scheduler::Batch& aBatch,
+                         const CommitResult& aResult,
+                         std::int64_t& aVersion) const;
+  void SendOrders();
+  void AskServers();
+  void Lose(const char* aReason);
+  void Clean();
+  std::int64_t StoreNowMs() const;
+  // Every lease that an earlier epoch granted has ended by then.
+  base::Time EarlierLeasesEndBy() const;
+
+  const Ports mPorts;
+  const LeadTiming mTiming;
+  const RowCondition mEpochCondition;
+  const std::int64_t mEpoch;
+  const std::function<base::Time()> mLeadValidUntil;
+  const std::function<void()> mOnLost;
+  Phase mPhase = Phase::eLoading;
+  base::Time mStartedAt;
+  scheduler::Scheduler mScheduler;
+  std::map<base::ServerId, std::shared_ptr<ServerLink>> mLinks;
+  std::shared_ptr<TableWatch> mJobWatch;
+  // Rows read while loading.
+  std::vector<Row> mLoadedStates;
+  std::vector<Row> mLoadedSteps;
+  std::int64_t mStoreMs = 0;
+  base::Time mStoreMsReadAt;
+  bool mCommitting = false;
+  bool mPassPending = false;
+  base::Time mLastPass;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/server_link.cpp
@@ -0,0 +1,203 @@
+#include "flamingoloom/node/server_link.h"
+
+#include <algorithm>
+
+namespace flamingoloom::node {
+
+using base::Duration;
+using base::Time;
+using scheduler::StartAnswer;
+using std::chrono::milliseconds;
+
+ServerLink::ServerLink(Ports aPorts,
+                       scheduler::ServerInfo aServer,
+                       std::int64_t aEpoch,
+                       ServerLinkTiming aTiming,
+                       Events aEvents)
+  : mPorts(aPorts)
+  , mServer(std::move(aServer))
+  , mEpoch(aEpoch)
+  , mTiming(aTiming)
+  , mEvents(std::move(aEvents))
+{
+}
+
+std::optional<std::int64_t>
+ServerLink::GrantLease()
+{
+  if (!mClockMs) {
+    return std::nullopt;
+  }
+  const Time now = mPorts.mLoop->Now();
+  const auto until = std::min(now + mTiming.mLease, mEvents.mLeaseLimit());
+  if (until <= now) {
+    return std::nullopt;
+  }
+  const auto untilMs =
+    *mClockMs + base::ToMilliseconds(until - mClockReadAt);
+  // A slow clock reaches that value later than ours.
+  const auto latest =
+    mClockReadAt + std::chrono::duration_cast<Duration>(
+                     milliseconds(untilMs - *mClockMs) / mTiming.mSlowestClock);
+  mEvents.mOnLease(latest);
+  return untilMs;
+}
+
+void
+ServerLink::Ask()
+{
+  if (mClosed || mAsking || !mEvents.mNeedsReports()) {
+    return;
+  }
+  if (mEvents.mHasUnstoredEnds() && mFailures == 0) {
+    // The store's answer asks again; this is for when it stays away.
+    AskAfter(mTiming.mUnstoredPause);
+    return;
+  }
+  // A server that does not answer is only looked at: a lease that is granted
+  // by an order carried out late would delay giving its work up.
+  const bool answers = mFailures == 0 && mClockMs.has_value();
+  Send(answers ? mTiming.mReportWait : Duration(0), answers);
+}
+
+void
+ServerLink::Send(Duration aWait, bool aGrantLease)
+{
+  ReportRequest request;
+  request.mEpoch = mEpoch;
+  request.mAckThrough = mEvents.mAckThrough();
+  request.mWait = aWait;
+  if (aGrantLease) {
+    request.mLeaseUntilMs = GrantLease();
+  }
+  mAsking = true;
+  const Time sentAt = mPorts.mLoop->Now();
+  mPorts.mServers->Report(
+    mServer,
+    request,
+    aWait + mTiming.mAnswerTimeout,
+    [self = shared_from_this(), sentAt](base::Expected<ReportAnswer> aAnswer) {
+      self->OnAnswer(sentAt, std::move(aAnswer));
+    });
+}
+
+void
+ServerLink::AskAfter(Duration aDelay)
+{
+  if (mWaitingToAsk) {
+    return;
+  }
+  mWaitingToAsk = true;
+  mPorts.mLoop->After(aDelay, [self = shared_from_this()] {
+    self->mWaitingToAsk = false;
+    if (self->mClosed || self->mAsking || !self->mEvents.mNeedsReports()) {
+      return;
+    }
+    if (self->mFailures == 0 && self->mEvents.mHasUnstoredEnds()) {
+      // The store is away: leases are renewed without waiting for ends.
+      self->Send(Duration(0), true);
+      return;
+    }
+    self->Ask();
+  });
+}
+
+void
+ServerLink::OnAnswer(Time aSentAt, base::Expected<ReportAnswer> aAnswer)
+{
+  mAsking = false;
+  if (mClosed) {
+    return;
+  }
+  if (!aAnswer) {
+    ++mFailures;
+    if (aAnswer.error().mCode == base::ErrorCode::eStaleEpoch) {
+      mEvents.mOnFenced();
+      return;
+    }
+    if (aAnswer.error().mCode == base::ErrorCode::eNotFound) {
+      mEvents.mOnReplaced();
+    } else {
+      mEvents.mOnSilence();
+    }
+    AskAfter(mTiming.mRetry);
+    return;
+  }
+  mFailures = 0;
+  mClockMs = aAnswer->mClockMs;
+  mClockReadAt = mPorts.mLoop->Now();
+  mEvents.mOnReport(aAnswer->mReport, aSentAt);
+  Ask();
+}
+
+void
+ServerLink::Start(const scheduler::StartOrder& aOrder)
+{
+  TryStart(aOrder, 1, false);
+}
+
+void
+ServerLink::TryStart(const scheduler::StartOrder& aOrder,
+                     int aTry,
+                     bool aEarlierUnknown)
+{
+  const auto leaseUntilMs = GrantLease();
+  if (!leaseUntilMs) {
+    mPorts.mLoop->After(Duration(0),
+                        [self = shared_from_this(), aOrder, aEarlierUnknown] {
+                          if (!self->mClosed) {
+                            self->mEvents.mOnStart(
+                              aOrder, StartAnswer::eTooLate, aEarlierUnknown);
+                          }
+                        });
+    return;
+  }
+  mPorts.mServers->Start(
+    mServer,
+    aOrder,
+    mEpoch,
+    *leaseUntilMs,
+    mTiming.mOrderTimeout,
+    [self = shared_from_this(), aOrder, aTry, aEarlierUnknown](
+      StartAnswer aAnswer) {
+      if (self->mClosed) {
+        return;
+      }
+      if (aAnswer == StartAnswer::eFenced) {
+        self->mEvents.mOnFenced();
+        return;
+      }
+      // The same run may be sent again: a server starts it once.
+      if (aAnswer == StartAnswer::eUnknown && aTry < self->mTiming.mStartTries) {
+        self->TryStart(aOrder, aTry + 1, true);
+        return;
+      }
+      self->mEvents.mOnStart(aOrder, aAnswer, aEarlierUnknown);
+    });
+}
+
+void
+ServerLink::Stop(const scheduler::StopOrder& aOrder)
+{
+  mPorts.mServers->Stop(
+    mServer,
+    aOrder,
+    mEpoch,
+    mTiming.mOrderTimeout,
+    [self = shared_from_this(), aOrder](bool aAnswered) {
+      if (self->mClosed) {
+        return;
+      }
+      if (aAnswered) {
+        self->mEvents.mOnStop(aOrder, true);
+        return;
+      }
+      self->mPorts.mLoop->After(self->mTiming.mRetry, [self, aOrder] {
+        if (!self->mClosed) {
+          self->mEvents.mOnStop(aOrder, false);
+        }
+      });
+    });
+}
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/server_link.h
@@ -0,0 +1,103 @@
+// The scheduling instance's conversation with one backend server: it asks for
+// reports, renews leases, and sends orders until they are answered.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "flamingoloom/node/ports.h"
+
+namespace flamingoloom::node {
+
+struct ServerLinkTiming
+{
+  // Length of the leases that are granted. Work survives a change of the
+  // scheduling instance (under 4 s); work lost with a server is started again
+  // after it.
+  base::Duration mLease = std::chrono::milliseconds(8000);
+  // The platform cuts longer leases.
+  base::Duration mMaxLease = std::chrono::milliseconds(10000);
+  // How long a report may wait for an end; 2 s is the longest the platform
+  // takes, and each report is priced.
+  base::Duration mReportWait = std::chrono::milliseconds(2000);
+  // For an answer beyond that wait: a region away takes 40 ms.
+  base::Duration mAnswerTimeout = std::chrono::milliseconds(700);
+  base::Duration mOrderTimeout = std::chrono::milliseconds(600);
+  // Pause after a call that failed.
+  base::Duration mRetry = std::chrono::milliseconds(300);
+  // While ends wait for the store, which is rarely longer than a commit.
+  base::Duration mUnstoredPause = std::chrono::milliseconds(1000);
+  // Tries of a start before it is stopped instead.
+  int mStartTries = 3;
+  // A server's clock may run this much too slowly.
+  double mSlowestClock = 0.98;
+};
+
+class ServerLink : public std::enable_shared_from_this<ServerLink>
+{
+public:
+  // What the link reports to its owner. All run on the loop's thread.
+  struct Events
+  {
+    std::function<void(const scheduler::ServerReport&, base::Time aSentAt)>
+      mOnReport;
+    std::function<void()> mOnSilence;
+    std::function<void()> mOnReplaced;
+    std::function<void()> mOnFenced;
+    std::function<void(const scheduler::StartOrder&,
+                       scheduler::StartAnswer,
+                       bool aEarlierUnknown)>
+      mOnStart;
+    std::function<void(const scheduler::StopOrder&, bool)> mOnStop;
+    // All leases that an order grants end by then.
+    std::function<void(base::Time)> mOnLease;
+    // Whether to go on asking, up to which end to acknowledge, and whether
+    // ends are waiting for the store.
+    std::function<bool()> mNeedsReports;
+    std::function<std::int64_t()> mAckThrough;
+    std::function<bool()> mHasUnstoredEnds;
+    // The latest time to which leases may be granted at all.
+    std::function<base::Time()> mLeaseLimit;
+  };
+
+  ServerLink(Ports aPorts,
+             scheduler::ServerInfo aServer,
+             std::int64_t aEpoch,
+             ServerLinkTiming aTiming,
+             Events aEvents);
+
+  void Update(const scheduler::ServerInfo& aServer) { mServer = aServer; }
+  // Asks for a report now if one is needed and none is under way.
+  void Ask();
+  void Start(const scheduler::StartOrder& aOrder);
+  void Stop(const scheduler::StopOrder& aOrder);
+  void Close() { mClosed = true; }
+
+private:
+  void AskAfter(base::Duration aDelay);
+  void Send(base::Duration aWait, bool aGrantLease);
+  void OnAnswer(base::Time aSentAt, base::Expected<ReportAnswer> aAnswer);
+  void TryStart(const scheduler::StartOrder& aOrder,
+                int aTry,
+                bool aEarlierUnknown);
+  // The end of a lease that begins now, on the server's clock; none before
+  // its clock is known or when no lease may be granted.
+  std::optional<std::int64_t> GrantLease();
+
+  const Ports mPorts;
+  scheduler::ServerInfo mServer;
+  const std::int64_t mEpoch;
+  const ServerLinkTiming mTiming;
+  const Events mEvents;
+  // The server's clock as last read, and when that answer arrived here.
+  std::optional<std::int64_t> mClockMs;
+  base::Time mClockReadAt;
+  bool mAsking = false;
+  bool mWaitingToAsk = false;
+  int mFailures = 0;
+  bool mClosed = false;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/table_watch.cpp
@@ -0,0 +1,159 @@
+#include "flamingoloom/node/table_watch.h"
+
+namespace flamingoloom::node {
+
+TableWatch::TableWatch(Ports aPorts,
+                       std::string aTable,
+                       TableWatchTiming aTiming,
+                       OnChange aOnChange)
+  : mPorts(aPorts)
+  , mTable(std::move(aTable))
+  , mTiming(aTiming)
+  , mOnChange(std::move(aOnChange))
+{
+}
+
+void
+TableWatch::Start()
+{
+  ReadPage("", {});
+}
+
+void
+TableWatch::ReadPage(const std::string& aFrom, std::vector<Row> aSoFar)
+{
+  const auto sentAt = mPorts.mLoop->Now();
+  mPorts.mStore->Read(
+    mTable,
+    aFrom,
+    "",
+    mTiming.mReadTimeout,
+    [self = shared_from_this(), sentAt, rows = std::move(aSoFar)](
+      base::Expected<Rows> aPage) mutable {
+      if (self->mStopped) {
+        return;
+      }
+      if (!aPage) {
+        self->NoteFailure(aPage.error());
+        self->Retry();
+        return;
+      }
+      self->NoteContact(sentAt);
+      if (rows.empty()) {
+        // Changes after the first page are followed from here.
+        self->mVersion = aPage->mVersion;
+      }
+      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      if (aPage->mMore && !aPage->mRows.empty()) {
+        const auto next = aPage->mRows.back().mKey + '\0';
+        self->ReadPage(next, std::move(rows));
+        return;
+      }
+      self->TakeSnapshot(rows);
+      self->FollowChanges();
+    });
+}
+
+void
+TableWatch::TakeSnapshot(const std::vector<Row>& aRows)
+{
+  mReadWhole = false;
+  std::vector<Row> changes;
+  auto gone = std::move(mVersions);
+  mVersions.clear();
+  for (const auto& row : aRows) {
+    const auto known = gone.find(row.mKey);
+    if (known == gone.end() || known->second != row.mVersion) {
+      changes.push_back(row);
+    }
+    if (known != gone.end()) {
+      gone.erase(known);
+    }
+    mVersions[row.mKey] = row.mVersion;
+  }
+  for (const auto& [key, version] : gone) {
+    changes.push_back({ key, std::nullopt, mVersion });
+  }
+  mComplete = true;
+  mOnChange(changes);
+}
+
+void
+TableWatch::FollowChanges()
+{
+  const auto sentAt = mPorts.mLoop->Now();
+  mPorts.mStore->Follow(
+    mTable,
+    mVersion,
+    mTiming.mWait,
+    [self = shared_from_this(), sentAt](base::Expected<Rows> aRows) {
+      if (self->mStopped) {
+        return;
+      }
+      if (!aRows) {
+        if (aRows.error().mCode == base::ErrorCode::eNotFound) {
+          self->mReadWhole = true;
+        }
+        self->NoteFailure(aRows.error());
+        self->Retry();
+        return;
+      }
+      self->NoteContact(sentAt);
+      std::vector<Row> changes;
+      for (const auto& row : aRows->mRows) {
+        auto& version = self->mVersions[row.mKey];
+        if (row.mVersion <= version) {
+          continue;
+        }
+        version = row.mVersion;
+        if (!row.mValue) {
+          self->mVersions.erase(row.mKey);
+        }
+        changes.push_back(row);
+      }
+      self->mVersion = std::max(self->mVersion, aRows->mVersion);
+      if (!changes.empty()) {
+        self->mOnChange(changes);
+      }
+      if (!self->mStopped) {
+        self->FollowChanges();
+      }
+    });
+}
+
+void
+TableWatch::Retry()
+{
+  mPorts.mLoop->After(mTiming.mRetry, [self = shared_from_this()] {
+    if (self->mStopped) {
+      return;
+    }
+    if (self->mReadWhole) {
+      self->ReadPage("", {});
+    } else {
+      self->FollowChanges();
+    }
+  });
+}
+
+void
+TableWatch::NoteContact(base::Time aSentAt)
+{
+  mLastContact = aSentAt;
+  if (!mConnected) {
+    mConnected = true;
+    mPorts.mLog->Write("store_regained", { { "table", mTable } });
+  }
+}
+
+void
+TableWatch::NoteFailure(const base::Error& aError)
+{
+  if (mConnected) {
+    mConnected = false;
+    mPorts.mLog->Write(
+      "store_lost", { { "table", mTable }, { "error", aError.ToString() } });
+  }
+}
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/table_watch.h
@@ -0,0 +1,71 @@
+// Follows a table of the store: reads it whole, then waits for changes, and
+// reads it whole again when the store has forgotten the changes between.
+//
+// Each wait is bounded, so that a connection that went silent costs one wait.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/node/ports.h"
+
+namespace flamingoloom::node {
+
+struct TableWatchTiming
+{
+  // How long the store may hold one call back. A silent connection is noticed
+  // after it, which must be well below the platform's bound for configuration.
+  base::Duration mWait = std::chrono::milliseconds(1500);
+  // Pause after a call that failed.
+  base::Duration mRetry = std::chrono::milliseconds(150);
+  // Time for reading a page.
+  base::Duration mReadTimeout = std::chrono::milliseconds(1000);
+};
+
+class TableWatch : public std::enable_shared_from_this<TableWatch>
+{
+public:
+  // Rows that changed, with no value for those that are gone.
+  using OnChange = std::function<void(const std::vector<Row>&)>;
+
+  TableWatch(Ports aPorts,
+             std::string aTable,
+             TableWatchTiming aTiming,
+             OnChange aOnChange);
+
+  void Start();
+  // No callback after this.
+  void Stop() { mStopped = true; }
+
+  // The table was read whole at least once.
+  bool IsComplete() const { return mComplete; }
+  // When the last call that was answered had been sent.
+  base::Time LastContact() const { return mLastContact; }
+  bool IsConnected() const { return mConnected; }
+
+private:
+  void ReadPage(const std::string& aFrom, std::vector<Row> aSoFar);
+  void TakeSnapshot(const std::vector<Row>& aRows);
+  void FollowChanges();
+  void Retry();
+  void NoteContact(base::Time aSentAt);
+  void NoteFailure(const base::Error& aError);
+
+  const Ports mPorts;
+  const std::string mTable;
+  const TableWatchTiming mTiming;
+  const OnChange mOnChange;
+  std::map<std::string, std::int64_t> mVersions;
+  std::int64_t mVersion = 0;
+  base::Time mLastContact;
+  bool mConnected = false;
+  bool mComplete = false;
+  bool mStopped = false;
+  // The next call reads the table whole.
+  bool mReadWhole = true;
+};
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/scheduler/placement.cpp
@@ -0,0 +1,290 @@
+#include "flamingoloom/scheduler/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace flamingoloom::scheduler {
+
+Placement::Placement(Fleet& aFleet,
+                     const std::set<base::DataCentreId>& aDataCentresOut,
+                     base::Time aNow)
+{
+  for (auto& [id, server] : aFleet.Servers()) {
+    const bool usable = server.mListed && server.mFenced && server.mAnswers &&
+                        !server.mInfo.mDraining && server.mAvoidUntil <= aNow &&
+                        aDataCentresOut.count(server.mInfo.mDataCentre) == 0;
+    if (usable) {
+      mPlaces.emplace(id, Place{ &server, server.Free(), {} });
+    }
+  }
+  for (auto& [id, place] : mPlaces) {
+    mRacks[place.mServer->mInfo.mRack].push_back(&place);
+  }
+}
+
+bool
+Placement::Suits(const StepRun& aStep, const Place& aPlace) const
+{
+  const auto& info = aPlace.mServer->mInfo;
+  const auto& spec = aStep.Spec();
+  if (info.mService != aStep.mJob->mSpec.mRules.mService) {
+    return false;
+  }
+  return spec.mRequiredLabel.empty() ||
+         std::find(info.mLabels.begin(),
+                   info.mLabels.end(),
+                   spec.mRequiredLabel) != info.mLabels.end();
+}
+
+std::map<base::ServerId, int>
+Placement::TasksPerServer(const StepRun& aStep) const
+{
+  std::map<base::ServerId, int> counts;
+  if (aStep.Spec().mMaxPerServer == 0) {
+    return counts;
+  }
+  for (const Task& task : aStep.mTasks) {
+    const bool placed = task.mPhase == TaskPhase::eIntended ||
+                        task.mPhase == TaskPhase::eOrdered ||
+                        task.mPhase == TaskPhase::eRunning ||
+                        task.mPhase == TaskPhase::eUnresolved;
+    if (placed) {
+      ++counts[task.mServer];
+    }
+  }
+  return counts;
+}
+
+Placement::Place*
+Placement::Best(const StepRun& aStep,
+                int aIndex,
+                const std::vector<Place*>& aPlaces,
+                bool aAllowRemote,
+                const std::map<base::ServerId, int>& aTaken)
+{
+  const auto& spec = aStep.Spec();
+  const auto need = spec.Footprint();
+  const Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
+  Place* best = nullptr;
+  // Lower is better: away from the data, failed there before, cold, then the
+  // tightest fit.
+  using Score = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
+  Score bestScore;
+  for (Place* place : aPlaces) {
+    const auto& info = place->mServer->mInfo;
+    if (!need.FitsIn(place->mFree) || !Suits(aStep, *place)) {
+      continue;
+    }
+    const bool remote = !spec.mDataRack.empty() && info.mRack != spec.mDataRack;
+    if (remote && !aAllowRemote) {
+      continue;
+    }
+    if (spec.mMaxPerServer > 0) {
+      const auto taken = aTaken.find(info.mId);
+      if (taken != aTaken.end() && taken->second >= spec.mMaxPerServer) {
+        continue;
+      }
+    }
+    const Score score{ remote,
+                       task.mFailedOn.count(info.mId) > 0,
+                       info.mColdRemaining.count() > 0,
+                       place->mFree.mAccelerators - need.mAccelerators,
+                       place->mFree.mCpuMilli - need.mCpuMilli };
+    if (best == nullptr || score < bestScore) {
+      best = place;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+std::vector<Placement::Place*>
+Placement::AllPlaces()
+{
+  std::vector<Place*> places;
+  places.reserve(mPlaces.size());
+  for (auto& [id, place] : mPlaces) {
+    places.push_back(&place);
+  }
+  return places;
+}
+
+std::optional<base::ServerId>
+Placement::PlaceOne(const StepRun& aStep, int aIndex, bool aAllowRemote)
+{
+  auto assignment = PlaceOn(aStep, { aIndex }, AllPlaces(), aAllowRemote);
+  if (!assignment) {
+    return std::nullopt;
+  }
+  return assignment->front().second;
+}
+
+std::optional<Assignment>
+Placement::PlaceOn(const StepRun& aStep,
+                   const std::vector<int>& aIndices,
+                   const std::vector<Place*>& aPlaces,
+                   bool aAllowRemote)
+{
+  const auto need = aStep.Spec().Footprint();
+  auto taken = TasksPerServer(aStep);
+  Assignment assignment;
+  for (const int index : aIndices) {
+    Place* place = Best(aStep, index, aPlaces, aAllowRemote, taken);
+    if (place == nullptr) {
+      for (const auto& [undone, server] : assignment) {
+        mPlaces.at(server).mFree += need;
+      }
+      return std::nullopt;
+    }
+    place->mFree -= need;
+    ++taken[place->mServer->mInfo.mId];
+    assignment.emplace_back(index, place->mServer->mInfo.mId);
+  }
+  return assignment;
+}
+
+std::optional<Assignment>
+Placement::PlaceAll(const StepRun& aStep,
+                    const std::vector<int>& aIndices,
+                    bool aAllowRemote)
+{
+  if (!aStep.Spec().mSameRack) {
+    return PlaceOn(aStep, aIndices, AllPlaces(), aAllowRemote);
+  }
+  // The rack that is left with the least room, so that whole racks stay free.
+  std::optional<Assignment> best;
+  std::int64_t bestLeft = std::numeric_limits<std::int64_t>::max();
+  const auto need = aStep.Spec().Footprint();
+  for (auto& [rack, places] : mRacks) {
+    if (!aStep.Spec().mDataRack.empty() && rack != aStep.Spec().mDataRack) {
+      continue;
+    }
+    auto assignment = PlaceOn(aStep, aIndices, places, true);
+    if (!assignment) {
+      continue;
+    }
+    std::int64_t left = 0;
+    for (const Place* place : places) {
+      left += place->mFree.mAccelerators;
+    }
+    for (const auto& [index, server] : *assignment) {
+      mPlaces.at(server).mFree += need;
+    }
+    if (left < bestLeft) {
+      bestLeft = left;
+      best = std::move(assignment);
+    }
+  }
+  if (best) {
+    for (const auto& [index, server] : *best) {
+      mPlaces.at(server).mFree -= need;
+    }
+    return best;
+  }
+  if (!aAllowRemote) {
+    return std::nullopt;
+  }
+  return PlaceOn(aStep, aIndices, AllPlaces(), true);
+}
+
+std::optional<Assignment>
+Placement::PlaceOver(
+  const StepRun& aStep,
+  const std::vector<int>& aIndices,
+  bool aAllowRemote,
+  const std::function<std::vector<Victim>(const ServerState&)>& aVictims,
+  std::vector<Victim>& aChosen)
+{
+  // Room as if every victim were gone; then only those are kept that the
+  // chosen servers need.
+  std::map<base::ServerId, jobs::Resources> before;
+  for (auto& [id, place] : mPlaces) {
+    before[id] = place.mFree;
+    place.mVictims = Suits(aStep, place) ? aVictims(*place.mServer)
+                                         : std::vector<Victim>{};
+    for (const Victim& victim : place.mVictims) {
+      place.mFree += victim.mFrees;
+    }
+  }
+  auto assignment = PlaceAll(aStep, aIndices, aAllowRemote);
+  std::map<base::ServerId, int> placed;
+  if (assignment) {
+    for (const auto& [index, server] : *assignment) {
+      ++placed[server];
+    }
+  }
+  for (auto& [id, place] : mPlaces) {
+    place.mFree = before[id];
+    const auto count = placed.find(id);
+    if (count == placed.end()) {
+      continue;
+    }
+    place.mFree -= aStep.Spec().Footprint().Times(count->second);
+    std::sort(place.mVictims.begin(),
+              place.mVictims.end(),
+              [](const Victim& aLeft, const Victim& aRight) {
+                return aLeft.mCost < aRight.mCost;
+              });
+    jobs::Resources room = place.mFree;
+    for (const Victim& victim : place.mVictims) {
+      if (jobs::Resources{}.FitsIn(room)) {
+        break;
+      }
+      room += victim.mFrees;
+      aChosen.push_back(victim);
+    }
+  }
+  return assignment;
+}
+
+bool
+Placement::CouldStayLocal(const StepRun& aStep,
+                          const std::vector<int>& aIndices)
+{
+  std::map<base::ServerId, jobs::Resources> before;
+  for (auto& [id, place] : mPlaces) {
+    before[id] = place.mFree;
+    place.mFree = place.mServer->mInfo.mCapacity;
+  }
+  const auto assignment = PlaceAll(aStep, aIndices, false);
+  for (auto& [id, place] : mPlaces) {
+    place.mFree = before[id];
+  }
+  return assignment.has_value();
+}
+
+void
+Placement::Take(const base::ServerId& aServer, const jobs::Resources& aNeed)
+{
+  const auto place = mPlaces.find(aServer);
+  if (place != mPlaces.end()) {
+    place->second.mFree -= aNeed;
+  }
+}
+
+bool
+Placement::Fits(const base::ServerId& aServer,
+                const jobs::Resources& aNeed) const
+{
+  const auto place = mPlaces.find(aServer);
+  return place != mPlaces.end() && aNeed.FitsIn(place->second.mFree);
+}
+
+bool
+Placement::IsUsable(const base::ServerId& aServer) const
+{
+  return mPlaces.count(aServer) > 0;
+}
+
+std::int64_t
+Placement::FreeAccelerators() const
+{
+  std::int64_t free = 0;
+  for (const auto& [id, place] : mPlaces) {
+    free += std::max<std::int64_t>(0, place.mFree.mAccelerators);
+  }
+  return free;
+}
+
+} // namespace flamingoloom::scheduler
--- /dev/null
+++ b/flamingoloom/scheduler/placement.h
@@ -0,0 +1,97 @@
+// Chooses servers for tasks within one scheduling pass.
+//
+// A pass starts from the room that is free and takes from it as it places;
+// nothing is placed for good here. Internal to the scheduler.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "flamingoloom/scheduler/fleet.h"
+#include "flamingoloom/scheduler/work.h"
+
+namespace flamingoloom::scheduler {
+
+// Tasks of a step with the servers chosen for them.
+using Assignment = std::vector<std::pair<int, base::ServerId>>;
+
+// Work that may be stopped for a more urgent job.
+struct Victim
+{
+  StepRun* mStep = nullptr;
+  int mIndex = 0;
+  jobs::Resources mFrees;
+  // Core-seconds that are lost if it is stopped now.
+  double mCost = 0;
+};
+
+class Placement
+{
+public:
+  Placement(Fleet& aFleet,
+            const std::set<base::DataCentreId>& aDataCentresOut,
+            base::Time aNow);
+
+  // Places one waiting task; aAllowRemote permits racks away from its data.
+  std::optional<base::ServerId> PlaceOne(const StepRun& aStep,
+                                         int aIndex,
+                                         bool aAllowRemote);
+
+  // Places all of aIndices or none; a same-rack gang stays in one rack unless
+  // aAllowRemote permits several.
+  std::optional<Assignment> PlaceAll(const StepRun& aStep,
+                                     const std::vector<int>& aIndices,
+                                     bool aAllowRemote);
+
+  // As PlaceAll, on room that victims would free. aVictims lists what may be
+  // stopped on a server. On success aChosen holds what has to be stopped.
+  std::optional<Assignment> PlaceOver(
+    const StepRun& aStep,
+    const std::vector<int>& aIndices,
+    bool aAllowRemote,
+    const std::function<std::vector<Victim>(const ServerState&)>& aVictims,
+    std::vector<Victim>& aChosen);
+
+  // Whether an empty rack would hold all of aIndices, or one whole server its
+  // task; false means that waiting for such a place is in vain.
+  bool CouldStayLocal(const StepRun& aStep, const std::vector<int>& aIndices);
+
+  // Takes aNeed from a server's room for this pass; it may fall below zero.
+  void Take(const base::ServerId& aServer, const jobs::Resources& aNeed);
+  bool Fits(const base::ServerId& aServer, const jobs::Resources& aNeed) const;
+  bool IsUsable(const base::ServerId& aServer) const;
+
+  // Accelerators free on usable servers.
+  std::int64_t FreeAccelerators() const;
+
+private:
+  struct Place
+  {
+    ServerState* mServer;
+    jobs::Resources mFree;
+    std::vector<Victim> mVictims;
+  };
+
+  bool Suits(const StepRun& aStep, const Place& aPlace) const;
+  Place* Best(const StepRun& aStep,
+              int aIndex,
+              const std::vector<Place*>& aPlaces,
+              bool aAllowRemote,
+              const std::map<base::ServerId, int>& aTaken);
+  std::optional<Assignment> PlaceOn(const StepRun& aStep,
+                                    const std::vector<int>& aIndices,
+                                    const std::vector<Place*>& aPlaces,
+                                    bool aAllowRemote);
+  std::map<base::ServerId, int> TasksPerServer(const StepRun& aStep) const;
+  std::vector<Place*> AllPlaces();
+
+  std::map<base::ServerId, Place> mPlaces;
+  std::map<std::string, std::vector<Place*>> mRacks;
+};
+
+} // namespace flamingoloom::scheduler
--- /dev/null
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -0,0 +1,341 @@
+#include <doctest/doctest.h>
+
+#include "flamingoloom/scheduler/scheduler.h"
+
+namespace flamingoloom::scheduler {
+namespace {
+
+using base::ServerId;
+using base::Time;
+using jobs::JobState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A scheduler with a store that always accepts and servers driven by hand.
+struct Fixture
+{
+  Fixture()
+    : mScheduler({}, {})
+  {
+  }
+
+  void AddServers(int aCount, const char* aRack = "r1", int aFirst = 0)
+  {
+    for (int i = aFirst; i < aFirst + aCount; ++i) {
+      ServerInfo info;
+      info.mId = ServerId("s" + std::to_string(i));
+      info.mService = "desk";
+      info.mRack = aRack;
+      info.mDataCentre = base::DataCentreId("dc1");
+      info.mCapacity = { 64000, 262144, 8 };
+      info.mStartedMs = 1;
+      mInfos.push_back(info);
+    }
+    mScheduler.UpdateServers(mInfos, mNow + seconds(12));
+    for (const auto& info : mInfos) {
+      Report(info.mId, {}, {});
+    }
+  }
+
+  static jobs::JobSpec Job(const std::string& aId, int aTasks, int aAccelerators)
+  {
+    jobs::JobSpec job;
+    job.mId = aId;
+    job.mAccount = base::AccountId("shop");
+    job.mRules = { "q", "desk", 1, 3, 3.0, milliseconds(500) };
+    jobs::StepSpec step;
+    step.mTaskCount = aTasks;
+    step.mPerTask = { 1000, 1000, aAccelerators };
+    step.mEstimate = seconds(2);
+    job.mSteps = { step };
+    return job;
+  }
+
+  void Add(const jobs::JobSpec& aJob) { mScheduler.AddJob(mNow, aJob, 1); }
+
+  void Report(const ServerId& aServer,
+              std::vector<RunningTask> aRunning,
+              std::vector<EndedTask> aEnded,
+              std::int64_t aLife = 1)
+  {
+    mScheduler.OnReport(mNow, aServer, { aLife, aRunning, aEnded }, mNow);
+  }
+
+  // One pass; stores what it changes and returns the orders.
+  Orders Pass()
+  {
+    mNow += milliseconds(10);
+    mScheduler.Schedule(mNow, mUnixMs);
+    Store();
+    return mScheduler.TakeOrders();
+  }
+
+  void Store()
+  {
+    while (mScheduler.HasChanges()) {
+      const auto batch = mScheduler.TakeBatch(1000);
+      for (const auto& row : batch.mRows) {
+        mRows[row.mTable + ":" + row.mKey] = row.mValue.value_or("");
+      }
+      mScheduler.OnStored(mNow, batch, ++mVersion);
+    }
+  }
+
+  std::vector<StartOrder> StartAll()
+  {
+    auto starts = Pass().mStarts;
+    for (const auto& start : starts) {
+      mScheduler.OnStart(mNow, start, StartAnswer::eStarted, false);
+    }
+    return starts;
+  }
+
+  JobState State(const std::string& aJob) const
+  {
+    return mScheduler.Jobs().at(aJob)->mState;
+  }
+
+  Time mNow{ seconds(100) };
+  std::int64_t mUnixMs = 1'000'000;
+  std::int64_t mVersion = 10;
+  std::vector<ServerInfo> mInfos;
+  std::map<std::string, std::string> mRows;
+  Scheduler mScheduler;
+};
+
+// Guards against a successor that does not know of a start.
+TEST_CASE("A start is ordered only after it is stored")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("a", 1, 1));
+  f.mScheduler.Schedule(f.mNow, 0);
+  CHECK(f.mScheduler.TakeOrders().mStarts.empty());
+  f.Store();
+  CHECK(f.mScheduler.TakeOrders().mStarts.size() == 1);
+}
+
+// Guards against an end that is lost because it was acknowledged too early.
+TEST_CASE("An end is acknowledged only after it is stored")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("a", 1, 1));
+  const auto start = f.StartAll().at(0);
+  f.Report(start.mServer, {}, { { 1, start.mRun, RunEnd::eDone, "" } });
+  CHECK(f.mScheduler.AcknowledgedEnds(start.mServer) == 0);
+  f.Store();
+  CHECK(f.mScheduler.AcknowledgedEnds(start.mServer) == 1);
+  CHECK(f.State("a") == JobState::eCompleted);
+}
+
+// Guards against a gang of which only a part runs.
+TEST_CASE("A gang is placed whole or not at all")
+{
+  Fixture f;
+  f.AddServers(2);
+  auto job = Fixture::Job("a", 3, 8);
+  job.mSteps[0].mGang = true;
+  f.Add(job);
+  CHECK(f.Pass().mStarts.empty());
+  f.AddServers(1, "r1", 2);
+  CHECK(f.Pass().mStarts.size() == 3);
+}
+
+// Guards against a gang whose members are left behind by a refused start.
+TEST_CASE("A refused member stops the gang and it starts again under one run")
+{
+  Fixture f;
+  f.AddServers(2);
+  auto job = Fixture::Job("a", 2, 8);
+  job.mSteps[0].mGang = true;
+  f.Add(job);
+  const auto starts = f.Pass().mStarts;
+  REQUIRE(starts.size() == 2);
+  f.mScheduler.OnStart(f.mNow, starts[0], StartAnswer::eStarted, false);
+  f.mScheduler.OnStart(f.mNow, starts[1], StartAnswer::eNoRoom, false);
+  const auto orders = f.Pass();
+  CHECK(orders.mStarts.empty());
+  REQUIRE(orders.mStops.size() == 1);
+  f.mNow += seconds(1);
+  f.Report(starts[0].mServer,
+           {},
+           { { 1, starts[0].mRun, RunEnd::eStopped, "" } });
+  const auto again = f.Pass().mStarts;
+  REQUIRE(again.size() == 2);
+  CHECK(again[0].mRun.mRun == 2);
+  CHECK(again[1].mRun.mRun == 2);
+}
+
+// Guards against two runs when an order without an answer is carried out late.
+TEST_CASE("A start without an answer is stopped before the task starts again")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::Job("a", 1, 1));
+  const auto start = f.Pass().mStarts.at(0);
+  f.mScheduler.OnStart(f.mNow, start, StartAnswer::eUnknown, true);
+  f.Report(start.mServer, {}, {});
+  auto orders = f.Pass();
+  CHECK(orders.mStarts.empty());
+  REQUIRE(orders.mStops.size() == 1);
+  f.mScheduler.OnStop(f.mNow, orders.mStops[0], true);
+  f.mNow += milliseconds(1);
+  f.Report(start.mServer, {}, {});
+  CHECK(f.Pass().mStarts.size() == 1);
+}
+
+// Guards against a refusal being trusted while an earlier try is under way.
+TEST_CASE("A refusal after an unanswered try does not free the task")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::Job("a", 1, 1));
+  const auto start = f.Pass().mStarts.at(0);
+  f.mScheduler.OnStart(f.mNow, start, StartAnswer::eNoRoom, true);
+  const auto orders = f.Pass();
+  CHECK(orders.mStarts.empty());
+  CHECK(orders.mStops.size() == 1);
+}
+
+// Guards against a task that starts elsewhere while it runs behind a cut.
+TEST_CASE("Runs on a silent server are given up only when its leases ended")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::Job("a", 1, 1));
+  const auto start = f.StartAll().at(0);
+  f.mScheduler.NoteLease(start.mServer, f.mNow + seconds(30));
+  f.mScheduler.OnSilence(f.mNow, start.mServer);
+  f.mNow += seconds(29);
+  CHECK(f.Pass().mStarts.empty());
+  f.mNow += seconds(2);
+  const auto again = f.Pass().mStarts;
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].mServer != start.mServer);
+  CHECK(again[0].mRun.mRun == 2);
+}
+
+// Guards against a successor that starts what its predecessor has started.
+TEST_CASE("A successor takes over what runs and starts what does not")
+{
+  Fixture f;
+  f.Add(Fixture::Job("a", 2, 1));
+  f.mScheduler.RestoreStep("a",
+                           { 0,
+                             0,
+                             { { 0, jobs::TaskOutcome::ePlaced, 1, ServerId("s0"), 0, "" },
+                               { 1, jobs::TaskOutcome::ePlaced, 1, ServerId("s1"), 0, "" } } },
+                           5,
+                           f.mNow + seconds(12));
+  f.mScheduler.Resume(f.mNow);
+  CHECK(f.Pass().mStarts.empty());
+  f.AddServers(2);
+  // AddServers reports empty lists: both are absent and fenced by now.
+  CHECK(f.Pass().mStarts.size() == 2);
+}
+
+// Guards against a guarantee that waits for other accounts' work to end.
+TEST_CASE("A guaranteed job stops less urgent work and takes its place")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("low", 1, 8));
+  const auto low = f.StartAll().at(0);
+  auto job = Fixture::Job("high", 1, 8);
+  job.mRules.mPriority = 0;
+  f.mScheduler.SetGuarantees({ { job.mAccount, 8 } });
+  f.Add(job);
+  const auto orders = f.Pass();
+  REQUIRE(orders.mStops.size() == 1);
+  CHECK(orders.mStops[0].mRun == low.mRun);
+  f.mNow += milliseconds(50);
+  f.Report(low.mServer, {}, { { 1, low.mRun, RunEnd::eStopped, "" } });
+  const auto starts = f.Pass().mStarts;
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].mRun.mTask.mJob == "high");
+}
+
+// Guards against a task that is tried more often than its queue allows.
+TEST_CASE("A job fails when a task has failed as often as its queue allows")
+{
+  Fixture f;
+  f.AddServers(4);
+  auto job = Fixture::Job("a", 1, 1);
+  job.mRules.mMaxAttempts = 2;
+  f.Add(job);
+  for (int i = 0; i < 2; ++i) {
+    const auto start = f.StartAll().at(0);
+    f.Report(start.mServer, {}, { { 1, start.mRun, RunEnd::eFailed, "" } });
+  }
+  CHECK(f.State("a") == JobState::eFailed);
+  CHECK(f.Pass().mStarts.empty());
+}
+
+// Guards against a step that starts before the steps it depends on are done.
+TEST_CASE("A later step waits for all tasks of the earlier one")
+{
+  Fixture f;
+  f.AddServers(1);
+  auto job = Fixture::Job("a", 2, 1);
+  job.mSteps.push_back(job.mSteps[0]);
+  job.mSteps[1].mAfter = { 0 };
+  f.Add(job);
+  const auto starts = f.StartAll();
+  REQUIRE(starts.size() == 2);
+  f.Report(starts[0].mServer,
+           { { starts[1].mRun, "", 50 } },
+           { { 1, starts[0].mRun, RunEnd::eDone, "" } });
+  CHECK(f.Pass().mStarts.empty());
+  f.Report(starts[0].mServer, {}, { { 2, starts[1].mRun, RunEnd::eDone, "" } });
+  CHECK(f.Pass().mStarts.size() == 2);
+}
+
+// Guards against an occurrence that starts before its time.
+TEST_CASE("An occurrence starts when it is due")
+{
+  Fixture f;
+  f.AddServers(1);
+  auto job = Fixture::Job("a", 1, 1);
+  job.mOccurrences = 2;
+  job.mFirstDueMs = f.mUnixMs + 100;
+  job.mIntervalMs = 1000;
+  f.Add(job);
+  CHECK(f.Pass().mStarts.empty());
+  CHECK(f.mScheduler.MillisecondsToNextDue(f.mUnixMs) == 100);
+  f.mUnixMs += 100;
+  CHECK(f.StartAll().size() == 1);
+  f.mUnixMs += 1000;
+  CHECK(f.StartAll().size() == 1);
+}
+
+// Guards against work in a data centre that operators have taken out, and on
+// servers that are leaving.
+TEST_CASE("Nothing starts on a draining server or in a data centre that is out")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("a", 1, 1));
+  f.mScheduler.SetDataCentresOut({ base::DataCentreId("dc1") });
+  CHECK(f.Pass().mStarts.empty());
+  f.mScheduler.SetDataCentresOut({});
+  f.mInfos[0].mDraining = true;
+  f.mScheduler.UpdateServers(f.mInfos, f.mNow);
+  CHECK(f.Pass().mStarts.empty());
+}
+
+// Guards against a run that outlives its job.
+TEST_CASE("Cancelling stops what runs and starts nothing more")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("a", 1, 1));
+  f.StartAll();
+  f.mScheduler.Cancel(f.mNow, "a");
+  const auto orders = f.Pass();
+  CHECK(orders.mStops.size() == 1);
+  CHECK(f.State("a") == JobState::eCancelled);
+}
+
+} // namespace
+} // namespace flamingoloom::scheduler
--- /dev/null
+++ b/flamingoloom/scheduler/work.cpp
@@ -0,0 +1,117 @@
+#include "flamingoloom/scheduler/work.h"
+
+#include <algorithm>
+
+namespace flamingoloom::scheduler {
+
+using jobs::TaskOutcome;
+
+const jobs::StepSpec&
+StepRun::Spec() const
+{
+  return mJob->mSpec.mSteps[static_cast<std::size_t>(mStep)];
+}
+
+jobs::TaskName
+StepRun::Name(int aIndex) const
+{
+  return { mJob->mSpec.mId, mOccurrence, mStep, aIndex };
+}
+
+jobs::StepRecord
+StepRun::Record() const
+{
+  jobs::StepRecord record{ mOccurrence, mStep, {} };
+  for (std::size_t i = 0; i < mTasks.size(); ++i) {
+    const Task& task = mTasks[i];
+    if (task.mRun == 0) {
+      continue;
+    }
+    jobs::TaskRecord row;
+    row.mIndex = static_cast<int>(i);
+    row.mRun = task.mRun;
+    row.mFailures = Spec().mGang ? mGangFailures : task.mFailures;
+    row.mCheckpoint = Spec().mGang ? mGangCheckpoint : task.mCheckpoint;
+    switch (task.mPhase) {
+      case TaskPhase::eWaiting:
+        row.mOutcome = TaskOutcome::eWaiting;
+        break;
+      case TaskPhase::eDone:
+        row.mOutcome = TaskOutcome::eDone;
+        row.mCheckpoint.clear();
+        break;
+      case TaskPhase::eFailed:
+        row.mOutcome = TaskOutcome::eFailed;
+        break;
+      default:
+        row.mOutcome = TaskOutcome::ePlaced;
+        row.mServer = task.mServer;
+        break;
+    }
+    record.mTasks.push_back(std::move(row));
+  }
+  return record;
+}
+
+Occurrence
+MakeOccurrence(Job& aJob, int aOccurrence)
+{
+  Occurrence occurrence;
+  for (std::size_t i = 0; i < aJob.mSpec.mSteps.size(); ++i) {
+    auto step = std::make_unique<StepRun>();
+    step->mJob = &aJob;
+    step->mOccurrence = aOccurrence;
+    step->mStep = static_cast<int>(i);
+    step->mTasks.resize(
+      static_cast<std::size_t>(aJob.mSpec.mSteps[i].mTaskCount));
+    step->mUnfinished = step->mWaiting = aJob.mSpec.mSteps[i].mTaskCount;
+    occurrence.mSteps.push_back(std::move(step));
+  }
+  occurrence.mUnfinishedSteps = static_cast<int>(occurrence.mSteps.size());
+  return occurrence;
+}
+
+void
+RestoreStep(StepRun& aStep,
+            const jobs::StepRecord& aRecord,
+            std::int64_t aVersion)
+{
+  aStep.mRowVersion = aVersion;
+  for (const auto& row : aRecord.mTasks) {
+    if (row.mIndex < 0 ||
+        row.mIndex >= static_cast<int>(aStep.mTasks.size())) {
+      continue;
+    }
+    Task& task = aStep.mTasks[static_cast<std::size_t>(row.mIndex)];
+    task.mRun = row.mRun;
+    task.mServer = row.mServer;
+    task.mFailures = row.mFailures;
+    task.mCheckpoint = row.mCheckpoint;
+    aStep.mGangRun = std::max(aStep.mGangRun, row.mRun);
+    if (aStep.Spec().mGang) {
+      aStep.mGangFailures = std::max(aStep.mGangFailures, row.mFailures);
+      aStep.mGangCheckpoint = row.mCheckpoint;
+    }
+    switch (row.mOutcome) {
+      case TaskOutcome::eWaiting:
+        task.mPhase = TaskPhase::eWaiting;
+        break;
+      case TaskOutcome::ePlaced:
+        task.mPhase = TaskPhase::eUnresolved;
+        break;
+      case TaskOutcome::eDone:
+        task.mPhase = TaskPhase::eDone;
+        break;
+      case TaskOutcome::eFailed:
+        task.mPhase = TaskPhase::eFailed;
+        break;
+    }
+  }
+  aStep.mWaiting = aStep.mUnfinished = 0;
+  for (const Task& task : aStep.mTasks) {
+    aStep.mWaiting += task.mPhase == TaskPhase::eWaiting ? 1 : 0;
+    aStep.mUnfinished += task.mPhase == TaskPhase::eDone ? 0 : 1;
+  }
+}
+
+} // namespace flamingoloom::scheduler
