--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -22,13 +22,12 @@
 void
 TableWatch::ReadPage(const std::string& aFrom, std::vector<Row> aSoFar)
 {
-  const auto sentAt = mPorts.mLoop->Now();
   mPorts.mStore->Read(
     mTable,
     aFrom,
     "",
     mTiming.mReadTimeout,
-    [self = shared_from_this(), sentAt, rows = std::move(aSoFar)](
+    [self = shared_from_this(), rows = std::move(aSoFar)](
       base::Expected<Rows> aPage) mutable {
       if (self->mStopped) {
         return;
@@ -38,7 +37,7 @@
         self->Retry();
         return;
       }
-      self->NoteContact(sentAt);
+      self->NoteContact();
       if (rows.empty()) {
         // Changes after the first page are followed from here.
         self->mVersion = aPage->mVersion;
@@ -81,12 +80,11 @@
 void
 TableWatch::FollowChanges()
 {
-  const auto sentAt = mPorts.mLoop->Now();
   mPorts.mStore->Follow(
     mTable,
     mVersion,
     mTiming.mWait,
-    [self = shared_from_this(), sentAt](base::Expected<Rows> aRows) {
+    [self = shared_from_this()](base::Expected<Rows> aRows) {
       if (self->mStopped) {
         return;
       }
@@ -98,7 +96,7 @@
         self->Retry();
         return;
       }
-      self->NoteContact(sentAt);
+      self->NoteContact();
       std::vector<Row> changes;
       for (const auto& row : aRows->mRows) {
         auto& version = self->mVersions[row.mKey];
@@ -137,9 +135,9 @@
 }
 
 void
-TableWatch::NoteContact(base::Time aSentAt)
+TableWatch::NoteContact()
 {
-  mLastContact = aSentAt;
+  mLastContact = mPorts.mLoop->Now();
   if (!mConnected) {
     mConnected = true;
     mPorts.mLog->Write("store_regained", { { "table", mTable } });
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -42,7 +42,7 @@
 
   // The table was read whole at least once.
   bool IsComplete() const { return mComplete; }
-  // When the last call that was answered had been sent.
+  // When the store last answered.
   base::Time LastContact() const { return mLastContact; }
   bool IsConnected() const { return mConnected; }
 
@@ -51,7 +51,7 @@
   void TakeSnapshot(const std::vector<Row>& aRows);
   void FollowChanges();
   void Retry();
-  void NoteContact(base::Time aSentAt);
+  void NoteContact();
   void NoteFailure(const base::Error& aError);
 
   const Ports mPorts;
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -110,21 +110,19 @@
   return places;
 }
 
-std::optional<base::ServerId>
-Placement::PlaceOne(const StepRun& aStep, int aIndex, bool aAllowRemote)
+Assignment
+Placement::PlaceSome(const StepRun& aStep,
+                     const std::vector<int>& aIndices,
+                     bool aAllowRemote)
 {
-  auto assignment = PlaceOn(aStep, { aIndex }, AllPlaces(), aAllowRemote);
-  if (!assignment) {
-    return std::nullopt;
-  }
-  return assignment->front().second;
+  return PlaceUntilFull(aStep, aIndices, AllPlaces(), aAllowRemote);
 }
 
-std::optional<Assignment>
-Placement::PlaceOn(const StepRun& aStep,
-                   const std::vector<int>& aIndices,
-                   const std::vector<Place*>& aPlaces,
-                   bool aAllowRemote)
+Assignment
+Placement::PlaceUntilFull(const StepRun& aStep,
+                          const std::vector<int>& aIndices,
+                          const std::vector<Place*>& aPlaces,
+                          bool aAllowRemote)
 {
   const auto need = aStep.Spec().Footprint();
   auto taken = TasksPerServer(aStep);
@@ -132,10 +130,7 @@
   for (const int index : aIndices) {
     Place* place = Best(aStep, index, aPlaces, aAllowRemote, taken);
     if (place == nullptr) {
-      for (const auto& [undone, server] : assignment) {
-        mPlaces.at(server).mFree += need;
-      }
-      return std::nullopt;
+      break;
     }
     place->mFree -= need;
     ++taken[place->mServer->mInfo.mId];
@@ -144,6 +139,22 @@
   return assignment;
 }
 
+std::optional<Assignment>
+Placement::PlaceOn(const StepRun& aStep,
+                   const std::vector<int>& aIndices,
+                   const std::vector<Place*>& aPlaces,
+                   bool aAllowRemote)
+{
+  auto assignment = PlaceUntilFull(aStep, aIndices, aPlaces, aAllowRemote);
+  if (assignment.size() == aIndices.size()) {
+    return assignment;
+  }
+  for (const auto& [index, server] : assignment) {
+    mPlaces.at(server).mFree += aStep.Spec().Footprint();
+  }
+  return std::nullopt;
+}
+
 std::optional<Assignment>
 Placement::PlaceAll(const StepRun& aStep,
                     const std::vector<int>& aIndices,
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -37,10 +37,11 @@
             const std::set<base::DataCentreId>& aDataCentresOut,
             base::Time aNow);
 
-  // Places one waiting task; aAllowRemote permits racks away from its data.
-  std::optional<base::ServerId> PlaceOne(const StepRun& aStep,
-                                         int aIndex,
-                                         bool aAllowRemote);
+  // Places as many of aIndices as there is room for; aAllowRemote permits
+  // racks away from the data.
+  Assignment PlaceSome(const StepRun& aStep,
+                       const std::vector<int>& aIndices,
+                       bool aAllowRemote);
 
   // Places all of aIndices or none; a same-rack gang stays in one rack unless
   // aAllowRemote permits several.
@@ -83,6 +84,11 @@
               const std::vector<Place*>& aPlaces,
               bool aAllowRemote,
               const std::map<base::ServerId, int>& aTaken);
+  // Stops at the first task without a place.
+  Assignment PlaceUntilFull(const StepRun& aStep,
+                            const std::vector<int>& aIndices,
+                            const std::vector<Place*>& aPlaces,
+                            bool aAllowRemote);
   std::optional<Assignment> PlaceOn(const StepRun& aStep,
                                     const std::vector<int>& aIndices,
                                     const std::vector<Place*>& aPlaces,
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -1074,13 +1074,7 @@
     assignment = aPlacement.PlaceAll(step, indices, remote).value_or(Assignment{});
     step.mGangRun += assignment.empty() ? 0 : 1;
   } else {
-    for (const int index : indices) {
-      const auto server = aPlacement.PlaceOne(step, index, remote);
-      if (!server) {
-        break;
-      }
-      assignment.emplace_back(index, *server);
-    }
+    assignment = aPlacement.PlaceSome(step, indices, remote);
   }
   for (const auto& [index, server] : assignment) {
     Intend(step, index, server, aNow);
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -324,6 +324,24 @@
   CHECK(f.Pass().mStarts.empty());
 }
 
+// Guards against tasks placed in one pass being left out of the count.
+TEST_CASE("No more tasks of a step share a server than it allows")
+{
+  Fixture f;
+  f.AddServers(3);
+  auto job = Fixture::Job("a", 5, 1);
+  job.mSteps[0].mMaxPerServer = 1;
+  f.Add(job);
+  std::set<ServerId> used;
+  const auto starts = f.Pass().mStarts;
+  for (const auto& start : starts) {
+    used.insert(start.mServer);
+  }
+  CHECK(starts.size() == 3);
+  CHECK(used.size() == 3);
+  CHECK(f.Pass().mStarts.empty());
+}
+
 // Guards against a run that outlives its job.
 TEST_CASE("Cancelling stops what runs and starts nothing more")
 {
