--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -123,6 +123,8 @@
   if (added) {
     entry->second.mInfo.mId = aId;
     entry->second.mListed = false;
+    // Without an entry there is no address to ask.
+    entry->second.mAnswers = false;
     entry->second.mLeasesEndBy = aLeasesEndBy;
   }
   return entry->second;
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -235,6 +235,23 @@
   CHECK(f.Pass().mStarts.size() == 2);
 }
 
+// Guards against work that waits for ever for a server that is gone.
+TEST_CASE("A successor gives up runs on a server without an entry in time")
+{
+  Fixture f;
+  f.Add(Fixture::Job("a", 1, 1));
+  f.mScheduler.RestoreStep(
+    "a",
+    { 0, 0, { { 0, jobs::TaskOutcome::ePlaced, 1, ServerId("gone"), 0, "" } } },
+    5,
+    f.mNow + seconds(12));
+  f.mScheduler.Resume(f.mNow);
+  f.AddServers(1);
+  CHECK(f.Pass().mStarts.empty());
+  f.mNow += seconds(13);
+  CHECK(f.Pass().mStarts.size() == 1);
+}
+
 // Guards against a guarantee that waits for other accounts' work to end.
 TEST_CASE("A guaranteed job stops less urgent work and takes its place")
 {
