Batches stay below the entries of a transaction

Ruled out: the store being down; it answered other calls. Conclusion: batches count entries and bytes; a batch that the store never takes ends the lead instead of being repeated. Commits that fail back off.

--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -32,6 +32,7 @@
   , mLeadValidUntil(std::move(aLeadValidUntil))
   , mOnLost(std::move(aOnLost))
   , mStartedAt(aPorts.mLoop->Now())
+  , mCommitPause(aTiming.mCommitRetry)
   , mScheduler(aSettings, [log = aPorts.mLog](const scheduler::Decision& aDecision) {
     EventLog::Fields fields;
     fields.reserve(aDecision.mFields.size() + 1);
@@ -473,8 +474,13 @@
     mPorts.mLog->Write("commit_failed",
                        { { "rows", std::to_string(aBatch.mRows.size()) },
                          { "error", aResult.error().ToString() } });
+    if (aResult.error().mCode == base::ErrorCode::eDenied) {
+      Lose("the store refuses a batch");
+      return;
+    }
+    mCommitPause = std::min(mTiming.mMaxCommitRetry, mCommitPause * 2);
     mPorts.mLoop->After(
-      mTiming.mCommitRetry,
+      mCommitPause,
       [self = shared_from_this(), aBatch, retry = aRetry || unknown] {
         if (self->mPhase == Phase::eScheduling) {
           self->SendCommit(aBatch, retry);
@@ -491,6 +497,7 @@
     }
   }
   mCommitting = false;
+  mCommitPause = mTiming.mCommitRetry;
   if (aResult->mStoreNowMs > 0) {
     mStoreMs = aResult->mStoreNowMs;
     mStoreMsReadAt = mPorts.mLoop->Now();
--- a/flamingoloom/node/lead.h
+++ b/flamingoloom/node/lead.h
@@ -38,7 +38,10 @@
   base::Duration mKeepFinal = std::chrono::seconds(150);
   base::Duration mCleanEvery = std::chrono::seconds(5);
   base::Duration mCommitTimeout = std::chrono::milliseconds(1000);
-  base::Duration mCommitRetry = std::chrono::milliseconds(100);
+  // Pause after a commit that failed; it doubles up to mMaxCommitRetry, since
+  // refused calls are priced too.
+  base::Duration mCommitRetry = std::chrono::milliseconds(50);
+  base::Duration mMaxCommitRetry = std::chrono::milliseconds(400);
 };
 
 class Lead : public std::enable_shared_from_this<Lead>
@@ -105,6 +108,7 @@
   const std::function<void()> mOnLost;
   Phase mPhase = Phase::eLoading;
   base::Time mStartedAt;
+  base::Duration mCommitPause;
   scheduler::Scheduler mScheduler;
   std::map<base::ServerId, std::shared_ptr<ServerLink>> mLinks;
   std::shared_ptr<TableWatch> mJobWatch;
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -21,8 +21,14 @@
 // Work away from its data takes a multiple of its time; waiting for the right
 // rack this long is shorter in most cases.
 constexpr base::Duration kLocalWait = std::chrono::milliseconds(1500);
-// Below the 100 entries of a transaction, with a condition for each row.
-constexpr std::size_t kRowsPerBatch = 45;
+// The store takes 100 entries in a transaction, and a condition counts as one;
+// some are left for the epoch's condition.
+constexpr std::size_t kEntriesPerBatch = 95;
+// A row with a condition, and a job's state with its row in kPendingTable.
+constexpr std::size_t kEntriesPerStep = 2;
+constexpr std::size_t kEntriesPerState = 3;
+// Below the store's 1 MB for a transaction, also in base64.
+constexpr std::size_t kBytesPerBatch = 500 * 1024;
 
 bool
 IsPlaced(TaskPhase aPhase)
@@ -677,57 +683,77 @@
   std::vector<Job*> states;
   // States follow their steps: a job is not shown as completed before its
   // last end is stored.
+  std::size_t entries = 0;
+  std::size_t bytes = 0;
   for (StepRun* step : mDirtySteps) {
-    if (steps.size() < kRowsPerBatch) {
-      steps.push_back(step);
+    if (entries + kEntriesPerStep > kEntriesPerBatch ||
+        bytes > kBytesPerBatch) {
+      break;
     }
+    entries += kEntriesPerStep;
+    steps.push_back(step);
+    AddStepRow(*step, batch);
+    bytes += batch.mRows.back().mValue->size();
   }
   const bool allSteps = steps.size() == mDirtySteps.size();
   for (Job* job : mDirtyJobs) {
-    if (allSteps && steps.size() + states.size() < kRowsPerBatch) {
-      states.push_back(job);
+    if (!allSteps || entries + kEntriesPerState > kEntriesPerBatch) {
+      break;
     }
+    entries += kEntriesPerState;
+    states.push_back(job);
+    AddStateRows(*job, aStoreNowMs, batch);
   }
   for (StepRun* step : steps) {
     mDirtySteps.erase(step);
-    step->mDirty = false;
-    batch.mRows.push_back(
-      { jobs::kRunTable,
-        jobs::RunKey(step->mJob->mSpec.mId, step->mOccurrence, step->mStep),
-        jobs::EncodeStep(step->Record()),
-        step->mRowVersion });
-    for (std::size_t i = 0; i < step->mTasks.size(); ++i) {
-      if (step->mTasks[i].mPhase == TaskPhase::eIntended) {
-        mIntendedInBatch.emplace_back(step, static_cast<int>(i));
-      }
-    }
   }
   for (Job* job : states) {
     mDirtyJobs.erase(job);
-    job->mStateDirty = false;
-    if (job->IsFinal() && job->mEndedAtStoreMs == 0) {
-      job->mEndedAtStoreMs = std::max<std::int64_t>(1, aStoreNowMs);
-    }
-    batch.mRows.push_back(
-      { jobs::kStateTable,
-        job->mSpec.mId,
-        jobs::EncodeState(
-          { job->mState, job->mSpec.mAccount, job->mEndedAtStoreMs }),
-        job->mStateVersion });
-    if (job->mPendingRow && job->mState != JobState::eQueued) {
-      job->mPendingRow = false;
-      batch.mRows.push_back(
-        { jobs::kPendingTable,
-          jobs::PendingKey(job->mSpec.mRules.mQueue, job->mSpec.mId),
-          std::nullopt,
-          std::nullopt });
-    }
   }
   batch.mCovers =
     mDirtySteps.empty() && mDirtyJobs.empty() ? mChange : mStoredChange;
   return batch;
 }
 
+void
+Scheduler::AddStepRow(StepRun& aStep, Batch& aBatch)
+{
+  aStep.mDirty = false;
+  aBatch.mRows.push_back(
+    { jobs::kRunTable,
+      jobs::RunKey(aStep.mJob->mSpec.mId, aStep.mOccurrence, aStep.mStep),
+      jobs::EncodeStep(aStep.Record()),
+      aStep.mRowVersion });
+  for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
+    if (aStep.mTasks[i].mPhase == TaskPhase::eIntended) {
+      mIntendedInBatch.emplace_back(&aStep, static_cast<int>(i));
+    }
+  }
+}
+
+void
+Scheduler::AddStateRows(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch)
+{
+  aJob.mStateDirty = false;
+  if (aJob.IsFinal() && aJob.mEndedAtStoreMs == 0) {
+    aJob.mEndedAtStoreMs = std::max<std::int64_t>(1, aStoreNowMs);
+  }
+  aBatch.mRows.push_back(
+    { jobs::kStateTable,
+      aJob.mSpec.mId,
+      jobs::EncodeState(
+        { aJob.mState, aJob.mSpec.mAccount, aJob.mEndedAtStoreMs }),
+      aJob.mStateVersion });
+  if (aJob.mPendingRow && aJob.mState != JobState::eQueued) {
+    aJob.mPendingRow = false;
+    aBatch.mRows.push_back(
+      { jobs::kPendingTable,
+        jobs::PendingKey(aJob.mSpec.mRules.mQueue, aJob.mSpec.mId),
+        std::nullopt,
+        std::nullopt });
+  }
+}
+
 void
 Scheduler::OnStored(Time aNow, const Batch& aBatch, std::int64_t aVersion)
 {
@@ -851,7 +877,7 @@
   for (auto entry = mJobs.begin(); entry != mJobs.end();) {
     Job& job = *entry->second;
     bool busy = job.mStateDirty || !job.IsFinal() ||
-                job.mEndedAtStoreMs >= aStoreMs || rows.size() > kRowsPerBatch;
+                job.mEndedAtStoreMs >= aStoreMs || rows.size() > kEntriesPerBatch / 2;
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (const auto& step : occurrence.mSteps) {
         busy = busy || step->mDirty;
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -168,6 +168,8 @@
   void MarkDirty(StepRun& aStep);
   void MarkDirty(Job& aJob);
   void SetState(Job& aJob, jobs::JobState aState);
+  void AddStepRow(StepRun& aStep, Batch& aBatch);
+  void AddStateRows(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch);
 
   void Intend(StepRun& aStep,
               int aIndex,
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -359,6 +359,30 @@
   CHECK(f.Pass().mStarts.empty());
 }
 
+// Guards against a transaction that the store refuses for its size, which
+// stops all further commits.
+TEST_CASE("A batch stays below the entries that a transaction may have")
+{
+  Fixture f;
+  f.AddServers(1);
+  for (int i = 0; i < 120; ++i) {
+    auto job = Fixture::Job("job" + std::to_string(i), 1, 0);
+    job.mSteps[0].mPerTask = { 1, 1, 0 };
+    f.Add(job);
+  }
+  f.mScheduler.Schedule(f.mNow, 0);
+  while (f.mScheduler.HasChanges()) {
+    const auto batch = f.mScheduler.TakeBatch(0);
+    std::size_t entries = 1;
+    for (const auto& row : batch.mRows) {
+      entries += row.mExpectedVersion ? 2 : 1;
+    }
+    CHECK(entries <= 100);
+    f.mScheduler.OnStored(f.mNow, batch, ++f.mVersion);
+  }
+  CHECK(f.mScheduler.TakeOrders().mStarts.size() == 120);
+}
+
 // Guards against a run that outlives its job.
 TEST_CASE("Cancelling stops what runs and starts nothing more")
 {
