Reclaiming stops the work that costs least

Cause: room for a guaranteed job was chosen by the tightest fit as if every victim were gone, and whole gangs were broken for one place.

--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <tuple>
 
 namespace flamingoloom::scheduler {
@@ -199,6 +200,88 @@
   return PlaceOn(aStep, aIndices, AllPlaces(), true);
 }
 
+std::optional<Placement::Overlap>
+Placement::CheapestOver(const StepRun& aStep,
+                        const std::vector<int>& aIndices,
+                        const std::vector<Place*>& aPlaces,
+                        bool aAllowRemote)
+{
+  const auto need = aStep.Spec().Footprint();
+  const auto limit = aStep.Spec().mMaxPerServer;
+  auto taken = TasksPerServer(aStep);
+  std::map<Place*, jobs::Resources> rooms;
+  std::set<std::pair<StepRun*, int>> stopped;
+  std::set<StepRun*> brokenGangs;
+  Overlap overlap;
+  // What stopping a victim costs on top of those chosen already.
+  const auto costOf = [&](const Victim& aVictim) {
+    const bool free = stopped.count({ aVictim.mStep, aVictim.mIndex }) > 0 ||
+                      brokenGangs.count(aVictim.mStep) > 0;
+    return free ? 0.0 : aVictim.mCost;
+  };
+  for (const int index : aIndices) {
+    Place* best = nullptr;
+    std::tuple<bool, double, std::int64_t> bestScore;
+    std::vector<const Victim*> bestVictims;
+    for (Place* place : aPlaces) {
+      const auto& info = place->mServer->mInfo;
+      const bool remote =
+        !aStep.Spec().mDataRack.empty() && info.mRack != aStep.Spec().mDataRack;
+      const auto count = taken.find(info.mId);
+      if (!Suits(aStep, *place) || (remote && !aAllowRemote) ||
+          (limit > 0 && count != taken.end() && count->second >= limit)) {
+        continue;
+      }
+      auto room = rooms.try_emplace(place, place->mFree).first->second;
+      std::vector<const Victim*> order;
+      for (const Victim& victim : place->mVictims) {
+        if (stopped.count({ victim.mStep, victim.mIndex }) == 0) {
+          order.push_back(&victim);
+        }
+      }
+      std::sort(order.begin(), order.end(), [&](auto* aLeft, auto* aRight) {
+        return costOf(*aLeft) < costOf(*aRight);
+      });
+      double cost = 0;
+      std::vector<const Victim*> chosen;
+      for (const Victim* victim : order) {
+        if (need.FitsIn(room)) {
+          break;
+        }
+        room += victim->mFrees;
+        cost += costOf(*victim);
+        chosen.push_back(victim);
+      }
+      if (!need.FitsIn(room)) {
+        continue;
+      }
+      const std::tuple score{ remote, cost, room.mAccelerators };
+      if (best == nullptr || score < bestScore) {
+        best = place;
+        bestScore = score;
+        bestVictims = std::move(chosen);
+      }
+    }
+    if (best == nullptr) {
+      return std::nullopt;
+    }
+    auto& room = rooms.at(best);
+    for (const Victim* victim : bestVictims) {
+      room += victim->mFrees;
+      stopped.insert({ victim->mStep, victim->mIndex });
+      if (victim->mStep->Spec().mGang) {
+        brokenGangs.insert(victim->mStep);
+      }
+      overlap.mVictims.push_back(*victim);
+    }
+    room -= need;
+    overlap.mCost += std::get<1>(bestScore);
+    ++taken[best->mServer->mInfo.mId];
+    overlap.mAssignment.emplace_back(index, best->mServer->mInfo.mId);
+  }
+  return overlap;
+}
+
 std::optional<Assignment>
 Placement::PlaceOver(
   const StepRun& aStep,
@@ -207,46 +290,35 @@
   const std::function<std::vector<Victim>(const ServerState&)>& aVictims,
   std::vector<Victim>& aChosen)
 {
-  // Room as if every victim were gone; then only those are kept that the
-  // chosen servers need.
-  std::map<base::ServerId, jobs::Resources> before;
   for (auto& [id, place] : mPlaces) {
-    before[id] = place.mFree;
     place.mVictims = Suits(aStep, place) ? aVictims(*place.mServer)
                                          : std::vector<Victim>{};
-    for (const Victim& victim : place.mVictims) {
-      place.mFree += victim.mFrees;
-    }
   }
-  auto assignment = PlaceAll(aStep, aIndices, aAllowRemote);
-  std::map<base::ServerId, int> placed;
-  if (assignment) {
-    for (const auto& [index, server] : *assignment) {
-      ++placed[server];
-    }
-  }
-  for (auto& [id, place] : mPlaces) {
-    place.mFree = before[id];
-    const auto count = placed.find(id);
-    if (count == placed.end()) {
-      continue;
-    }
-    place.mFree -= aStep.Spec().Footprint().Times(count->second);
-    std::sort(place.mVictims.begin(),
-              place.mVictims.end(),
-              [](const Victim& aLeft, const Victim& aRight) {
-                return aLeft.mCost < aRight.mCost;
-              });
-    jobs::Resources room = place.mFree;
-    for (const Victim& victim : place.mVictims) {
-      if (jobs::Resources{}.FitsIn(room)) {
-        break;
+  std::optional<Overlap> best;
+  if (aStep.Spec().mSameRack) {
+    for (auto& [rack, places] : mRacks) {
+      const bool dataElsewhere =
+        !aStep.Spec().mDataRack.empty() && rack != aStep.Spec().mDataRack;
+      if (dataElsewhere && !aAllowRemote) {
+        continue;
+      }
+      auto overlap = CheapestOver(aStep, aIndices, places, true);
+      if (overlap && (!best || overlap->mCost < best->mCost)) {
+        best = std::move(overlap);
       }
-      room += victim.mFrees;
-      aChosen.push_back(victim);
     }
   }
-  return assignment;
+  if (!best && (!aStep.Spec().mSameRack || aAllowRemote)) {
+    best = CheapestOver(aStep, aIndices, AllPlaces(), aAllowRemote);
+  }
+  if (!best) {
+    return std::nullopt;
+  }
+  for (const auto& [index, server] : best->mAssignment) {
+    mPlaces.at(server).mFree -= aStep.Spec().Footprint();
+  }
+  aChosen = std::move(best->mVictims);
+  return std::move(best->mAssignment);
 }
 
 bool
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -49,8 +49,9 @@
                                      const std::vector<int>& aIndices,
                                      bool aAllowRemote);
 
-  // As PlaceAll, on room that victims would free. aVictims lists what may be
-  // stopped on a server. On success aChosen holds what has to be stopped.
+  // As PlaceAll, on room that victims would free, where that loses the least
+  // work. aVictims lists what may be stopped on a server. On success aChosen
+  // holds what has to be stopped.
   std::optional<Assignment> PlaceOver(
     const StepRun& aStep,
     const std::vector<int>& aIndices,
@@ -78,6 +79,18 @@
     std::vector<Victim> mVictims;
   };
 
+  // Places on room that is made by stopping others.
+  struct Overlap
+  {
+    Assignment mAssignment;
+    std::vector<Victim> mVictims;
+    double mCost = 0;
+  };
+
+  std::optional<Overlap> CheapestOver(const StepRun& aStep,
+                                      const std::vector<int>& aIndices,
+                                      const std::vector<Place*>& aPlaces,
+                                      bool aAllowRemote);
   bool Suits(const StepRun& aStep, const Place& aPlace) const;
   Place* Best(const StepRun& aStep,
               int aIndex,
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -17,7 +17,7 @@
 // A server that calls itself unhealthy is left alone this long.
 constexpr base::Duration kUnhealthyPause = std::chrono::seconds(2);
 // A plan whose victims have not made room by then is made anew.
-constexpr base::Duration kPlanTimeout = std::chrono::milliseconds(1500);
+constexpr base::Duration kPlanTimeout = std::chrono::milliseconds(2500);
 // Work away from its data takes a multiple of its time; waiting for the right
 // rack this long is shorter in most cases.
 constexpr base::Duration kLocalWait = std::chrono::milliseconds(1500);
