Work leaves servers on which it hangs or crawls

Cause: tasks on servers that stand still held their gangs until the fault ended. Conclusion: progress is compared with the median of the step; kept, since a server that stands still otherwise holds its tasks for as long as it does.

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -193,6 +193,11 @@
   void StopAll(Job& aJob, const char* aReason);
   void ReleaseLost(base::Time aNow);
   void ReleaseAll(ServerState& aServer, const char* aReason);
+  bool IsTooSlow(const StepRun& aStep,
+                 const Task& aTask,
+                 double aMedianSpeed) const;
+  void LeaveSlowServers(base::Time aNow);
+  void LeaveSlowServers(base::Time aNow, StepRun& aStep);
   void CreateDue(base::Time aNow, std::int64_t aUnixMs);
   void UpdateReady(base::Time aNow, Occurrence& aOccurrence);
   std::vector<Group> OrderedGroups(base::Time aNow);
--- a/flamingoloom/scheduler/work.cpp
+++ b/flamingoloom/scheduler/work.cpp
@@ -6,6 +6,13 @@
 
 using jobs::TaskOutcome;
 
+double
+Task::Speed() const
+{
+  const std::chrono::duration<double> run = mReportedAt - mStartedAt;
+  return run.count() > 0 ? (mPercent - mFirstPercent) / run.count() : 0.0;
+}
+
 const jobs::StepSpec&
 StepRun::Spec() const
 {
--- a/flamingoloom/scheduler/work.h
+++ b/flamingoloom/scheduler/work.h
@@ -43,10 +43,16 @@
   bool mStopAnswered = false;
   base::Time mPlacedAt;
   base::Time mStartedAt;
+  // Progress as last reported, and at the first report of this run.
   int mPercent = 0;
+  int mFirstPercent = 0;
   base::Time mPercentChangedAt;
+  base::Time mReportedAt;
   // Servers on which it has failed.
   std::set<base::ServerId> mFailedOn;
+
+  // Percent per second in this run, by its last report.
+  double Speed() const;
 };
 
 struct Job;
