--- a/flamingoloom/event_loop/asio_loop.cpp
+++ b/flamingoloom/event_loop/asio_loop.cpp
@@ -9,8 +9,7 @@
 namespace flamingoloom::event_loop {
 namespace {
 
-std::int64_t
-ReadClock(clockid_t aClock)
+std::int64_t ReadClock(clockid_t aClock)
 {
   timespec time{};
   clock_gettime(aClock, &time);
@@ -20,20 +19,17 @@
 
 } // namespace
 
-base::Time
-AsioLoop::Now() const
+base::Time AsioLoop::Now() const
 {
   return base::Time(base::Duration(ReadClock(CLOCK_BOOTTIME)));
 }
 
-std::int64_t
-AsioLoop::UnixMs() const
+std::int64_t AsioLoop::UnixMs() const
 {
   return ReadClock(CLOCK_REALTIME) / 1000;
 }
 
-void
-AsioLoop::After(base::Duration aDelay, std::function<void()> aThen)
+void AsioLoop::After(base::Duration aDelay, std::function<void()> aThen)
 {
   auto timer = std::make_shared<boost::asio::steady_timer>(mContext, aDelay);
   timer->async_wait([timer, then = std::move(aThen)](const auto& aError) {
--- a/flamingoloom/event_loop/stream_log.cpp
+++ b/flamingoloom/event_loop/stream_log.cpp
@@ -12,8 +12,7 @@
 // Lines wait this long for others, so that one write carries several.
 constexpr auto kFlushDelay = std::chrono::milliseconds(100);
 
-void
-AppendValue(std::string& aLine, const std::string& aValue)
+void AppendValue(std::string& aLine, const std::string& aValue)
 {
   if (!aValue.empty() &&
       aValue.find_first_of(" \"=\\\n\r\t") == std::string::npos) {
@@ -40,8 +39,7 @@
   fcntl(mDescriptor, F_SETFL, flags | O_NONBLOCK);
 }
 
-bool
-StreamLog::MayWrite()
+bool StreamLog::MayWrite()
 {
   const auto now = mLoop.Now();
   if (now - mSecondStart >= std::chrono::seconds(1)) {
@@ -52,8 +50,7 @@
          mBuffer.size() < kLogBufferBytes;
 }
 
-void
-StreamLog::Write(const char* aEvent, const Fields& aFields)
+void StreamLog::Write(const char* aEvent, const Fields& aFields)
 {
   if (!MayWrite()) {
     ++mDropped;
@@ -88,8 +85,7 @@
   }
 }
 
-void
-StreamLog::Flush()
+void StreamLog::Flush()
 {
   while (!mBuffer.empty()) {
     const auto written = write(mDescriptor, mBuffer.data(), mBuffer.size());
--- a/flamingoloom/event_loop/stream_log.h
+++ b/flamingoloom/event_loop/stream_log.h
@@ -15,7 +15,7 @@
 // Over the busiest second of the platform's days, and under 1% of an
 // instance's processor time.
 inline constexpr int kLogLinesPerSecond = 400;
-inline constexpr std::size_t kLogBufferBytes = 256 * 1024;
+inline constexpr std::size_t kLogBufferBytes = std::size_t{ 256 } * 1024;
 
 class StreamLog : public node::EventLog
 {
--- a/flamingoloom/event_loop/stream_log_test.cpp
+++ b/flamingoloom/event_loop/stream_log_test.cpp
@@ -18,8 +18,7 @@
   base::Time mNow{ std::chrono::seconds(10) };
 };
 
-std::string
-ReadAll(int aDescriptor)
+std::string ReadAll(int aDescriptor)
 {
   std::string text(1 << 20, ' ');
   const auto size = read(aDescriptor, text.data(), text.size());
--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -20,8 +20,7 @@
 using Tcp = asio::ip::tcp;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-const std::string&
-HeaderValue(const Headers& aHeaders, const char* aName)
+const std::string& HeaderValue(const Headers& aHeaders, const char* aName)
 {
   static const std::string sNone;
   for (const auto& [name, value] : aHeaders) {
@@ -48,16 +47,14 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-std::optional<Tcp::endpoint>
-ParseEndpoint(const std::string& aPeer)
+std::optional<Tcp::endpoint> ParseEndpoint(const std::string& aPeer)
 {
   const auto colon = aPeer.rfind(':');
   if (colon == std::string::npos) {
     return std::nullopt;
   }
   boost::system::error_code error;
-  const auto address =
-    asio::ip::make_address(aPeer.substr(0, colon), error);
+  const auto address = asio::ip::make_address(aPeer.substr(0, colon), error);
   const int port = std::atoi(aPeer.c_str() + colon + 1);
   if (error || port <= 0 || port > 65535) {
     return std::nullopt;
@@ -65,8 +62,7 @@
   return Tcp::endpoint(address, static_cast<unsigned short>(port));
 }
 
-bool
-IsOpen(Connection& aConnection)
+bool IsOpen(Connection& aConnection)
 {
   auto& socket = aConnection.mStream.socket();
   if (!socket.is_open()) {
@@ -96,7 +92,8 @@
   ConnectionPtr TakeIdle(const std::string& aPeer)
   {
     auto& idle = mIdle[aPeer];
-    const auto oldest = std::chrono::steady_clock::now() - mOptions.mMaxIdleTime;
+    const auto oldest =
+      std::chrono::steady_clock::now() - mOptions.mMaxIdleTime;
     while (!idle.empty()) {
       auto connection = idle.back();
       idle.pop_back();
@@ -203,17 +200,16 @@
   {
     auto self = this->shared_from_this();
     mParser.body_limit(mPool->mOptions.mMaxBodyBytes);
-    beast::http::async_read(
-      mConnection->mStream,
-      mConnection->mBuffer,
-      mParser,
-      [self](auto aError, std::size_t) {
-        if (aError) {
-          self->Fail("read response", aError);
-          return;
-        }
-        self->Complete();
-      });
+    beast::http::async_read(mConnection->mStream,
+                            mConnection->mBuffer,
+                            mParser,
+                            [self](auto aError, std::size_t) {
+                              if (aError) {
+                                self->Fail("read response", aError);
+                                return;
+                              }
+                              self->Complete();
+                            });
   }
 
   void Complete()
@@ -298,18 +294,16 @@
 
 Client::~Client() = default;
 
-void
-Client::Call(const std::string& aPeer,
-             Request aRequest,
-             base::Duration aTimeout,
-             Callback aCallback)
+void Client::Call(const std::string& aPeer,
+                  Request aRequest,
+                  base::Duration aTimeout,
+                  Callback aCallback)
 {
   std::make_shared<Exchange<Impl>>(mImpl, aPeer, std::move(aCallback))
     ->Start(std::move(aRequest), aTimeout);
 }
 
-const ClientCounters&
-Client::Counters() const
+const ClientCounters& Client::Counters() const
 {
   return mImpl->mCounters;
 }
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -32,7 +32,7 @@
   // idle time after which common servers close a connection (5 s and more).
   base::Duration mMaxIdleTime = std::chrono::milliseconds(4500);
   // Larger responses end the call. The platform's rows come in pages of 1 MB.
-  std::size_t mMaxBodyBytes = 4 * 1024 * 1024;
+  std::size_t mMaxBodyBytes = std::size_t{ 4 } * 1024 * 1024;
 };
 
 struct ClientCounters
--- a/flamingoloom/http/http_test.cpp
+++ b/flamingoloom/http/http_test.cpp
@@ -84,8 +84,8 @@
 {
   ServerLimits limits;
   limits.mMaxBodyBytes = 10;
-  Fixture fixture(
-    [](const Request&, Server::Responder aDone) { aDone({}); }, limits);
+  Fixture fixture([](const Request&, Server::Responder aDone) { aDone({}); },
+                  limits);
   const auto response =
     fixture.Call({ "POST", "/", {}, std::string(100, 'x') });
   REQUIRE(response);
--- a/flamingoloom/http/server.cpp
+++ b/flamingoloom/http/server.cpp
@@ -64,15 +64,15 @@
       return;
     }
     mStream.expires_after(mOwner->mLimits.mIdleTimeout);
-    mStream.async_read_some(
-      mBuffer.prepare(kReadBytes), [self](auto aError, std::size_t aBytes) {
-        if (aError) {
-          self->Close();
-          return;
-        }
-        self->mBuffer.commit(aBytes);
-        self->ReadRequest();
-      });
+    mStream.async_read_some(mBuffer.prepare(kReadBytes),
+                            [self](auto aError, std::size_t aBytes) {
+                              if (aError) {
+                                self->Close();
+                                return;
+                              }
+                              self->mBuffer.commit(aBytes);
+                              self->ReadRequest();
+                            });
   }
 
   void ReadRequest()
@@ -91,10 +91,10 @@
       Refuse(431);
     } else if (aError == beast::http::error::body_limit) {
       Refuse(413);
-    } else if (aError && aError.category() ==
-                           beast::http::make_error_code(
-                             beast::http::error::bad_target)
-                             .category() &&
+    } else if (aError &&
+               aError.category() ==
+                 beast::http::make_error_code(beast::http::error::bad_target)
+                   .category() &&
                aError != beast::http::error::end_of_stream &&
                aError != beast::http::error::partial_message) {
       Refuse(400);
@@ -150,9 +150,7 @@
     auto self = this->shared_from_this();
     mStream.expires_after(mOwner->mLimits.mIdleTimeout);
     beast::http::async_write(
-      mStream,
-      mResponse,
-      [self, close, aCounted](auto aError, std::size_t) {
+      mStream, mResponse, [self, close, aCounted](auto aError, std::size_t) {
         if (aCounted) {
           --self->mOwner->mOpenRequests;
         }
@@ -184,8 +182,7 @@
 
 } // namespace
 
-base::Expected<void>
-Server::Impl::Listen(const std::string& aAddress)
+base::Expected<void> Server::Impl::Listen(const std::string& aAddress)
 {
   const auto colon = aAddress.rfind(':');
   boost::system::error_code error;
@@ -215,30 +212,29 @@
   return {};
 }
 
-void
-Server::Impl::Accept()
+void Server::Impl::Accept()
 {
   // Out of descriptors: waiting lets open connections end first.
   static constexpr auto kAcceptRetry = std::chrono::milliseconds(100);
-  mAcceptor.async_accept([self = shared_from_this()](auto aError,
-                                                     Tcp::socket aSocket) {
-    if (aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (aError) {
-      self->mAcceptTimer.expires_after(kAcceptRetry);
-      self->mAcceptTimer.async_wait([self](auto aCancelled) {
-        if (!aCancelled) {
-          self->Accept();
-        }
-      });
-      return;
-    }
-    boost::system::error_code ignored;
-    aSocket.set_option(Tcp::no_delay(true), ignored);
-    std::make_shared<Session<Impl>>(self, std::move(aSocket))->ReadNext();
-    self->Accept();
-  });
+  mAcceptor.async_accept(
+    [self = shared_from_this()](auto aError, Tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (aError) {
+        self->mAcceptTimer.expires_after(kAcceptRetry);
+        self->mAcceptTimer.async_wait([self](auto aCancelled) {
+          if (!aCancelled) {
+            self->Accept();
+          }
+        });
+        return;
+      }
+      boost::system::error_code ignored;
+      aSocket.set_option(Tcp::no_delay(true), ignored);
+      std::make_shared<Session<Impl>>(self, std::move(aSocket))->ReadNext();
+      self->Accept();
+    });
 }
 
 Server::Server(asio::io_context& aLoop, ServerLimits aLimits, Handler aHandler)
@@ -252,32 +248,27 @@
   mImpl->mAcceptor.close(ignored);
 }
 
-base::Expected<void>
-Server::Listen(const std::string& aAddress)
+base::Expected<void> Server::Listen(const std::string& aAddress)
 {
   return mImpl->Listen(aAddress);
 }
 
-int
-Server::Port() const
+int Server::Port() const
 {
   return mImpl->mAcceptor.local_endpoint().port();
 }
 
-void
-Server::SetLimits(ServerLimits aLimits)
+void Server::SetLimits(ServerLimits aLimits)
 {
   mImpl->mLimits = aLimits;
 }
 
-void
-Server::CloseAfterResponses()
+void Server::CloseAfterResponses()
 {
   mImpl->mCloseAfterResponses = true;
 }
 
-int
-Server::OpenRequests() const
+int Server::OpenRequests() const
 {
   return mImpl->mOpenRequests;
 }
--- a/flamingoloom/http/server.h
+++ b/flamingoloom/http/server.h
@@ -27,8 +27,8 @@
 struct ServerLimits
 {
   // Larger headers are answered with 431, larger bodies with 413.
-  std::size_t mMaxHeaderBytes = 16 * 1024;
-  std::size_t mMaxBodyBytes = 256 * 1024;
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
+  std::size_t mMaxBodyBytes = std::size_t{ 256 } * 1024;
   // From the first byte of a request to its last.
   base::Duration mRequestTimeout = std::chrono::seconds(3);
   // Without any byte of a further request.
@@ -43,7 +43,9 @@
   using Responder = std::function<void(Response)>;
   using Handler = std::function<void(const Request&, Responder)>;
 
-  Server(boost::asio::io_context& aLoop, ServerLimits aLimits, Handler aHandler);
+  Server(boost::asio::io_context& aLoop,
+         ServerLimits aLimits,
+         Handler aHandler);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/flamingoloom/jobs/job.cpp
+++ b/flamingoloom/jobs/job.cpp
@@ -4,8 +4,7 @@
 
 namespace flamingoloom::jobs {
 
-Resources&
-Resources::operator+=(const Resources& aOther)
+Resources& Resources::operator+=(const Resources& aOther)
 {
   mCpuMilli += aOther.mCpuMilli;
   mMemoryMb += aOther.mMemoryMb;
@@ -13,8 +12,7 @@
   return *this;
 }
 
-Resources&
-Resources::operator-=(const Resources& aOther)
+Resources& Resources::operator-=(const Resources& aOther)
 {
   mCpuMilli -= aOther.mCpuMilli;
   mMemoryMb -= aOther.mMemoryMb;
@@ -22,28 +20,24 @@
   return *this;
 }
 
-bool
-Resources::FitsIn(const Resources& aFree) const
+bool Resources::FitsIn(const Resources& aFree) const
 {
   return mCpuMilli <= aFree.mCpuMilli && mMemoryMb <= aFree.mMemoryMb &&
          mAccelerators <= aFree.mAccelerators;
 }
 
-Resources
-Resources::Times(std::int64_t aCount) const
+Resources Resources::Times(std::int64_t aCount) const
 {
   return { mCpuMilli * aCount, mMemoryMb * aCount, mAccelerators * aCount };
 }
 
-double
-Resources::WeightedCores() const
+double Resources::WeightedCores() const
 {
   return static_cast<double>(mCpuMilli) / 1000.0 +
          static_cast<double>(mAccelerators) * kCoresPerAccelerator;
 }
 
-Resources
-StepSpec::Footprint() const
+Resources StepSpec::Footprint() const
 {
   Resources footprint = mPerTask;
   if (mUsesIdleCpu) {
@@ -52,8 +46,7 @@
   return footprint;
 }
 
-base::Duration
-JobSpec::LongestChain() const
+base::Duration JobSpec::LongestChain() const
 {
   std::vector<base::Duration> ends(mSteps.size());
   base::Duration longest{ 0 };
@@ -68,8 +61,7 @@
   return longest;
 }
 
-double
-JobSpec::EstimatedWork() const
+double JobSpec::EstimatedWork() const
 {
   double work = 0;
   for (const auto& step : mSteps) {
@@ -79,15 +71,13 @@
   return work;
 }
 
-bool
-IsFinal(JobState aState)
+bool IsFinal(JobState aState)
 {
   return aState == JobState::eCompleted || aState == JobState::eFailed ||
          aState == JobState::eCancelled;
 }
 
-const char*
-JobStateName(JobState aState)
+const char* JobStateName(JobState aState)
 {
   switch (aState) {
     case JobState::eQueued:
--- a/flamingoloom/jobs/records.cpp
+++ b/flamingoloom/jobs/records.cpp
@@ -10,28 +10,23 @@
 
 constexpr char kCancelSuffix[] = ".c";
 
-Json
-EncodeResources(const Resources& aResources)
+Json EncodeResources(const Resources& aResources)
 {
-  return Json::array({ aResources.mCpuMilli,
-                       aResources.mMemoryMb,
-                       aResources.mAccelerators });
+  return Json::array(
+    { aResources.mCpuMilli, aResources.mMemoryMb, aResources.mAccelerators });
 }
 
-Resources
-DecodeResources(const Json& aValue)
+Resources DecodeResources(const Json& aValue)
 {
   return { aValue.at(0), aValue.at(1), aValue.at(2) };
 }
 
-base::Duration
-DecodeDuration(const Json& aValue)
+base::Duration DecodeDuration(const Json& aValue)
 {
   return base::Duration(aValue.get<std::int64_t>());
 }
 
-Json
-EncodeStepSpec(const StepSpec& aStep)
+Json EncodeStepSpec(const StepSpec& aStep)
 {
   return { { "count", aStep.mTaskCount },
            { "needs", EncodeResources(aStep.mPerTask) },
@@ -51,8 +46,7 @@
            { "tailTargetUs", aStep.mTailTarget.count() } };
 }
 
-StepSpec
-DecodeStepSpec(const Json& aValue)
+StepSpec DecodeStepSpec(const Json& aValue)
 {
   StepSpec step;
   step.mTaskCount = aValue.at("count");
@@ -74,8 +68,7 @@
   return step;
 }
 
-Json
-EncodeRules(const QueueRules& aRules)
+Json EncodeRules(const QueueRules& aRules)
 {
   return { { "queue", aRules.mQueue },
            { "service", aRules.mService },
@@ -86,8 +79,7 @@
            { "advice", aRules.mNeedsAdvice } };
 }
 
-QueueRules
-DecodeRules(const Json& aValue)
+QueueRules DecodeRules(const Json& aValue)
 {
   QueueRules rules;
   rules.mQueue = aValue.at("queue");
@@ -102,8 +94,9 @@
 
 // Runs aDecode on the parsed value and turns exceptions into an error.
 template <class T, class Decode>
-base::Expected<T>
-Decoded(const char* aWhat, const std::string& aValue, Decode aDecode)
+base::Expected<T> Decoded(const char* aWhat,
+                          const std::string& aValue,
+                          Decode aDecode)
 {
   try {
     return aDecode(Json::parse(aValue));
@@ -115,57 +108,48 @@
 
 } // namespace
 
-std::string
-CancelKey(const std::string& aJob)
+std::string CancelKey(const std::string& aJob)
 {
   return aJob + kCancelSuffix;
 }
 
-bool
-IsCancelKey(const std::string& aKey)
+bool IsCancelKey(const std::string& aKey)
 {
-  return aKey.size() > 2 && aKey.compare(aKey.size() - 2, 2, kCancelSuffix) == 0;
+  return aKey.size() > 2 &&
+         aKey.compare(aKey.size() - 2, 2, kCancelSuffix) == 0;
 }
 
-std::string
-JobOfKey(const std::string& aKey)
+std::string JobOfKey(const std::string& aKey)
 {
   return aKey.substr(0, aKey.find_first_of("./"));
 }
 
-std::string
-PendingKey(const std::string& aQueue, const std::string& aJob)
+std::string PendingKey(const std::string& aQueue, const std::string& aJob)
 {
   return aQueue + "/" + aJob;
 }
 
-std::string
-RunKey(const std::string& aJob, int aOccurrence, int aStep)
+std::string RunKey(const std::string& aJob, int aOccurrence, int aStep)
 {
-  return aJob + "/" + std::to_string(aOccurrence) + "/" +
-         std::to_string(aStep);
+  return aJob + "/" + std::to_string(aOccurrence) + "/" + std::to_string(aStep);
 }
 
-std::string
-EncodeJob(const JobSpec& aJob)
+std::string EncodeJob(const JobSpec& aJob)
 {
   Json steps = Json::array();
   for (const auto& step : aJob.mSteps) {
     steps.push_back(EncodeStepSpec(step));
   }
-  return Json{ { "account", aJob.mAccount.Value() },
-               { "rules", EncodeRules(aJob.mRules) },
-               { "payload", aJob.mPayload },
-               { "steps", std::move(steps) },
-               { "occurrences", aJob.mOccurrences },
-               { "firstDueMs", aJob.mFirstDueMs },
-               { "intervalMs", aJob.mIntervalMs },
-               { "acceptedMs", aJob.mAcceptedMs } }
-    .dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Json{
+    { "account", aJob.mAccount.Value() }, { "rules", EncodeRules(aJob.mRules) },
+    { "payload", aJob.mPayload },         { "steps", std::move(steps) },
+    { "occurrences", aJob.mOccurrences }, { "firstDueMs", aJob.mFirstDueMs },
+    { "intervalMs", aJob.mIntervalMs },   { "acceptedMs", aJob.mAcceptedMs }
+  }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-base::Expected<JobSpec>
-DecodeJob(const std::string& aId, const std::string& aValue)
+base::Expected<JobSpec> DecodeJob(const std::string& aId,
+                                  const std::string& aValue)
 {
   return Decoded<JobSpec>("read job", aValue, [&](const Json& aJson) {
     JobSpec job;
@@ -184,8 +168,7 @@
   });
 }
 
-std::string
-EncodeState(const StateRecord& aState)
+std::string EncodeState(const StateRecord& aState)
 {
   return Json::array({ static_cast<int>(aState.mState),
                        aState.mAccount.Value(),
@@ -193,8 +176,7 @@
     .dump();
 }
 
-base::Expected<StateRecord>
-DecodeState(const std::string& aValue)
+base::Expected<StateRecord> DecodeState(const std::string& aValue)
 {
   return Decoded<StateRecord>("read job state", aValue, [](const Json& aJson) {
     StateRecord state;
@@ -205,8 +187,7 @@
   });
 }
 
-std::string
-EncodeStep(const StepRecord& aStep)
+std::string EncodeStep(const StepRecord& aStep)
 {
   Json tasks = Json::array();
   for (const auto& task : aStep.mTasks) {
@@ -221,8 +202,7 @@
     .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-base::Expected<StepRecord>
-DecodeStep(const std::string& aValue)
+base::Expected<StepRecord> DecodeStep(const std::string& aValue)
 {
   return Decoded<StepRecord>("read step", aValue, [](const Json& aJson) {
     StepRecord step;
--- a/flamingoloom/node/caller_desk.cpp
+++ b/flamingoloom/node/caller_desk.cpp
@@ -11,16 +11,14 @@
 
 namespace {
 
-bool
-IsJobId(const std::string& aText)
+bool IsJobId(const std::string& aText)
 {
   constexpr std::size_t kLength = 16;
   return aText.size() == kLength &&
          aText.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
-CallerAnswer
-Answer(CallerVerdict aVerdict)
+CallerAnswer Answer(CallerVerdict aVerdict)
 {
   CallerAnswer answer;
   answer.mVerdict = aVerdict;
@@ -35,30 +33,22 @@
 {
 }
 
-void
-CallerDesk::SetConfiguration(const Configuration& aConfiguration)
+void CallerDesk::SetConfiguration(const Configuration& aConfiguration)
 {
   if (!mConfiguration || aConfiguration.mVersion > mConfiguration->mVersion) {
     mConfiguration = aConfiguration;
   }
 }
 
-void
-CallerDesk::Reply(const Then& aThen, CallerAnswer aAnswer)
-{
-  aThen(std::move(aAnswer));
-}
-
-CallerAnswer
-CallerDesk::NotNow() const
+CallerAnswer CallerDesk::NotNow() const
 {
   CallerAnswer answer = Answer(CallerVerdict::eNotNow);
   answer.mRetryAfter = mTiming.mRetryAfter;
   return answer;
 }
 
-std::optional<CallerDesk::Place>
-CallerDesk::Find(const CallerTarget& aTarget, const Then& aThen)
+std::optional<CallerDesk::Place> CallerDesk::Find(const CallerTarget& aTarget,
+                                                  const Then& aThen)
 {
   if (!mConfiguration) {
     aThen(NotNow());
@@ -81,16 +71,15 @@
   return place;
 }
 
-bool
-CallerDesk::MayRetry(Time aUntil, int aTry) const
+bool CallerDesk::MayRetry(Time aUntil, int aTry) const
 {
   return aTry < mTiming.mQuickTries && mPorts.mLoop->Now() < aUntil;
 }
 
-void
-CallerDesk::Submit(const CallerTarget& aTarget,
-                   const std::function<base::Expected<jobs::JobSpec>()>& aRead,
-                   Then aThen)
+void CallerDesk::Submit(
+  const CallerTarget& aTarget,
+  const std::function<base::Expected<jobs::JobSpec>()>& aRead,
+  Then aThen)
 {
   const auto place = Find(aTarget, aThen);
   if (!place) {
@@ -122,12 +111,11 @@
   Store(std::move(*job), until, 1, false, std::move(aThen));
 }
 
-void
-CallerDesk::Store(jobs::JobSpec aJob,
-                  Time aUntil,
-                  int aTry,
-                  bool aUnknown,
-                  Then aThen)
+void CallerDesk::Store(jobs::JobSpec aJob,
+                       Time aUntil,
+                       int aTry,
+                       bool aUnknown,
+                       Then aThen)
 {
   Transaction transaction;
   // A cancel may have overtaken the job.
@@ -148,17 +136,21 @@
   mPorts.mStore->Commit(
     transaction,
     mTiming.mTryTimeout,
-    [this, job = std::move(aJob), aUntil, aTry, aUnknown, then = std::move(aThen)](
-      base::Expected<CommitResult> aResult) {
+    [this,
+     job = std::move(aJob),
+     aUntil,
+     aTry,
+     aUnknown,
+     then = std::move(aThen)](base::Expected<CommitResult> aResult) {
       const auto done = [&](CallerVerdict aVerdict, const char* aHow) {
-        mPorts.mLog->Write("job_submitted",
-                           { { "job", job.mId },
-                             { "account", job.mAccount.Value() },
-                             { "queue", job.mRules.mQueue },
-                             { "outcome", aHow },
-                             { "tries", std::to_string(aTry) },
-                             { "config",
-                               std::to_string(mConfiguration->mVersion) } });
+        mPorts.mLog->Write(
+          "job_submitted",
+          { { "job", job.mId },
+            { "account", job.mAccount.Value() },
+            { "queue", job.mRules.mQueue },
+            { "outcome", aHow },
+            { "tries", std::to_string(aTry) },
+            { "config", std::to_string(mConfiguration->mVersion) } });
         then(aVerdict == CallerVerdict::eNotNow ? NotNow() : Answer(aVerdict));
       };
       if (aResult && aResult->mApplied) {
@@ -168,9 +160,9 @@
       if (aResult) {
         bool stored = false;
         for (const auto& current : aResult->mCurrent) {
-          stored = stored || (current.mTable == jobs::kJobTable &&
-                              current.mRow.mKey == job.mId &&
-                              current.mRow.mVersion > 0);
+          stored = stored ||
+                   (current.mTable == jobs::kJobTable &&
+                    current.mRow.mKey == job.mId && current.mRow.mVersion > 0);
         }
         // Stored by an earlier try of the caller or of ours, or cancelled
         // before it came.
@@ -192,8 +184,7 @@
     });
 }
 
-void
-CallerDesk::ReadState(
+void CallerDesk::ReadState(
   const std::string& aJob,
   Time aUntil,
   int aTry,
@@ -205,8 +196,12 @@
     aJob,
     aJob + '\0',
     mTiming.mTryTimeout,
-    [this, aJob, aUntil, aTry, found = std::move(aFound), then = std::move(aThen)](
-      base::Expected<Rows> aRows) {
+    [this,
+     aJob,
+     aUntil,
+     aTry,
+     found = std::move(aFound),
+     then = std::move(aThen)](base::Expected<Rows> aRows) {
       if (!aRows) {
         if (MayRetry(aUntil, aTry)) {
           mPorts.mLoop->After(mTiming.mQuickRetry,
@@ -238,8 +233,7 @@
     });
 }
 
-void
-CallerDesk::Query(const CallerTarget& aTarget, Then aThen)
+void CallerDesk::Query(const CallerTarget& aTarget, Then aThen)
 {
   const auto place = Find(aTarget, aThen);
   if (!place) {
@@ -271,11 +265,10 @@
     aThen);
 }
 
-void
-CallerDesk::CountPending(const std::string& aQueue,
-                         const std::string& aFrom,
-                         std::int64_t aSoFar,
-                         Then aThen)
+void CallerDesk::CountPending(const std::string& aQueue,
+                              const std::string& aFrom,
+                              std::int64_t aSoFar,
+                              Then aThen)
 {
   const auto first = jobs::PendingKey(aQueue, "");
   auto last = first;
@@ -285,7 +278,8 @@
     aFrom.empty() ? first : aFrom,
     last,
     mTiming.mTryTimeout,
-    [this, aQueue, aSoFar, then = std::move(aThen)](base::Expected<Rows> aRows) {
+    [this, aQueue, aSoFar, then = std::move(aThen)](
+      base::Expected<Rows> aRows) {
       if (!aRows) {
         then(NotNow());
         return;
@@ -302,8 +296,7 @@
     });
 }
 
-void
-CallerDesk::Cancel(const CallerTarget& aTarget, Then aThen)
+void CallerDesk::Cancel(const CallerTarget& aTarget, Then aThen)
 {
   const auto place = Find(aTarget, aThen);
   if (!place) {
@@ -324,7 +317,8 @@
     job,
     until,
     1,
-    [this, job, account, until, aThen](std::optional<jobs::StateRecord> aState) {
+    [this, job, account, until, aThen](
+      std::optional<jobs::StateRecord> aState) {
       if (aState && aState->mAccount != account) {
         aThen(Answer(CallerVerdict::eNoSuchJob));
         return;
@@ -341,11 +335,10 @@
     aThen);
 }
 
-void
-CallerDesk::MarkCancelled(const std::string& aJob,
-                          Time aUntil,
-                          int aTry,
-                          Then aThen)
+void CallerDesk::MarkCancelled(const std::string& aJob,
+                               Time aUntil,
+                               int aTry,
+                               Then aThen)
 {
   Transaction transaction;
   transaction.mChanges = {
@@ -363,9 +356,10 @@
       }
       // Writing the mark again does no harm.
       if (MayRetry(aUntil, aTry)) {
-        mPorts.mLoop->After(mTiming.mQuickRetry, [this, aJob, aUntil, aTry, then] {
-          MarkCancelled(aJob, aUntil, aTry + 1, then);
-        });
+        mPorts.mLoop->After(mTiming.mQuickRetry,
+                            [this, aJob, aUntil, aTry, then] {
+                              MarkCancelled(aJob, aUntil, aTry + 1, then);
+                            });
         return;
       }
       then(NotNow());
--- a/flamingoloom/node/caller_desk.h
+++ b/flamingoloom/node/caller_desk.h
@@ -92,9 +92,15 @@
   };
 
   std::optional<Place> Find(const CallerTarget& aTarget, const Then& aThen);
-  void Reply(const Then& aThen, CallerAnswer aAnswer);
-  void Store(jobs::JobSpec aJob, base::Time aUntil, int aTry, bool aUnknown, Then aThen);
-  void MarkCancelled(const std::string& aJob, base::Time aUntil, int aTry, Then aThen);
+  void Store(jobs::JobSpec aJob,
+             base::Time aUntil,
+             int aTry,
+             bool aUnknown,
+             Then aThen);
+  void MarkCancelled(const std::string& aJob,
+                     base::Time aUntil,
+                     int aTry,
+                     Then aThen);
   void ReadState(const std::string& aJob,
                  base::Time aUntil,
                  int aTry,
--- a/flamingoloom/node/configuration.h
+++ b/flamingoloom/node/configuration.h
@@ -38,8 +38,8 @@
 
 struct RequestLimits
 {
-  std::size_t mMaxHeaderBytes = 16 * 1024;
-  std::size_t mMaxBodyBytes = 256 * 1024;
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
+  std::size_t mMaxBodyBytes = std::size_t{ 256 } * 1024;
   base::Duration mRequestTimeout = std::chrono::seconds(3);
   base::Duration mIdleTimeout = std::chrono::seconds(15);
 
--- a/flamingoloom/node/election.cpp
+++ b/flamingoloom/node/election.cpp
@@ -7,8 +7,7 @@
 
 // The epoch's row holds "EPOCH HOLDER"; the renewal's row holds the holder,
 // or nothing once it was given up.
-std::string
-EncodeEpoch(std::int64_t aEpoch, const base::InstanceId& aHolder)
+std::string EncodeEpoch(std::int64_t aEpoch, const base::InstanceId& aHolder)
 {
   return std::to_string(aEpoch) + " " + aHolder.Value();
 }
@@ -24,8 +23,7 @@
 {
 }
 
-void
-Election::Observe(base::Time aNow, const std::vector<Row>& aRows)
+void Election::Observe(base::Time aNow, const std::vector<Row>& aRows)
 {
   mSeen = true;
   for (const auto& row : aRows) {
@@ -49,8 +47,7 @@
   }
 }
 
-std::optional<base::Time>
-Election::ClaimAt() const
+std::optional<base::Time> Election::ClaimAt() const
 {
   if (mLeading || !mSeen) {
     return std::nullopt;
@@ -61,8 +58,7 @@
   return mChangedAt + mTiming.mLease + mClaimDelay;
 }
 
-Transaction
-Election::Claim() const
+Transaction Election::Claim() const
 {
   Transaction transaction;
   transaction.mChanges = {
@@ -72,8 +68,7 @@
   return transaction;
 }
 
-Transaction
-Election::Renewal() const
+Transaction Election::Renewal() const
 {
   Transaction transaction;
   transaction.mConditions = { EpochCondition() };
@@ -83,8 +78,7 @@
   return transaction;
 }
 
-Transaction
-Election::Release() const
+Transaction Election::Release() const
 {
   Transaction transaction;
   transaction.mConditions = { EpochCondition() };
@@ -92,14 +86,12 @@
   return transaction;
 }
 
-RowCondition
-Election::EpochCondition() const
+RowCondition Election::EpochCondition() const
 {
   return { kLeadTable, kEpochKey, mEpochVersion };
 }
 
-void
-Election::OnClaimed(base::Time aSentAt, const CommitResult& aResult)
+void Election::OnClaimed(base::Time aSentAt, const CommitResult& aResult)
 {
   if (!aResult.mApplied || aResult.mVersion <= mEpochVersion) {
     // The answer may come after the change was observed: the epoch's row then
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -28,8 +28,7 @@
   EndLead();
 }
 
-void
-Instance::Start()
+void Instance::Start()
 {
   mOperatorWatch = std::make_shared<TableWatch>(
     mPorts,
@@ -46,22 +45,19 @@
   WatchStore();
 }
 
-bool
-Instance::StoreAnswers() const
+bool Instance::StoreAnswers() const
 {
   return mOperatorWatch && mOperatorWatch->IsComplete() &&
          mPorts.mLoop->Now() - mOperatorWatch->LastContact() <
            mSettings.mStoreContact;
 }
 
-bool
-Instance::IsReady() const
+bool Instance::IsReady() const
 {
   return !mLeaving && mInForce.has_value() && StoreAnswers();
 }
 
-void
-Instance::WatchStore()
+void Instance::WatchStore()
 {
   const bool ready = IsReady();
   mCallers.SetStoreReachable(StoreAnswers());
@@ -72,18 +68,16 @@
   mPorts.mLoop->After(kContactCheck, [this] { WatchStore(); });
 }
 
-void
-Instance::OnOperatorRows(const std::vector<Row>& aRows)
+void Instance::OnOperatorRows(const std::vector<Row>& aRows)
 {
   bool outChanged = false;
   for (const auto& row : aRows) {
     if (row.mKey == mPorts.mForeign->ConfigurationKey()) {
-      auto read = row.mValue
-                    ? mPorts.mForeign->ReadConfiguration(*row.mValue)
-                    : base::MakeError(base::ErrorCode::eNotFound,
-                                      "read configuration",
-                                      "store",
-                                      "the row was removed");
+      auto read = row.mValue ? mPorts.mForeign->ReadConfiguration(*row.mValue)
+                             : base::MakeError(base::ErrorCode::eNotFound,
+                                               "read configuration",
+                                               "store",
+                                               "the row was removed");
       if (!read) {
         mPorts.mLog->Write("config_unreadable",
                            { { "error", read.error().ToString() } });
@@ -121,10 +115,10 @@
   mCallers.SetStoreReachable(StoreAnswers());
 }
 
-// The lead ---------------------------------------------------------------------
+// The lead
+// ---------------------------------------------------------------------
 
-void
-Instance::OnLeadRows(const std::vector<Row>& aRows)
+void Instance::OnLeadRows(const std::vector<Row>& aRows)
 {
   mElection.Observe(mPorts.mLoop->Now(), aRows);
   if (mLead && !mElection.IsLeading()) {
@@ -135,8 +129,7 @@
   ScheduleClaim();
 }
 
-void
-Instance::ScheduleClaim()
+void Instance::ScheduleClaim()
 {
   const auto at = mElection.ClaimAt();
   if (!at || mLeaving) {
@@ -156,8 +149,7 @@
   });
 }
 
-void
-Instance::TryClaim()
+void Instance::TryClaim()
 {
   if (mClaiming || mLeaving || mLead) {
     return;
@@ -201,45 +193,41 @@
       }
       mLead->SetDataCentresOut(mDataCentresOut);
       mLead->Start();
-      mPorts.mLoop->After(mSettings.mElection.mRenewEvery,
-                          [this] { Renew(); });
+      mPorts.mLoop->After(mSettings.mElection.mRenewEvery, [this] { Renew(); });
     });
 }
 
-void
-Instance::Renew()
+void Instance::Renew()
 {
   if (!mLead || !mElection.IsLeading() || mRenewalsInFlight > 0) {
     return;
   }
   ++mRenewalsInFlight;
   const Time sentAt = mPorts.mLoop->Now();
-  mPorts.mStore->Commit(
-    mElection.Renewal(),
-    kClaimTimeout,
-    [this, sentAt](base::Expected<CommitResult> aResult) {
-      --mRenewalsInFlight;
-      if (!mLead) {
-        return;
-      }
-      if (aResult && !aResult->mApplied) {
-        mElection.OnLost();
-        EndLead();
-        return;
-      }
-      const auto& timing = mSettings.mElection;
-      base::Duration wait = timing.mRenewRetry;
-      if (aResult) {
-        mStoreDelay = mPorts.mLoop->Now() - sentAt;
-        mElection.OnRenewed(sentAt);
-        wait = timing.mRenewEvery;
-      }
-      mPorts.mLoop->After(wait, [this] { Renew(); });
-    });
+  mPorts.mStore->Commit(mElection.Renewal(),
+                        kClaimTimeout,
+                        [this, sentAt](base::Expected<CommitResult> aResult) {
+                          --mRenewalsInFlight;
+                          if (!mLead) {
+                            return;
+                          }
+                          if (aResult && !aResult->mApplied) {
+                            mElection.OnLost();
+                            EndLead();
+                            return;
+                          }
+                          const auto& timing = mSettings.mElection;
+                          base::Duration wait = timing.mRenewRetry;
+                          if (aResult) {
+                            mStoreDelay = mPorts.mLoop->Now() - sentAt;
+                            mElection.OnRenewed(sentAt);
+                            wait = timing.mRenewEvery;
+                          }
+                          mPorts.mLoop->After(wait, [this] { Renew(); });
+                        });
 }
 
-void
-Instance::EndLead()
+void Instance::EndLead()
 {
   if (mLead) {
     mLead->Stop();
@@ -248,8 +236,7 @@
   }
 }
 
-void
-Instance::Leave()
+void Instance::Leave()
 {
   mLeaving = true;
   if (!mLead) {
@@ -264,7 +251,8 @@
     kClaimTimeout,
     [log = mPorts.mLog](const base::Expected<CommitResult>& aResult) {
       if (!aResult) {
-        log->Write("release_failed", { { "error", aResult.error().ToString() } });
+        log->Write("release_failed",
+                   { { "error", aResult.error().ToString() } });
       }
     });
 }
--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -33,21 +33,22 @@
   , mOnLost(std::move(aOnLost))
   , mStartedAt(aPorts.mLoop->Now())
   , mCommitPause(aTiming.mCommitRetry)
-  , mScheduler(aSettings, [log = aPorts.mLog](const scheduler::Decision& aDecision) {
-    EventLog::Fields fields;
-    fields.reserve(aDecision.mFields.size() + 1);
-    if (!aDecision.mJob.empty()) {
-      fields.emplace_back("job", aDecision.mJob);
-    }
-    fields.insert(
-      fields.end(), aDecision.mFields.begin(), aDecision.mFields.end());
-    log->Write(aDecision.mEvent, fields);
-  })
+  , mScheduler(aSettings,
+               [log = aPorts.mLog](const scheduler::Decision& aDecision) {
+                 EventLog::Fields fields;
+                 fields.reserve(aDecision.mFields.size() + 1);
+                 if (!aDecision.mJob.empty()) {
+                   fields.emplace_back("job", aDecision.mJob);
+                 }
+                 fields.insert(fields.end(),
+                               aDecision.mFields.begin(),
+                               aDecision.mFields.end());
+                 log->Write(aDecision.mEvent, fields);
+               })
 {
 }
 
-Time
-Lead::EarlierLeasesEndBy() const
+Time Lead::EarlierLeasesEndBy() const
 {
   // The servers' clocks may be 2% slow.
   const auto bound = std::chrono::duration_cast<base::Duration>(
@@ -55,15 +56,13 @@
   return mStartedAt + bound;
 }
 
-void
-Lead::Start()
+void Lead::Start()
 {
   mPorts.mLog->Write("lead_taken", { { "epoch", std::to_string(mEpoch) } });
   Load(0, "");
 }
 
-void
-Lead::Stop()
+void Lead::Stop()
 {
   mPhase = Phase::eStopped;
   if (mJobWatch) {
@@ -74,8 +73,7 @@
   }
 }
 
-void
-Lead::Lose(const char* aReason)
+void Lead::Lose(const char* aReason)
 {
   if (mPhase == Phase::eStopped) {
     return;
@@ -89,8 +87,7 @@
 
 // Taking over -----------------------------------------------------------------
 
-void
-Lead::Load(std::size_t aTable, const std::string& aFrom)
+void Lead::Load(std::size_t aTable, const std::string& aFrom)
 {
   mPorts.mStore->Read(
     kLoadedTables[aTable],
@@ -123,26 +120,24 @@
     });
 }
 
-void
-Lead::FinishLoading()
+void Lead::FinishLoading()
 {
   // Jobs are read last: a job whose state is missing was accepted meanwhile,
   // and its state row has the version of the job's row.
   std::weak_ptr<Lead> weak = shared_from_this();
-  mJobWatch = std::make_shared<TableWatch>(
-    mPorts,
-    jobs::kJobTable,
-    TableWatchTiming{},
-    [weak](const std::vector<Row>& aRows) {
-      if (const auto self = weak.lock()) {
-        self->OnJobRows(aRows);
-      }
-    });
+  mJobWatch =
+    std::make_shared<TableWatch>(mPorts,
+                                 jobs::kJobTable,
+                                 TableWatchTiming{},
+                                 [weak](const std::vector<Row>& aRows) {
+                                   if (const auto self = weak.lock()) {
+                                     self->OnJobRows(aRows);
+                                   }
+                                 });
   mJobWatch->Start();
 }
 
-void
-Lead::OnJobRows(const std::vector<Row>& aRows)
+void Lead::OnJobRows(const std::vector<Row>& aRows)
 {
   if (mPhase == Phase::eStopped) {
     return;
@@ -204,8 +199,7 @@
   Poke();
 }
 
-void
-Lead::SetConfiguration(const Configuration& aConfiguration)
+void Lead::SetConfiguration(const Configuration& aConfiguration)
 {
   std::map<base::AccountId, std::int64_t> guarantees;
   for (const auto& account : aConfiguration.mAccounts) {
@@ -215,26 +209,25 @@
   Poke();
 }
 
-void
-Lead::SetDataCentresOut(const std::set<base::DataCentreId>& aOut)
+void Lead::SetDataCentresOut(const std::set<base::DataCentreId>& aOut)
 {
   mScheduler.SetDataCentresOut(aOut);
   Poke();
 }
 
-// Servers ----------------------------------------------------------------------
+// Servers
+// ----------------------------------------------------------------------
 
-void
-Lead::PollServerList(const std::string& aFrom,
-                     std::vector<scheduler::ServerInfo> aSoFar)
+void Lead::PollServerList(const std::string& aFrom,
+                          std::vector<scheduler::ServerInfo> aSoFar)
 {
   mPorts.mStore->Read(
     mPorts.mForeign->ServerTable(),
     aFrom,
     "",
     kReadTimeout,
-    [self = shared_from_this(), servers = std::move(aSoFar)](
-      base::Expected<Rows> aPage) mutable {
+    [self = shared_from_this(),
+     servers = std::move(aSoFar)](base::Expected<Rows> aPage) mutable {
       if (self->mPhase != Phase::eScheduling) {
         return;
       }
@@ -264,11 +257,9 @@
     });
 }
 
-void
-Lead::TakeServerList(const std::vector<scheduler::ServerInfo>& aServers)
+void Lead::TakeServerList(const std::vector<scheduler::ServerInfo>& aServers)
 {
-  const auto fresh =
-    mScheduler.UpdateServers(aServers, EarlierLeasesEndBy());
+  const auto fresh = mScheduler.UpdateServers(aServers, EarlierLeasesEndBy());
   for (const auto& info : aServers) {
     const auto link = mLinks.find(info.mId);
     if (link != mLinks.end()) {
@@ -290,8 +281,7 @@
   Poke();
 }
 
-ServerLink*
-Lead::LinkTo(const ServerId& aServer)
+ServerLink* Lead::LinkTo(const ServerId& aServer)
 {
   const auto known = mLinks.find(aServer);
   if (known != mLinks.end()) {
@@ -306,8 +296,7 @@
   return mLinks.emplace(aServer, std::move(link)).first->second.get();
 }
 
-ServerLink::Events
-Lead::LinkEvents(const ServerId& aServer)
+ServerLink::Events Lead::LinkEvents(const ServerId& aServer)
 {
   // A link is owned by the lead and closed before it goes.
   ServerLink::Events events;
@@ -356,8 +345,7 @@
   return events;
 }
 
-void
-Lead::AskServers()
+void Lead::AskServers()
 {
   std::vector<ServerId> ids;
   for (const auto& [id, server] : mScheduler.Servers().Servers()) {
@@ -372,10 +360,10 @@
   }
 }
 
-// Passes and commits -------------------------------------------------------------
+// Passes and commits
+// -------------------------------------------------------------
 
-void
-Lead::Poke()
+void Lead::Poke()
 {
   if (mPassPending || mPhase != Phase::eScheduling) {
     return;
@@ -389,8 +377,7 @@
   });
 }
 
-void
-Lead::Pass()
+void Lead::Pass()
 {
   const Time now = mPorts.mLoop->Now();
   const auto unixMs = mPorts.mLoop->UnixMs();
@@ -409,8 +396,7 @@
   });
 }
 
-void
-Lead::CommitNext()
+void Lead::CommitNext()
 {
   if (mCommitting || mPhase != Phase::eScheduling || !mScheduler.HasChanges()) {
     return;
@@ -418,28 +404,26 @@
   SendCommit(mScheduler.TakeBatch(StoreNowMs()), false);
 }
 
-void
-Lead::SendCommit(scheduler::Batch aBatch, bool aRetry)
+void Lead::SendCommit(scheduler::Batch aBatch, bool aRetry)
 {
   mCommitting = true;
   Transaction transaction;
   transaction.mConditions = { mEpochCondition };
   transaction.mChanges = aBatch.mRows;
-  mPorts.mStore->Commit(
-    transaction,
-    mTiming.mCommitTimeout,
-    [self = shared_from_this(), batch = std::move(aBatch), aRetry](
-      base::Expected<CommitResult> aResult) {
-      if (self->mPhase == Phase::eScheduling) {
-        self->OnCommit(batch, aRetry, std::move(aResult));
-      }
-    });
+  mPorts.mStore->Commit(transaction,
+                        mTiming.mCommitTimeout,
+                        [self = shared_from_this(),
+                         batch = std::move(aBatch),
+                         aRetry](base::Expected<CommitResult> aResult) {
+                          if (self->mPhase == Phase::eScheduling) {
+                            self->OnCommit(batch, aRetry, std::move(aResult));
+                          }
+                        });
 }
 
-bool
-Lead::IsOwnEarlierWrite(const scheduler::Batch& aBatch,
-                        const CommitResult& aResult,
-                        std::int64_t& aVersion) const
+bool Lead::IsOwnEarlierWrite(const scheduler::Batch& aBatch,
+                             const CommitResult& aResult,
+                             std::int64_t& aVersion) const
 {
   bool found = false;
   for (const auto& current : aResult.mCurrent) {
@@ -463,10 +447,9 @@
   return found;
 }
 
-void
-Lead::OnCommit(const scheduler::Batch& aBatch,
-               bool aRetry,
-               base::Expected<CommitResult> aResult)
+void Lead::OnCommit(const scheduler::Batch& aBatch,
+                    bool aRetry,
+                    base::Expected<CommitResult> aResult)
 {
   if (!aResult) {
     const bool unknown =
@@ -508,8 +491,7 @@
   CommitNext();
 }
 
-void
-Lead::SendOrders()
+void Lead::SendOrders()
 {
   const auto orders = mScheduler.TakeOrders();
   for (const auto& stop : orders.mStops) {
@@ -520,24 +502,20 @@
   for (const auto& start : orders.mStarts) {
     ServerLink* link = LinkTo(start.mServer);
     if (link == nullptr) {
-      mScheduler.OnStart(mPorts.mLoop->Now(),
-                         start,
-                         scheduler::StartAnswer::eTooLate,
-                         false);
+      mScheduler.OnStart(
+        mPorts.mLoop->Now(), start, scheduler::StartAnswer::eTooLate, false);
       continue;
     }
     link->Start(start);
   }
 }
 
-std::int64_t
-Lead::StoreNowMs() const
+std::int64_t Lead::StoreNowMs() const
 {
   return mStoreMs + base::ToMilliseconds(mPorts.mLoop->Now() - mStoreMsReadAt);
 }
 
-void
-Lead::Clean()
+void Lead::Clean()
 {
   if (mPhase != Phase::eScheduling) {
     return;
@@ -549,16 +527,16 @@
     transaction.mConditions = { mEpochCondition };
     transaction.mChanges.assign(
       rows.begin(),
-      rows.begin() + std::min<std::ptrdiff_t>(
-                       static_cast<std::ptrdiff_t>(rows.size()), 90));
+      rows.begin() +
+        std::min<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(rows.size()), 90));
     mPorts.mStore->Commit(
       transaction,
       mTiming.mCommitTimeout,
       [self = shared_from_this()](const base::Expected<CommitResult>& aResult) {
         // A row that stays is read again by the next lead.
         if (!aResult) {
-          self->mPorts.mLog->Write(
-            "clean_failed", { { "error", aResult.error().ToString() } });
+          self->mPorts.mLog->Write("clean_failed",
+                                   { { "error", aResult.error().ToString() } });
         }
       });
   }
--- a/flamingoloom/node/server_link.cpp
+++ b/flamingoloom/node/server_link.cpp
@@ -22,8 +22,7 @@
 {
 }
 
-std::optional<std::int64_t>
-ServerLink::GrantLease()
+std::optional<std::int64_t> ServerLink::GrantLease()
 {
   if (!mClockMs) {
     return std::nullopt;
@@ -33,8 +32,7 @@
   if (until <= now) {
     return std::nullopt;
   }
-  const auto untilMs =
-    *mClockMs + base::ToMilliseconds(until - mClockReadAt);
+  const auto untilMs = *mClockMs + base::ToMilliseconds(until - mClockReadAt);
   // A slow clock reaches that value later than ours.
   const auto latest =
     mClockReadAt + std::chrono::duration_cast<Duration>(
@@ -43,8 +41,7 @@
   return untilMs;
 }
 
-void
-ServerLink::Ask()
+void ServerLink::Ask()
 {
   if (mClosed || mAsking || !mEvents.mNeedsReports()) {
     return;
@@ -60,12 +57,12 @@
   Send(answers ? mTiming.mReportWait : Duration(0), answers);
 }
 
-void
-ServerLink::Send(Duration aWait, bool aGrantLease)
+void ServerLink::Send(Duration aWait, bool aGrantLease)
 {
   ReportRequest request;
   request.mEpoch = mEpoch;
-  request.mAckThrough = mEvents.mAckThrough();
+  const auto ack = mEvents.mAckThrough();
+  request.mAckThrough = ack > mAckAnswered ? ack : 0;
   request.mWait = aWait;
   if (aGrantLease) {
     request.mLeaseUntilMs = GrantLease();
@@ -76,13 +73,12 @@
     mServer,
     request,
     aWait + mTiming.mAnswerTimeout,
-    [self = shared_from_this(), sentAt](base::Expected<ReportAnswer> aAnswer) {
-      self->OnAnswer(sentAt, std::move(aAnswer));
+    [self = shared_from_this(), sentAt, ack](base::Expected<ReportAnswer> aAnswer) {
+      self->OnAnswer(sentAt, ack, std::move(aAnswer));
     });
 }
 
-void
-ServerLink::AskAfter(Duration aDelay)
+void ServerLink::AskAfter(Duration aDelay)
 {
   if (mWaitingToAsk) {
     return;
@@ -102,8 +98,9 @@
   });
 }
 
-void
-ServerLink::OnAnswer(Time aSentAt, base::Expected<ReportAnswer> aAnswer)
+void ServerLink::OnAnswer(Time aSentAt,
+                          std::int64_t aAckSent,
+                          base::Expected<ReportAnswer> aAnswer)
 {
   mAsking = false;
   if (mClosed) {
@@ -124,22 +121,23 @@
     return;
   }
   mFailures = 0;
+  const bool sameLife = mLife == aAnswer->mReport.mStartedMs;
+  mLife = aAnswer->mReport.mStartedMs;
+  mAckAnswered = sameLife ? std::max(mAckAnswered, aAckSent) : 0;
   mClockMs = aAnswer->mClockMs;
   mClockReadAt = mPorts.mLoop->Now();
   mEvents.mOnReport(aAnswer->mReport, aSentAt);
   Ask();
 }
 
-void
-ServerLink::Start(const scheduler::StartOrder& aOrder)
+void ServerLink::Start(const scheduler::StartOrder& aOrder)
 {
   TryStart(aOrder, 1, false);
 }
 
-void
-ServerLink::TryStart(const scheduler::StartOrder& aOrder,
-                     int aTry,
-                     bool aEarlierUnknown)
+void ServerLink::TryStart(const scheduler::StartOrder& aOrder,
+                          int aTry,
+                          bool aEarlierUnknown)
 {
   const auto leaseUntilMs = GrantLease();
   if (!leaseUntilMs) {
@@ -168,7 +166,8 @@
         return;
       }
       // The same run may be sent again: a server starts it once.
-      if (aAnswer == StartAnswer::eUnknown && aTry < self->mTiming.mStartTries) {
+      if (aAnswer == StartAnswer::eUnknown &&
+          aTry < self->mTiming.mStartTries) {
         self->TryStart(aOrder, aTry + 1, true);
         return;
       }
@@ -176,28 +175,27 @@
     });
 }
 
-void
-ServerLink::Stop(const scheduler::StopOrder& aOrder)
+void ServerLink::Stop(const scheduler::StopOrder& aOrder)
 {
-  mPorts.mServers->Stop(
-    mServer,
-    aOrder,
-    mEpoch,
-    mTiming.mOrderTimeout,
-    [self = shared_from_this(), aOrder](bool aAnswered) {
-      if (self->mClosed) {
-        return;
-      }
-      if (aAnswered) {
-        self->mEvents.mOnStop(aOrder, true);
-        return;
-      }
-      self->mPorts.mLoop->After(self->mTiming.mRetry, [self, aOrder] {
-        if (!self->mClosed) {
-          self->mEvents.mOnStop(aOrder, false);
-        }
-      });
-    });
+  mPorts.mServers->Stop(mServer,
+                        aOrder,
+                        mEpoch,
+                        mTiming.mOrderTimeout,
+                        [self = shared_from_this(), aOrder](bool aAnswered) {
+                          if (self->mClosed) {
+                            return;
+                          }
+                          if (aAnswered) {
+                            self->mEvents.mOnStop(aOrder, true);
+                            return;
+                          }
+                          self->mPorts.mLoop->After(
+                            self->mTiming.mRetry, [self, aOrder] {
+                              if (!self->mClosed) {
+                                self->mEvents.mOnStop(aOrder, false);
+                              }
+                            });
+                        });
 }
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/server_link.h
+++ b/flamingoloom/node/server_link.h
@@ -78,7 +78,9 @@
 private:
   void AskAfter(base::Duration aDelay);
   void Send(base::Duration aWait, bool aGrantLease);
-  void OnAnswer(base::Time aSentAt, base::Expected<ReportAnswer> aAnswer);
+  void OnAnswer(base::Time aSentAt,
+                std::int64_t aAckSent,
+                base::Expected<ReportAnswer> aAnswer);
   void TryStart(const scheduler::StartOrder& aOrder,
                 int aTry,
                 bool aEarlierUnknown);
@@ -94,6 +96,11 @@
   // The server's clock as last read, and when that answer arrived here.
   std::optional<std::int64_t> mClockMs;
   base::Time mClockReadAt;
+  // Highest acknowledgement that this life of the server has answered. It is
+  // not sent again: another life, whose ends are numbered anew, would take it
+  // for its own.
+  std::int64_t mAckAnswered = 0;
+  std::int64_t mLife = 0;
   bool mAsking = false;
   bool mWaitingToAsk = false;
   int mFailures = 0;
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -13,22 +13,20 @@
 {
 }
 
-void
-TableWatch::Start()
+void TableWatch::Start()
 {
   ReadPage("", {});
 }
 
-void
-TableWatch::ReadPage(const std::string& aFrom, std::vector<Row> aSoFar)
+void TableWatch::ReadPage(const std::string& aFrom, std::vector<Row> aSoFar)
 {
   mPorts.mStore->Read(
     mTable,
     aFrom,
     "",
     mTiming.mReadTimeout,
-    [self = shared_from_this(), rows = std::move(aSoFar)](
-      base::Expected<Rows> aPage) mutable {
+    [self = shared_from_this(),
+     rows = std::move(aSoFar)](base::Expected<Rows> aPage) mutable {
       if (self->mStopped) {
         return;
       }
@@ -53,8 +51,7 @@
     });
 }
 
-void
-TableWatch::TakeSnapshot(const std::vector<Row>& aRows)
+void TableWatch::TakeSnapshot(const std::vector<Row>& aRows)
 {
   mReadWhole = false;
   std::vector<Row> changes;
@@ -77,8 +74,7 @@
   mOnChange(changes);
 }
 
-void
-TableWatch::FollowChanges()
+void TableWatch::FollowChanges()
 {
   mPorts.mStore->Follow(
     mTable,
@@ -119,8 +115,7 @@
     });
 }
 
-void
-TableWatch::Retry()
+void TableWatch::Retry()
 {
   mPorts.mLoop->After(mTiming.mRetry, [self = shared_from_this()] {
     if (self->mStopped) {
@@ -134,8 +129,7 @@
   });
 }
 
-void
-TableWatch::NoteContact()
+void TableWatch::NoteContact()
 {
   mLastContact = mPorts.mLoop->Now();
   if (!mConnected) {
@@ -144,13 +138,12 @@
   }
 }
 
-void
-TableWatch::NoteFailure(const base::Error& aError)
+void TableWatch::NoteFailure(const base::Error& aError)
 {
   if (mConnected) {
     mConnected = false;
-    mPorts.mLog->Write(
-      "store_lost", { { "table", mTable }, { "error", aError.ToString() } });
+    mPorts.mLog->Write("store_lost",
+                       { { "table", mTable }, { "error", aError.ToString() } });
   }
 }
 
--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -14,8 +14,7 @@
 
 } // namespace
 
-const char*
-StartAnswerName(StartAnswer aAnswer)
+const char* StartAnswerName(StartAnswer aAnswer)
 {
   switch (aAnswer) {
     case StartAnswer::eStarted:
@@ -42,8 +41,7 @@
   return "unknown";
 }
 
-const char*
-RunEndName(RunEnd aEnd)
+const char* RunEndName(RunEnd aEnd)
 {
   switch (aEnd) {
     case RunEnd::eDone:
@@ -62,16 +60,16 @@
   return "failed";
 }
 
-jobs::Resources
-ServerState::Free() const
+jobs::Resources ServerState::Free() const
 {
   jobs::Resources free = mInfo.mCapacity;
   free -= mUsed;
   return free;
 }
 
-std::vector<base::ServerId>
-Fleet::Update(const std::vector<ServerInfo>& aListed, base::Time aLeasesEndBy)
+std::vector<base::ServerId> Fleet::Update(
+  const std::vector<ServerInfo>& aListed,
+  base::Time aLeasesEndBy)
 {
   std::vector<base::ServerId> fresh;
   for (auto& [id, server] : mServers) {
@@ -102,22 +100,20 @@
   return fresh;
 }
 
-ServerState*
-Fleet::Find(const base::ServerId& aId)
+ServerState* Fleet::Find(const base::ServerId& aId)
 {
   const auto entry = mServers.find(aId);
   return entry == mServers.end() ? nullptr : &entry->second;
 }
 
-const ServerState*
-Fleet::Find(const base::ServerId& aId) const
+const ServerState* Fleet::Find(const base::ServerId& aId) const
 {
   const auto entry = mServers.find(aId);
   return entry == mServers.end() ? nullptr : &entry->second;
 }
 
-ServerState&
-Fleet::FindOrAdd(const base::ServerId& aId, base::Time aLeasesEndBy)
+ServerState& Fleet::FindOrAdd(const base::ServerId& aId,
+                              base::Time aLeasesEndBy)
 {
   const auto [entry, added] = mServers.try_emplace(aId);
   if (added) {
@@ -130,17 +126,15 @@
   return entry->second;
 }
 
-void
-Fleet::NoteDone(ServerState& aServer)
+void Fleet::NoteDone(ServerState& aServer)
 {
   aServer.mFailingJobs.clear();
   aServer.mQuarantines = 0;
 }
 
-void
-Fleet::NoteFailed(ServerState& aServer,
-                  const std::string& aJob,
-                  base::Time aNow)
+void Fleet::NoteFailed(ServerState& aServer,
+                       const std::string& aJob,
+                       base::Time aNow)
 {
   aServer.mFailingJobs.insert(aJob);
   if (aServer.mFailingJobs.size() < kFailingJobsForQuarantine) {
@@ -152,8 +146,7 @@
   Pause(aServer, aNow, pause);
 }
 
-void
-Fleet::Pause(ServerState& aServer, base::Time aNow, base::Duration aPause)
+void Fleet::Pause(ServerState& aServer, base::Time aNow, base::Duration aPause)
 {
   aServer.mAvoidUntil = std::max(aServer.mAvoidUntil, aNow + aPause);
 }
--- a/flamingoloom/scheduler/fleet.h
+++ b/flamingoloom/scheduler/fleet.h
@@ -63,7 +63,9 @@
 
   // Evidence about a server's health from the end of a run of aJob.
   void NoteDone(ServerState& aServer);
-  void NoteFailed(ServerState& aServer, const std::string& aJob, base::Time aNow);
+  void NoteFailed(ServerState& aServer,
+                  const std::string& aJob,
+                  base::Time aNow);
   // No more starts until aNow + aPause.
   void Pause(ServerState& aServer, base::Time aNow, base::Duration aPause);
 
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -24,8 +24,7 @@
   }
 }
 
-bool
-Placement::Suits(const StepRun& aStep, const Place& aPlace) const
+bool Placement::Suits(const StepRun& aStep, const Place& aPlace) const
 {
   const auto& info = aPlace.mServer->mInfo;
   const auto& spec = aStep.Spec();
@@ -38,8 +37,8 @@
                    spec.mRequiredLabel) != info.mLabels.end();
 }
 
-std::map<base::ServerId, int>
-Placement::TasksPerServer(const StepRun& aStep) const
+std::map<base::ServerId, int> Placement::TasksPerServer(
+  const StepRun& aStep) const
 {
   std::map<base::ServerId, int> counts;
   if (aStep.Spec().mMaxPerServer == 0) {
@@ -57,12 +56,11 @@
   return counts;
 }
 
-Placement::Place*
-Placement::Best(const StepRun& aStep,
-                int aIndex,
-                const std::vector<Place*>& aPlaces,
-                bool aAllowRemote,
-                const std::map<base::ServerId, int>& aTaken)
+Placement::Place* Placement::Best(const StepRun& aStep,
+                                  int aIndex,
+                                  const std::vector<Place*>& aPlaces,
+                                  bool aAllowRemote,
+                                  const std::map<base::ServerId, int>& aTaken)
 {
   const auto& spec = aStep.Spec();
   const auto need = spec.Footprint();
@@ -100,8 +98,7 @@
   return best;
 }
 
-std::vector<Placement::Place*>
-Placement::AllPlaces()
+std::vector<Placement::Place*> Placement::AllPlaces()
 {
   std::vector<Place*> places;
   places.reserve(mPlaces.size());
@@ -111,19 +108,17 @@
   return places;
 }
 
-Assignment
-Placement::PlaceSome(const StepRun& aStep,
-                     const std::vector<int>& aIndices,
-                     bool aAllowRemote)
+Assignment Placement::PlaceSome(const StepRun& aStep,
+                                const std::vector<int>& aIndices,
+                                bool aAllowRemote)
 {
   return PlaceUntilFull(aStep, aIndices, AllPlaces(), aAllowRemote);
 }
 
-Assignment
-Placement::PlaceUntilFull(const StepRun& aStep,
-                          const std::vector<int>& aIndices,
-                          const std::vector<Place*>& aPlaces,
-                          bool aAllowRemote)
+Assignment Placement::PlaceUntilFull(const StepRun& aStep,
+                                     const std::vector<int>& aIndices,
+                                     const std::vector<Place*>& aPlaces,
+                                     bool aAllowRemote)
 {
   const auto need = aStep.Spec().Footprint();
   auto taken = TasksPerServer(aStep);
@@ -140,11 +135,10 @@
   return assignment;
 }
 
-std::optional<Assignment>
-Placement::PlaceOn(const StepRun& aStep,
-                   const std::vector<int>& aIndices,
-                   const std::vector<Place*>& aPlaces,
-                   bool aAllowRemote)
+std::optional<Assignment> Placement::PlaceOn(const StepRun& aStep,
+                                             const std::vector<int>& aIndices,
+                                             const std::vector<Place*>& aPlaces,
+                                             bool aAllowRemote)
 {
   auto assignment = PlaceUntilFull(aStep, aIndices, aPlaces, aAllowRemote);
   if (assignment.size() == aIndices.size()) {
@@ -156,10 +150,9 @@
   return std::nullopt;
 }
 
-std::optional<Assignment>
-Placement::PlaceAll(const StepRun& aStep,
-                    const std::vector<int>& aIndices,
-                    bool aAllowRemote)
+std::optional<Assignment> Placement::PlaceAll(const StepRun& aStep,
+                                              const std::vector<int>& aIndices,
+                                              bool aAllowRemote)
 {
   if (!aStep.Spec().mSameRack) {
     return PlaceOn(aStep, aIndices, AllPlaces(), aAllowRemote);
@@ -200,11 +193,11 @@
   return PlaceOn(aStep, aIndices, AllPlaces(), true);
 }
 
-std::optional<Placement::Overlap>
-Placement::CheapestOver(const StepRun& aStep,
-                        const std::vector<int>& aIndices,
-                        const std::vector<Place*>& aPlaces,
-                        bool aAllowRemote)
+std::optional<Placement::Overlap> Placement::CheapestOver(
+  const StepRun& aStep,
+  const std::vector<int>& aIndices,
+  const std::vector<Place*>& aPlaces,
+  bool aAllowRemote)
 {
   const auto need = aStep.Spec().Footprint();
   const auto limit = aStep.Spec().mMaxPerServer;
@@ -282,8 +275,7 @@
   return overlap;
 }
 
-std::optional<Assignment>
-Placement::PlaceOver(
+std::optional<Assignment> Placement::PlaceOver(
   const StepRun& aStep,
   const std::vector<int>& aIndices,
   bool aAllowRemote,
@@ -291,8 +283,8 @@
   std::vector<Victim>& aChosen)
 {
   for (auto& [id, place] : mPlaces) {
-    place.mVictims = Suits(aStep, place) ? aVictims(*place.mServer)
-                                         : std::vector<Victim>{};
+    place.mVictims =
+      Suits(aStep, place) ? aVictims(*place.mServer) : std::vector<Victim>{};
   }
   std::optional<Overlap> best;
   if (aStep.Spec().mSameRack) {
@@ -321,9 +313,8 @@
   return std::move(best->mAssignment);
 }
 
-bool
-Placement::CouldStayLocal(const StepRun& aStep,
-                          const std::vector<int>& aIndices)
+bool Placement::CouldStayLocal(const StepRun& aStep,
+                               const std::vector<int>& aIndices)
 {
   std::map<base::ServerId, jobs::Resources> before;
   for (auto& [id, place] : mPlaces) {
@@ -337,8 +328,8 @@
   return assignment.has_value();
 }
 
-void
-Placement::Take(const base::ServerId& aServer, const jobs::Resources& aNeed)
+void Placement::Take(const base::ServerId& aServer,
+                     const jobs::Resources& aNeed)
 {
   const auto place = mPlaces.find(aServer);
   if (place != mPlaces.end()) {
@@ -346,22 +337,19 @@
   }
 }
 
-bool
-Placement::Fits(const base::ServerId& aServer,
-                const jobs::Resources& aNeed) const
+bool Placement::Fits(const base::ServerId& aServer,
+                     const jobs::Resources& aNeed) const
 {
   const auto place = mPlaces.find(aServer);
   return place != mPlaces.end() && aNeed.FitsIn(place->second.mFree);
 }
 
-bool
-Placement::IsUsable(const base::ServerId& aServer) const
+bool Placement::IsUsable(const base::ServerId& aServer) const
 {
   return mPlaces.count(aServer) > 0;
 }
 
-std::int64_t
-Placement::FreeAccelerators() const
+std::int64_t Placement::FreeAccelerators() const
 {
   std::int64_t free = 0;
   for (const auto& [id, place] : mPlaces) {
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -44,25 +44,21 @@
 // last 5 to 7 s on the platform's days.
 constexpr base::Duration kSlowPause = std::chrono::seconds(6);
 // Below the store's 1 MB for a transaction, also in base64.
-constexpr std::size_t kBytesPerBatch = 500 * 1024;
+constexpr std::size_t kBytesPerBatch = std::size_t{ 500 } * 1024;
 
-bool
-IsPlaced(TaskPhase aPhase)
+bool IsPlaced(TaskPhase aPhase)
 {
   return aPhase == TaskPhase::eIntended || aPhase == TaskPhase::eOrdered ||
          aPhase == TaskPhase::eRunning || aPhase == TaskPhase::eUnresolved;
 }
 
-std::string
-RunText(const jobs::TaskName& aName, int aRun)
+std::string RunText(const jobs::TaskName& aName, int aRun)
 {
-  return std::to_string(aName.mOccurrence) + "." +
-         std::to_string(aName.mStep) + "." + std::to_string(aName.mIndex) +
-         "#" + std::to_string(aRun);
+  return std::to_string(aName.mOccurrence) + "." + std::to_string(aName.mStep) +
+         "." + std::to_string(aName.mIndex) + "#" + std::to_string(aRun);
 }
 
-std::vector<int>
-WaitingIndices(const StepRun& aStep)
+std::vector<int> WaitingIndices(const StepRun& aStep)
 {
   std::vector<int> indices;
   for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
@@ -81,10 +77,9 @@
 {
 }
 
-void
-Scheduler::Log(const char* aEvent,
-               const std::string& aJob,
-               std::vector<std::pair<const char*, std::string>> aFields)
+void Scheduler::Log(const char* aEvent,
+                    const std::string& aJob,
+                    std::vector<std::pair<const char*, std::string>> aFields)
 {
   if (mSink) {
     mSink({ aEvent, aJob, std::move(aFields) });
@@ -93,8 +88,7 @@
 
 // Jobs -----------------------------------------------------------------------
 
-void
-Scheduler::AddJob(Time aNow, jobs::JobSpec aSpec, std::int64_t aVersion)
+void Scheduler::AddJob(Time aNow, jobs::JobSpec aSpec, std::int64_t aVersion)
 {
   const auto [entry, added] = mJobs.try_emplace(aSpec.mId);
   if (!added) {
@@ -106,11 +100,10 @@
   job.mAcceptedAt = aNow;
   job.mStateVersion = aVersion;
   job.mUnfinishedOccurrences = job.mSpec.OccurrenceCount();
-  job.mObjective =
-    aNow +
-    std::chrono::duration_cast<base::Duration>(job.mSpec.LongestChain() *
-                                               job.mSpec.mRules.mStretch) +
-    job.mSpec.mRules.mTargetLatency;
+  job.mObjective = aNow +
+                   std::chrono::duration_cast<base::Duration>(
+                     job.mSpec.LongestChain() * job.mSpec.mRules.mStretch) +
+                   job.mSpec.mRules.mTargetLatency;
   if (job.mSpec.mOccurrences == 0) {
     auto& occurrence =
       job.mOccurrences.emplace(0, MakeOccurrence(job, 0)).first->second;
@@ -118,10 +111,9 @@
   }
 }
 
-void
-Scheduler::RestoreState(const std::string& aJob,
-                        const jobs::StateRecord& aState,
-                        std::int64_t aVersion)
+void Scheduler::RestoreState(const std::string& aJob,
+                             const jobs::StateRecord& aState,
+                             std::int64_t aVersion)
 {
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end()) {
@@ -135,11 +127,10 @@
   job.mCancelled = aState.mState == JobState::eCancelled;
 }
 
-void
-Scheduler::RestoreStep(const std::string& aJob,
-                       const jobs::StepRecord& aStep,
-                       std::int64_t aVersion,
-                       Time aLeasesEndBy)
+void Scheduler::RestoreStep(const std::string& aJob,
+                            const jobs::StepRecord& aStep,
+                            std::int64_t aVersion,
+                            Time aLeasesEndBy)
 {
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end() || aStep.mStep < 0 ||
@@ -168,16 +159,16 @@
   }
 }
 
-void
-Scheduler::Resume(Time aNow)
+void Scheduler::Resume(Time aNow)
 {
   for (auto& [id, job] : mJobs) {
     for (auto& [number, occurrence] : job->mOccurrences) {
       occurrence.mUnfinishedSteps = 0;
       for (auto& step : occurrence.mSteps) {
         occurrence.mUnfinishedSteps += step->mUnfinished > 0 ? 1 : 0;
-        const bool mixed = step->mWaiting > 0 &&
-                           step->mWaiting < static_cast<int>(step->mTasks.size());
+        const bool mixed =
+          step->mWaiting > 0 &&
+          step->mWaiting < static_cast<int>(step->mTasks.size());
         if (step->Spec().mGang && step->mUnfinished > 0 && mixed) {
           BreakGang(*step);
         }
@@ -195,8 +186,7 @@
   }
 }
 
-void
-Scheduler::Cancel(Time, const std::string& aJob)
+void Scheduler::Cancel(Time, const std::string& aJob)
 {
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end() || entry->second->IsFinal()) {
@@ -209,8 +199,7 @@
   StopAll(job, "cancelled");
 }
 
-void
-Scheduler::StopAll(Job& aJob, const char* aReason)
+void Scheduler::StopAll(Job& aJob, const char* aReason)
 {
   for (auto& [number, occurrence] : aJob.mOccurrences) {
     for (auto& step : occurrence.mSteps) {
@@ -224,8 +213,7 @@
   }
 }
 
-void
-Scheduler::SetState(Job& aJob, JobState aState)
+void Scheduler::SetState(Job& aJob, JobState aState)
 {
   if (aJob.mState == aState) {
     return;
@@ -238,24 +226,21 @@
   MarkDirty(aJob);
 }
 
-void
-Scheduler::MarkDirty(StepRun& aStep)
+void Scheduler::MarkDirty(StepRun& aStep)
 {
   ++mChange;
   aStep.mDirty = true;
   mDirtySteps.insert(&aStep);
 }
 
-void
-Scheduler::MarkDirty(Job& aJob)
+void Scheduler::MarkDirty(Job& aJob)
 {
   ++mChange;
   aJob.mStateDirty = true;
   mDirtyJobs.insert(&aJob);
 }
 
-Task*
-Scheduler::FindTask(const jobs::TaskName& aName, StepRun** aStep)
+Task* Scheduler::FindTask(const jobs::TaskName& aName, StepRun** aStep)
 {
   const auto job = mJobs.find(aName.mJob);
   if (job == mJobs.end()) {
@@ -278,8 +263,10 @@
 
 // Placing and giving up runs --------------------------------------------------
 
-void
-Scheduler::Intend(StepRun& aStep, int aIndex, const ServerId& aServer, Time aNow)
+void Scheduler::Intend(StepRun& aStep,
+                       int aIndex,
+                       const ServerId& aServer,
+                       Time aNow)
 {
   Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
   task.mPhase = TaskPhase::eIntended;
@@ -300,8 +287,7 @@
   }
 }
 
-void
-Scheduler::Detach(StepRun& aStep, Task& aTask, int aIndex)
+void Scheduler::Detach(StepRun& aStep, Task& aTask, int aIndex)
 {
   ServerState* server = mFleet.Find(aTask.mServer);
   const jobs::TaskRun run{ aStep.Name(aIndex), aTask.mRun };
@@ -312,8 +298,7 @@
   aTask.mStopWanted = aTask.mStopAnswered = false;
 }
 
-void
-Scheduler::Release(StepRun& aStep, int aIndex, const char* aReason)
+void Scheduler::Release(StepRun& aStep, int aIndex, const char* aReason)
 {
   Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
   Log("run_released",
@@ -335,8 +320,7 @@
   }
 }
 
-void
-Scheduler::WantStop(StepRun& aStep, int aIndex, const char* aReason)
+void Scheduler::WantStop(StepRun& aStep, int aIndex, const char* aReason)
 {
   Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
   if (task.mStopWanted) {
@@ -356,8 +340,7 @@
   }
 }
 
-void
-Scheduler::BreakGang(StepRun& aStep)
+void Scheduler::BreakGang(StepRun& aStep)
 {
   aStep.mGangBreaking = true;
   for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
@@ -367,19 +350,19 @@
   }
 }
 
-// Answers ----------------------------------------------------------------------
+// Answers
+// ----------------------------------------------------------------------
 
-void
-Scheduler::OnStart(Time aNow,
-                   const StartOrder& aOrder,
-                   StartAnswer aAnswer,
-                   bool aEarlierUnknown)
+void Scheduler::OnStart(Time aNow,
+                        const StartOrder& aOrder,
+                        StartAnswer aAnswer,
+                        bool aEarlierUnknown)
 {
   StepRun* step = nullptr;
   Task* task = FindTask(aOrder.mRun.mTask, &step);
   ServerState* server = mFleet.Find(aOrder.mServer);
-  if (task == nullptr || server == nullptr ||
-      task->mRun != aOrder.mRun.mRun || task->mPhase != TaskPhase::eOrdered) {
+  if (task == nullptr || server == nullptr || task->mRun != aOrder.mRun.mRun ||
+      task->mPhase != TaskPhase::eOrdered) {
     return;
   }
   const int index = aOrder.mRun.mTask.mIndex;
@@ -428,8 +411,7 @@
   }
 }
 
-void
-Scheduler::OnStop(Time aNow, const StopOrder& aOrder, bool aAnswered)
+void Scheduler::OnStop(Time aNow, const StopOrder& aOrder, bool aAnswered)
 {
   StepRun* step = nullptr;
   Task* task = FindTask(aOrder.mRun.mTask, &step);
@@ -445,8 +427,7 @@
   }
 }
 
-void
-Scheduler::OnSilence(Time, const ServerId& aServer)
+void Scheduler::OnSilence(Time, const ServerId& aServer)
 {
   ServerState* server = mFleet.Find(aServer);
   if (server != nullptr && server->mAnswers) {
@@ -455,8 +436,7 @@
   }
 }
 
-void
-Scheduler::OnReplaced(Time, const ServerId& aServer)
+void Scheduler::OnReplaced(Time, const ServerId& aServer)
 {
   ServerState* server = mFleet.Find(aServer);
   if (server != nullptr) {
@@ -465,16 +445,14 @@
   }
 }
 
-void
-Scheduler::NoteLease(const ServerId& aServer, Time aEndsBy)
+void Scheduler::NoteLease(const ServerId& aServer, Time aEndsBy)
 {
   if (ServerState* server = mFleet.Find(aServer)) {
     server->mLeasesEndBy = std::max(server->mLeasesEndBy, aEndsBy);
   }
 }
 
-void
-Scheduler::ReleaseAll(ServerState& aServer, const char* aReason)
+void Scheduler::ReleaseAll(ServerState& aServer, const char* aReason)
 {
   const auto runs = aServer.mRuns;
   for (const auto& run : runs) {
@@ -487,8 +465,7 @@
   }
 }
 
-void
-Scheduler::ReleaseLost(Time aNow)
+void Scheduler::ReleaseLost(Time aNow)
 {
   for (auto& [id, server] : mFleet.Servers()) {
     if (!server.mAnswers && aNow > server.mLeasesEndBy &&
@@ -498,11 +475,10 @@
   }
 }
 
-void
-Scheduler::OnReport(Time aNow,
-                    const ServerId& aServer,
-                    const ServerReport& aReport,
-                    Time aSentAt)
+void Scheduler::OnReport(Time aNow,
+                         const ServerId& aServer,
+                         const ServerReport& aReport,
+                         Time aSentAt)
 {
   ServerState* server = mFleet.Find(aServer);
   if (server == nullptr) {
@@ -551,10 +527,9 @@
   }
 }
 
-void
-Scheduler::TakeRunning(Time aNow,
-                       ServerState& aServer,
-                       const RunningTask& aRunning)
+void Scheduler::TakeRunning(Time aNow,
+                            ServerState& aServer,
+                            const RunningTask& aRunning)
 {
   StepRun* step = nullptr;
   Task* task = FindTask(aRunning.mRun.mTask, &step);
@@ -589,8 +564,7 @@
   }
 }
 
-void
-Scheduler::TakeEnd(Time aNow, ServerState& aServer, const EndedTask& aEnd)
+void Scheduler::TakeEnd(Time aNow, ServerState& aServer, const EndedTask& aEnd)
 {
   StepRun* step = nullptr;
   Task* task = FindTask(aEnd.mRun.mTask, &step);
@@ -622,8 +596,7 @@
   }
 }
 
-void
-Scheduler::TakeDone(Time aNow, StepRun& aStep, int aIndex)
+void Scheduler::TakeDone(Time aNow, StepRun& aStep, int aIndex)
 {
   if (aStep.Spec().mLongRunning) {
     Release(aStep, aIndex, "long-running task ended");
@@ -650,8 +623,7 @@
   }
 }
 
-void
-Scheduler::FinishStep(Time aNow, StepRun& aStep)
+void Scheduler::FinishStep(Time aNow, StepRun& aStep)
 {
   Job& job = *aStep.mJob;
   Occurrence& occurrence = job.mOccurrences.at(aStep.mOccurrence);
@@ -664,11 +636,10 @@
   }
 }
 
-void
-Scheduler::TakeFailed(Time aNow,
-                      ServerState& aServer,
-                      StepRun& aStep,
-                      int aIndex)
+void Scheduler::TakeFailed(Time aNow,
+                           ServerState& aServer,
+                           StepRun& aStep,
+                           int aIndex)
 {
   Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
   Job& job = *aStep.mJob;
@@ -677,23 +648,22 @@
   const int failures =
     aStep.Spec().mGang ? ++aStep.mGangFailures : ++task.mFailures;
   Release(aStep, aIndex, "failed");
-  if (failures >= job.mSpec.mRules.mMaxAttempts &&
-      !aStep.Spec().mLongRunning && !job.IsFinal()) {
+  if (failures >= job.mSpec.mRules.mMaxAttempts && !aStep.Spec().mLongRunning &&
+      !job.IsFinal()) {
     FailJob(job);
   }
 }
 
-void
-Scheduler::FailJob(Job& aJob)
+void Scheduler::FailJob(Job& aJob)
 {
   SetState(aJob, JobState::eFailed);
   StopAll(aJob, "job failed");
 }
 
-// Storing ----------------------------------------------------------------------
+// Storing
+// ----------------------------------------------------------------------
 
-Batch
-Scheduler::TakeBatch(std::int64_t aStoreNowMs)
+Batch Scheduler::TakeBatch(std::int64_t aStoreNowMs)
 {
   Batch batch;
   mIntendedInBatch.clear();
@@ -733,8 +703,7 @@
   return batch;
 }
 
-void
-Scheduler::AddStepRow(StepRun& aStep, Batch& aBatch)
+void Scheduler::AddStepRow(StepRun& aStep, Batch& aBatch)
 {
   aStep.mDirty = false;
   aBatch.mRows.push_back(
@@ -749,8 +718,7 @@
   }
 }
 
-void
-Scheduler::AddStateRows(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch)
+void Scheduler::AddStateRows(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch)
 {
   aJob.mStateDirty = false;
   if (aJob.IsFinal() && aJob.mEndedAtStoreMs == 0) {
@@ -772,8 +740,7 @@
   }
 }
 
-void
-Scheduler::OnStored(Time aNow, const Batch& aBatch, std::int64_t aVersion)
+void Scheduler::OnStored(Time aNow, const Batch& aBatch, std::int64_t aVersion)
 {
   for (const auto& row : aBatch.mRows) {
     const auto job = mJobs.find(jobs::JobOfKey(row.mKey));
@@ -823,8 +790,7 @@
   }
 }
 
-Orders
-Scheduler::TakeOrders()
+Orders Scheduler::TakeOrders()
 {
   Orders orders;
   orders.mStarts = std::move(mStarts);
@@ -834,36 +800,34 @@
   return orders;
 }
 
-// Servers ----------------------------------------------------------------------
+// Servers
+// ----------------------------------------------------------------------
 
-std::vector<ServerId>
-Scheduler::UpdateServers(const std::vector<ServerInfo>& aListed,
-                         Time aLeasesEndBy)
+std::vector<ServerId> Scheduler::UpdateServers(
+  const std::vector<ServerInfo>& aListed,
+  Time aLeasesEndBy)
 {
   return mFleet.Update(aListed, aLeasesEndBy);
 }
 
-void
-Scheduler::SetDataCentresOut(std::set<base::DataCentreId> aOut)
+void Scheduler::SetDataCentresOut(std::set<base::DataCentreId> aOut)
 {
   mDataCentresOut = std::move(aOut);
 }
 
-void
-Scheduler::SetGuarantees(std::map<base::AccountId, std::int64_t> aGuarantees)
+void Scheduler::SetGuarantees(
+  std::map<base::AccountId, std::int64_t> aGuarantees)
 {
   mGuarantees = std::move(aGuarantees);
 }
 
-std::int64_t
-Scheduler::AcknowledgedEnds(const ServerId& aServer) const
+std::int64_t Scheduler::AcknowledgedEnds(const ServerId& aServer) const
 {
   const ServerState* server = mFleet.Find(aServer);
   return server == nullptr ? 0 : server->mAckThrough;
 }
 
-bool
-Scheduler::NeedsReports(const ServerId& aServer) const
+bool Scheduler::NeedsReports(const ServerId& aServer) const
 {
   const ServerState* server = mFleet.Find(aServer);
   return server != nullptr &&
@@ -871,8 +835,7 @@
           !server->mFenced);
 }
 
-int
-Scheduler::WaitingTasks() const
+int Scheduler::WaitingTasks() const
 {
   int waiting = 0;
   for (const auto& [id, job] : mJobs) {
@@ -888,14 +851,14 @@
   return waiting;
 }
 
-std::vector<RowChange>
-Scheduler::TakeExpired(std::int64_t aStoreMs)
+std::vector<RowChange> Scheduler::TakeExpired(std::int64_t aStoreMs)
 {
   std::vector<RowChange> rows;
   for (auto entry = mJobs.begin(); entry != mJobs.end();) {
     Job& job = *entry->second;
     bool busy = job.mStateDirty || !job.IsFinal() ||
-                job.mEndedAtStoreMs >= aStoreMs || rows.size() > kEntriesPerBatch / 2;
+                job.mEndedAtStoreMs >= aStoreMs ||
+                rows.size() > kEntriesPerBatch / 2;
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (const auto& step : occurrence.mSteps) {
         busy = busy || step->mDirty;
@@ -933,10 +896,10 @@
   return rows;
 }
 
-// Passes -----------------------------------------------------------------------
+// Passes
+// -----------------------------------------------------------------------
 
-void
-Scheduler::UpdateReady(Time aNow, Occurrence& aOccurrence)
+void Scheduler::UpdateReady(Time aNow, Occurrence& aOccurrence)
 {
   for (auto& step : aOccurrence.mSteps) {
     if (step->mReady) {
@@ -944,9 +907,9 @@
     }
     bool ready = true;
     for (const int before : step->Spec().mAfter) {
-      ready = ready &&
-              aOccurrence.mSteps[static_cast<std::size_t>(before)]
-                  ->mUnfinished == 0;
+      ready =
+        ready &&
+        aOccurrence.mSteps[static_cast<std::size_t>(before)]->mUnfinished == 0;
     }
     if (ready) {
       step->mReady = true;
@@ -955,8 +918,7 @@
   }
 }
 
-void
-Scheduler::CreateDue(Time aNow, std::int64_t aUnixMs)
+void Scheduler::CreateDue(Time aNow, std::int64_t aUnixMs)
 {
   for (auto& [id, job] : mJobs) {
     const auto& spec = job->mSpec;
@@ -977,10 +939,9 @@
   }
 }
 
-bool
-Scheduler::IsTooSlow(const StepRun& aStep,
-                     const Task& aTask,
-                     double aMedianSpeed) const
+bool Scheduler::IsTooSlow(const StepRun& aStep,
+                          const Task& aTask,
+                          double aMedianSpeed) const
 {
   if (aTask.mPhase != TaskPhase::eRunning || aTask.mStopWanted ||
       aTask.mReportedAt - aTask.mStartedAt < kWarmUp ||
@@ -997,8 +958,7 @@
   return !remote && aTask.Speed() * kSlowFactor < aMedianSpeed;
 }
 
-void
-Scheduler::LeaveSlowServers(Time aNow)
+void Scheduler::LeaveSlowServers(Time aNow)
 {
   for (auto& [id, job] : mJobs) {
     if (job->IsFinal()) {
@@ -1015,8 +975,7 @@
   }
 }
 
-void
-Scheduler::LeaveSlowServers(Time aNow, StepRun& aStep)
+void Scheduler::LeaveSlowServers(Time aNow, StepRun& aStep)
 {
   const bool gang = aStep.Spec().mGang;
   if (gang && std::any_of(aStep.mTasks.begin(),
@@ -1060,8 +1019,8 @@
   }
 }
 
-std::optional<std::int64_t>
-Scheduler::MillisecondsToNextDue(std::int64_t aUnixMs) const
+std::optional<std::int64_t> Scheduler::MillisecondsToNextDue(
+  std::int64_t aUnixMs) const
 {
   std::optional<std::int64_t> next;
   for (const auto& [id, job] : mJobs) {
@@ -1080,8 +1039,7 @@
   return next;
 }
 
-std::vector<Scheduler::Group>
-Scheduler::OrderedGroups(Time aNow)
+std::vector<Scheduler::Group> Scheduler::OrderedGroups(Time aNow)
 {
   std::map<base::AccountId, std::int64_t> demand;
   std::vector<Group> groups;
@@ -1131,8 +1089,7 @@
   return groups;
 }
 
-void
-Scheduler::Schedule(Time aNow, std::int64_t aUnixMs)
+void Scheduler::Schedule(Time aNow, std::int64_t aUnixMs)
 {
   ReleaseLost(aNow);
   LeaveSlowServers(aNow);
@@ -1143,8 +1100,7 @@
   }
 }
 
-bool
-Scheduler::MayGoRemote(Time aNow, const StepRun& aStep) const
+bool Scheduler::MayGoRemote(Time aNow, const StepRun& aStep) const
 {
   const Job& job = *aStep.mJob;
   const auto remote = std::chrono::duration_cast<base::Duration>(
@@ -1156,14 +1112,12 @@
          aNow + aStep.Spec().mEstimate > job.mObjective;
 }
 
-bool
-Scheduler::FollowPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
+bool Scheduler::FollowPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
 {
   bool usable = aNow - aStep.mPlannedAt < kPlanTimeout;
   for (const auto& [index, server] : aStep.mPlan) {
-    const bool waiting =
-      aStep.mTasks[static_cast<std::size_t>(index)].mPhase ==
-      TaskPhase::eWaiting;
+    const bool waiting = aStep.mTasks[static_cast<std::size_t>(index)].mPhase ==
+                         TaskPhase::eWaiting;
     usable = usable && waiting && aPlacement.IsUsable(server);
   }
   if (!usable) {
@@ -1187,8 +1141,9 @@
   return true;
 }
 
-void
-Scheduler::PlaceGroup(Time aNow, const Group& aGroup, Placement& aPlacement)
+void Scheduler::PlaceGroup(Time aNow,
+                           const Group& aGroup,
+                           Placement& aPlacement)
 {
   StepRun& step = *aGroup.mStep;
   if (!step.mPlan.empty() && FollowPlan(aNow, step, aPlacement)) {
@@ -1199,7 +1154,8 @@
     MayGoRemote(aNow, step) || !aPlacement.CouldStayLocal(step, indices);
   Assignment assignment;
   if (step.Spec().mGang) {
-    assignment = aPlacement.PlaceAll(step, indices, remote).value_or(Assignment{});
+    assignment =
+      aPlacement.PlaceAll(step, indices, remote).value_or(Assignment{});
     step.mGangRun += assignment.empty() ? 0 : 1;
   } else {
     assignment = aPlacement.PlaceSome(step, indices, remote);
@@ -1232,10 +1188,9 @@
   }
 }
 
-std::vector<Victim>
-Scheduler::VictimsOn(const ServerState& aServer,
-                     const StepRun& aFor,
-                     Time aNow)
+std::vector<Victim> Scheduler::VictimsOn(const ServerState& aServer,
+                                         const StepRun& aFor,
+                                         Time aNow)
 {
   std::vector<Victim> victims;
   for (const auto& run : aServer.mRuns) {
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -133,7 +133,10 @@
   void Schedule(base::Time aNow, std::int64_t aUnixMs);
 
   // Changes that are not yet in the store; one batch at a time.
-  bool HasChanges() const { return !mDirtySteps.empty() || !mDirtyJobs.empty(); }
+  bool HasChanges() const
+  {
+    return !mDirtySteps.empty() || !mDirtyJobs.empty();
+  }
   // aStoreNowMs is the store's clock, for the end times of jobs.
   Batch TakeBatch(std::int64_t aStoreNowMs);
   void OnStored(base::Time aNow, const Batch& aBatch, std::int64_t aVersion);
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -37,7 +37,9 @@
     }
   }
 
-  static jobs::JobSpec Job(const std::string& aId, int aTasks, int aAccelerators)
+  static jobs::JobSpec Job(const std::string& aId,
+                           int aTasks,
+                           int aAccelerators)
   {
     jobs::JobSpec job;
     job.mId = aId;
@@ -158,9 +160,8 @@
   CHECK(orders.mStarts.empty());
   REQUIRE(orders.mStops.size() == 1);
   f.mNow += seconds(1);
-  f.Report(starts[0].mServer,
-           {},
-           { { 1, starts[0].mRun, RunEnd::eStopped, "" } });
+  f.Report(
+    starts[0].mServer, {}, { { 1, starts[0].mRun, RunEnd::eStopped, "" } });
   const auto again = f.Pass().mStarts;
   REQUIRE(again.size() == 2);
   CHECK(again[0].mRun.mRun == 2);
@@ -221,13 +222,14 @@
 {
   Fixture f;
   f.Add(Fixture::Job("a", 2, 1));
-  f.mScheduler.RestoreStep("a",
-                           { 0,
-                             0,
-                             { { 0, jobs::TaskOutcome::ePlaced, 1, ServerId("s0"), 0, "" },
-                               { 1, jobs::TaskOutcome::ePlaced, 1, ServerId("s1"), 0, "" } } },
-                           5,
-                           f.mNow + seconds(12));
+  f.mScheduler.RestoreStep(
+    "a",
+    { 0,
+      0,
+      { { 0, jobs::TaskOutcome::ePlaced, 1, ServerId("s0"), 0, "" },
+        { 1, jobs::TaskOutcome::ePlaced, 1, ServerId("s1"), 0, "" } } },
+    5,
+    f.mNow + seconds(12));
   f.mScheduler.Resume(f.mNow);
   CHECK(f.Pass().mStarts.empty());
   f.AddServers(2);
--- a/flamingoloom/scheduler/work.cpp
+++ b/flamingoloom/scheduler/work.cpp
@@ -6,27 +6,23 @@
 
 using jobs::TaskOutcome;
 
-double
-Task::Speed() const
+double Task::Speed() const
 {
   const std::chrono::duration<double> run = mReportedAt - mStartedAt;
   return run.count() > 0 ? (mPercent - mFirstPercent) / run.count() : 0.0;
 }
 
-const jobs::StepSpec&
-StepRun::Spec() const
+const jobs::StepSpec& StepRun::Spec() const
 {
   return mJob->mSpec.mSteps[static_cast<std::size_t>(mStep)];
 }
 
-jobs::TaskName
-StepRun::Name(int aIndex) const
+jobs::TaskName StepRun::Name(int aIndex) const
 {
   return { mJob->mSpec.mId, mOccurrence, mStep, aIndex };
 }
 
-jobs::StepRecord
-StepRun::Record() const
+jobs::StepRecord StepRun::Record() const
 {
   jobs::StepRecord record{ mOccurrence, mStep, {} };
   for (std::size_t i = 0; i < mTasks.size(); ++i) {
@@ -60,8 +56,7 @@
   return record;
 }
 
-Occurrence
-MakeOccurrence(Job& aJob, int aOccurrence)
+Occurrence MakeOccurrence(Job& aJob, int aOccurrence)
 {
   Occurrence occurrence;
   for (std::size_t i = 0; i < aJob.mSpec.mSteps.size(); ++i) {
@@ -78,15 +73,13 @@
   return occurrence;
 }
 
-void
-RestoreStep(StepRun& aStep,
-            const jobs::StepRecord& aRecord,
-            std::int64_t aVersion)
+void RestoreStep(StepRun& aStep,
+                 const jobs::StepRecord& aRecord,
+                 std::int64_t aVersion)
 {
   aStep.mRowVersion = aVersion;
   for (const auto& row : aRecord.mTasks) {
-    if (row.mIndex < 0 ||
-        row.mIndex >= static_cast<int>(aStep.mTasks.size())) {
+    if (row.mIndex < 0 || row.mIndex >= static_cast<int>(aStep.mTasks.size())) {
       continue;
     }
     Task& task = aStep.mTasks[static_cast<std::size_t>(row.mIndex)];
--- /dev/null
+++ b/testing/platform_world/fake_store.h
@@ -0,0 +1,111 @@
+// The platform's store with its faults, under virtual time.
+//
+// Rows, one version counter, conditions, feeds with a bounded history. Each
+// instance has a client of its own, since the store may refuse some instances
+// while it serves others.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "flamingoloom/node/ports.h"
+#include "testing/fakes/virtual_clock.h"
+
+namespace flamingoloom::testing::platform_world {
+
+enum class StoreFault
+{
+  eNone,
+  // Calls are refused; nothing is done.
+  eRefuses,
+  // Calls are never answered and nothing is done.
+  eSilent,
+  // Writes are done and not answered, at once or seconds later.
+  eLosesAnswers,
+};
+
+class FakeStore
+{
+public:
+  explicit FakeStore(fakes::VirtualClock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  node::CommitResult Apply(const node::Transaction& aTransaction);
+  node::Rows Read(const std::string& aTable,
+                  const std::string& aFrom,
+                  const std::string& aTo) const;
+  // Changes after aVersion; false if they are forgotten.
+  bool Changes(const std::string& aTable,
+               std::int64_t aVersion,
+               node::Rows& aRows) const;
+  // Writes without a condition, as operators and servers do.
+  void Put(const std::string& aTable,
+           const std::string& aKey,
+           std::optional<std::string> aValue);
+  void ForgetHistory();
+  std::int64_t NowMs() const;
+  std::int64_t Version() const { return mVersion; }
+  std::optional<std::string> Value(const std::string& aTable,
+                                   const std::string& aKey) const;
+
+private:
+  using Key = std::pair<std::string, std::string>;
+
+  void Write(const Key& aKey, std::optional<std::string> aValue);
+
+  fakes::VirtualClock& mClock;
+  std::map<Key, node::Row> mRows;
+  std::deque<std::pair<std::string, node::Row>> mHistory;
+  std::int64_t mForgotten = 0;
+  std::int64_t mVersion = 0;
+};
+
+// One instance's way to the store.
+class StoreLink : public node::Store
+{
+public:
+  StoreLink(FakeStore& aStore, fakes::VirtualClock& aClock)
+    : mStore(aStore)
+    , mClock(aClock)
+  {
+  }
+
+  void SetFault(StoreFault aFault) { mFault = aFault; }
+  // Answers that are under way are dropped: the instance is gone.
+  void Cut() { ++mLife; }
+
+  void Commit(const node::Transaction& aTransaction,
+              base::Duration aTimeout,
+              std::function<void(base::Expected<node::CommitResult>)> aThen)
+    override;
+  void Read(const std::string& aTable,
+            const std::string& aFrom,
+            const std::string& aTo,
+            base::Duration aTimeout,
+            std::function<void(base::Expected<node::Rows>)> aThen) override;
+  void Follow(const std::string& aTable,
+              std::int64_t aVersion,
+              base::Duration aWait,
+              std::function<void(base::Expected<node::Rows>)> aThen) override;
+
+private:
+  void Later(base::Duration aDelay, std::function<void()> aThen);
+  void Poll(const std::string& aTable,
+            std::int64_t aVersion,
+            base::Time aUntil,
+            std::function<void(base::Expected<node::Rows>)> aThen);
+
+  FakeStore& mStore;
+  fakes::VirtualClock& mClock;
+  StoreFault mFault = StoreFault::eNone;
+  int mLife = 0;
+};
+
+} // namespace flamingoloom::testing::platform_world
--- /dev/null
+++ b/testing/platform_world/world.cpp
@@ -0,0 +1,378 @@
+#include "testing/platform_world/world.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace flamingoloom::testing::platform_world {
+
+using base::Duration;
+using base::ServerId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The instances' time; timers of an instance that was killed do not fire.
+class World::ClockLoop : public node::Loop
+{
+public:
+  explicit ClockLoop(fakes::VirtualClock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  base::Time Now() const override { return mClock.Now(); }
+  std::int64_t UnixMs() const override
+  {
+    return base::ToMilliseconds(mClock.Now().time_since_epoch());
+  }
+  void After(Duration aDelay, std::function<void()> aThen) override
+  {
+    mClock.After(aDelay, [alive = mAlive, then = std::move(aThen)] {
+      if (*alive) {
+        then();
+      }
+    });
+  }
+  void Kill() { *mAlive = false; }
+
+private:
+  fakes::VirtualClock& mClock;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+// The rows of operators and servers; a server's entry is only its id here.
+class World::OperatorRows : public node::ForeignRows
+{
+public:
+  explicit OperatorRows(const FakeServers& aServers)
+    : mServers(aServers)
+  {
+  }
+
+  std::string OperatorTable() const override { return "operators"; }
+  std::string ServerTable() const override { return "members"; }
+  std::string ConfigurationKey() const override { return "configuration"; }
+  base::Expected<node::Configuration> ReadConfiguration(
+    const std::string& aValue) const override
+  {
+    node::Configuration configuration;
+    configuration.mVersion = std::stoll(aValue);
+    node::Queue queue;
+    queue.mRules = { "queue", "desk", 1, 50, 3.0, milliseconds(500) };
+    queue.mHost = "host";
+    queue.mPathPrefix = "/q/";
+    configuration.mQueues = { queue };
+    configuration.mAccounts = { { base::AccountId("shop"), { "key" }, 8 } };
+    return configuration;
+  }
+  std::optional<base::DataCentreId> DataCentreOut(
+    const std::string&) const override
+  {
+    return std::nullopt;
+  }
+  base::Expected<scheduler::ServerInfo> ReadServer(
+    const std::string& aKey,
+    const std::string&) const override
+  {
+    for (const auto& info : mServers.Listed()) {
+      if (info.mId.Value() == aKey) {
+        return info;
+      }
+    }
+    return base::MakeError(
+      base::ErrorCode::eNotFound, "read server entry", aKey, "unknown");
+  }
+
+private:
+  const FakeServers& mServers;
+};
+
+// Prints with FLAMINGOLOOM_WORLD_LOG set, for tracing a seed.
+class World::TraceLog : public node::EventLog
+{
+public:
+  explicit TraceLog(const fakes::VirtualClock& aClock)
+    : mClock(aClock)
+    , mPrints(std::getenv("FLAMINGOLOOM_WORLD_LOG") != nullptr)
+  {
+  }
+
+  void Write(const char* aEvent, const Fields& aFields) override
+  {
+    if (!mPrints) {
+      return;
+    }
+    std::printf("%lld %s",
+                base::ToMilliseconds(mClock.Now().time_since_epoch()),
+                aEvent);
+    for (const auto& [name, value] : aFields) {
+      std::printf(" %s=%s", name, value.c_str());
+    }
+    std::printf("\n");
+  }
+
+private:
+  const fakes::VirtualClock& mClock;
+  const bool mPrints;
+};
+
+struct World::Member
+{
+  std::string mName;
+  std::unique_ptr<ClockLoop> mLoop;
+  std::unique_ptr<StoreLink> mStore;
+  std::unique_ptr<ServersLink> mServers;
+  std::unique_ptr<node::Instance> mInstance;
+};
+
+World::World(WorldOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mClock(mOptions.mSeed)
+  , mStore(mClock)
+  , mServers(
+      mClock,
+      mChecker,
+      [this](const jobs::TaskName& aName) {
+        const auto& step = mJobs.at(aName.mJob)
+                             .mSteps.at(static_cast<std::size_t>(aName.mStep));
+        return step.mEstimate;
+      },
+      [this](const jobs::TaskName& aName) {
+        const auto& step = mJobs.at(aName.mJob)
+                             .mSteps.at(static_cast<std::size_t>(aName.mStep));
+        return step.mGang ? step.mTaskCount : 1;
+      })
+  , mForeign(std::make_unique<OperatorRows>(mServers))
+  , mLog(std::make_unique<TraceLog>(mClock))
+{
+  mClock.RunUntil(base::Time(seconds(1000)));
+  for (int i = 0; i < mOptions.mServers; ++i) {
+    scheduler::ServerInfo info;
+    info.mId = ServerId("s" + std::to_string(i));
+    info.mAddress = info.mId.Value();
+    info.mService = "desk";
+    info.mRack = i % 2 == 0 ? "r1" : "r2";
+    info.mCapacity = { 8000, 8000, 8 };
+    mServers.Add(info);
+  }
+  ListServers();
+  mStore.Put("operators", "configuration", "1");
+  for (int i = 0; i < mOptions.mInstances; ++i) {
+    auto member = std::make_unique<Member>();
+    member->mName = "i" + std::to_string(i);
+    StartInstance(*member);
+    mMembers.push_back(std::move(member));
+  }
+}
+
+World::~World() = default;
+
+void
+World::ListServers()
+{
+  for (const auto& info : mServers.Listed()) {
+    mStore.Put("members", info.mId.Value(), "entry");
+  }
+}
+
+void
+World::StartInstance(Member& aMember)
+{
+  aMember.mLoop = std::make_unique<ClockLoop>(mClock);
+  aMember.mStore = std::make_unique<StoreLink>(mStore, mClock);
+  aMember.mServers = std::make_unique<ServersLink>(mServers, mClock);
+  node::InstanceSettings settings;
+  settings.mId =
+    base::InstanceId(aMember.mName + "-" + std::to_string(++mLives));
+  settings.mClaimDelay = mClock.Between(milliseconds(0), milliseconds(250));
+  if (mOptions.mChange) {
+    mOptions.mChange(settings);
+  }
+  aMember.mInstance = std::make_unique<node::Instance>(
+    node::Ports{ aMember.mLoop.get(),
+                 aMember.mStore.get(),
+                 aMember.mServers.get(),
+                 mForeign.get(),
+                 mLog.get() },
+    settings);
+  aMember.mInstance->Start();
+}
+
+void
+World::KillInstance(Member& aMember)
+{
+  aMember.mLoop->Kill();
+  aMember.mStore->Cut();
+  aMember.mServers->Cut();
+  // Objects of a killed instance stay until the end: actions that are under
+  // way refer to them.
+  static_cast<void>(aMember.mInstance.release());
+  static_cast<void>(aMember.mLoop.release());
+  static_cast<void>(aMember.mStore.release());
+  static_cast<void>(aMember.mServers.release());
+}
+
+World::Member*
+World::AnyMember()
+{
+  return mMembers[mClock.Random() % mMembers.size()].get();
+}
+
+void
+World::SubmitJob(int aNumber)
+{
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016x", static_cast<unsigned>(aNumber + 1));
+  jobs::JobSpec job;
+  job.mId = id;
+  job.mPayload = "work";
+  const int steps = mClock.Chance(0.3) ? 2 : 1;
+  for (int i = 0; i < steps; ++i) {
+    jobs::StepSpec step;
+    step.mTaskCount = 1 + static_cast<int>(mClock.Random() % 4);
+    step.mPerTask = { 1000, 1000, 1 };
+    step.mEstimate = mClock.Between(milliseconds(300), milliseconds(4000));
+    step.mGang = step.mTaskCount > 1 && mClock.Chance(0.4);
+    if (i > 0) {
+      step.mAfter = { i - 1 };
+    }
+    job.mSteps.push_back(step);
+  }
+  mJobs[job.mId] = job;
+  Hand(job, 1);
+  if (mClock.Chance(0.15)) {
+    mClock.After(mClock.Between(milliseconds(50), milliseconds(3000)),
+                 [this, name = job.mId] { CancelJob(name); });
+  }
+}
+
+void
+World::Hand(const jobs::JobSpec& aJob, int aTry)
+{
+  constexpr int kTries = 12;
+  if (aTry > kTries) {
+    return;
+  }
+  mChecker.OnMaybeAccepted(aJob);
+  const auto again = [this, aJob, aTry] {
+    mClock.After(milliseconds(700), [this, aJob, aTry] { Hand(aJob, aTry + 1); });
+  };
+  AnyMember()->mInstance->Callers().Submit(
+    { "host", "/q/" + aJob.mId, "key", seconds(3) },
+    [aJob] { return base::Expected<jobs::JobSpec>(aJob); },
+    [this, aJob, again](const node::CallerAnswer& aAnswer) {
+      if (aAnswer.mVerdict == node::CallerVerdict::eAccepted) {
+        mChecker.OnAccepted(aJob);
+      } else {
+        again();
+      }
+    });
+}
+
+void
+World::CancelJob(const std::string& aId)
+{
+  mChecker.OnCancelAsked(aId);
+  AnyMember()->mInstance->Callers().Cancel(
+    { "host", "/q/" + aId, "key", seconds(3) },
+    [this, aId](const node::CallerAnswer& aAnswer) {
+      if (aAnswer.mVerdict == node::CallerVerdict::eCancelled ||
+          aAnswer.mVerdict == node::CallerVerdict::eNoSuchJob) {
+        mChecker.OnCancelled(mClock.Now(), aId);
+      } else {
+        // It may have been marked although it was not answered.
+        mClock.After(milliseconds(500), [this, aId] { CancelJob(aId); });
+      }
+    });
+}
+
+void
+World::AskStates()
+{
+  for (const auto& [id, job] : mJobs) {
+    AnyMember()->mInstance->Callers().Query(
+      { "host", "/q/" + id, "key", seconds(3) },
+      [this, name = id](const node::CallerAnswer& aAnswer) {
+        if (aAnswer.mVerdict == node::CallerVerdict::eFound) {
+          mChecker.OnShown(name, aAnswer.mState);
+        }
+      });
+  }
+}
+
+void
+World::InjectFault()
+{
+  Member* member = AnyMember();
+  const auto length = mClock.Between(milliseconds(500), milliseconds(9000));
+  const ServerId server(
+    "s" + std::to_string(mClock.Random() %
+                         static_cast<std::uint64_t>(mOptions.mServers)));
+  const auto storeFault = [&](StoreFault aFault, bool aAll) {
+    for (auto& each : mMembers) {
+      if (aAll || each.get() == member) {
+        each->mStore->SetFault(aFault);
+      }
+    }
+    mClock.After(length, [this] {
+      for (auto& each : mMembers) {
+        each->mStore->SetFault(StoreFault::eNone);
+      }
+    });
+  };
+  switch (mClock.Random() % 9) {
+    case 0:
+    case 1:
+      KillInstance(*member);
+      StartInstance(*member);
+      break;
+    case 2:
+      storeFault(StoreFault::eRefuses, mClock.Chance(0.5));
+      break;
+    case 3:
+      storeFault(StoreFault::eSilent, mClock.Chance(0.5));
+      break;
+    case 4:
+      storeFault(StoreFault::eLosesAnswers, true);
+      break;
+    case 5:
+      mServers.Crash(server);
+      ListServers();
+      break;
+    case 6:
+      mServers.SetCut(server, true);
+      mClock.After(length, [this, server] { mServers.SetCut(server, false); });
+      break;
+    case 7:
+      mServers.SetLateShare(0.2);
+      mClock.After(length, [this] { mServers.SetLateShare(0); });
+      break;
+    default:
+      mStore.ForgetHistory();
+      break;
+  }
+}
+
+void
+World::Run()
+{
+  const auto start = mClock.Now() + seconds(2);
+  for (int i = 0; i < mOptions.mJobs; ++i) {
+    mClock.At(start + mClock.Between(Duration(0), mOptions.mBusy),
+              [this, i] { SubmitJob(i); });
+  }
+  if (mOptions.mFaults) {
+    const int faults = 4 + static_cast<int>(mClock.Random() % 10);
+    for (int i = 0; i < faults; ++i) {
+      mClock.At(start + mClock.Between(Duration(0), mOptions.mBusy),
+                [this] { InjectFault(); });
+    }
+  }
+  const auto end = start + mOptions.mBusy + mOptions.mQuiet;
+  for (auto at = start; at < end; at += seconds(2)) {
+    mClock.At(at, [this] { AskStates(); });
+  }
+  mClock.RunUntil(end);
+}
+
+} // namespace flamingoloom::testing::platform_world
--- /dev/null
+++ b/testing/platform_world/world.h
@@ -0,0 +1,68 @@
+// Several instances with a store and servers under one virtual clock, and
+// seeded random faults in all of them.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/node/instance.h"
+#include "testing/fakes/virtual_clock.h"
+#include "testing/platform_world/checker.h"
+#include "testing/platform_world/fake_servers.h"
+#include "testing/platform_world/fake_store.h"
+
+namespace flamingoloom::testing::platform_world {
+
+struct WorldOptions
+{
+  std::uint64_t mSeed = 1;
+  int mInstances = 3;
+  int mServers = 6;
+  int mJobs = 25;
+  // Jobs come, and faults happen, within this time; then all heals.
+  base::Duration mBusy = std::chrono::seconds(30);
+  base::Duration mQuiet = std::chrono::seconds(45);
+  bool mFaults = true;
+  // Changes a mechanism of the leads, to show that the checks see it.
+  std::function<void(node::InstanceSettings&)> mChange;
+};
+
+class World
+{
+public:
+  explicit World(WorldOptions aOptions);
+  ~World();
+
+  void Run();
+  const Checker& Judge() const { return mChecker; }
+
+private:
+  class ClockLoop;
+  class OperatorRows;
+  class TraceLog;
+  struct Member;
+
+  void StartInstance(Member& aMember);
+  void KillInstance(Member& aMember);
+  void SubmitJob(int aNumber);
+  void Hand(const jobs::JobSpec& aJob, int aTry);
+  void CancelJob(const std::string& aId);
+  void AskStates();
+  void InjectFault();
+  void ListServers();
+  Member* AnyMember();
+
+  const WorldOptions mOptions;
+  fakes::VirtualClock mClock;
+  Checker mChecker;
+  FakeStore mStore;
+  FakeServers mServers;
+  std::unique_ptr<OperatorRows> mForeign;
+  std::unique_ptr<TraceLog> mLog;
+  std::vector<std::unique_ptr<Member>> mMembers;
+  std::map<std::string, jobs::JobSpec> mJobs;
+  int mLives = 0;
+};
+
+} // namespace flamingoloom::testing::platform_world
