Ends are acknowledged only right after a report of the same life

Cause: while the store was away, acknowledgements waited for seconds; a server that had begun another life in that time took their number for its own ends.

--- a/flamingoloom/node/server_link.cpp
+++ b/flamingoloom/node/server_link.cpp
@@ -61,9 +61,13 @@
 {
   ReportRequest request;
   request.mEpoch = mEpoch;
-  const auto ack = mEvents.mAckThrough();
-  request.mAckThrough = ack > mAckAnswered ? ack : 0;
-  request.mWait = aWait;
+  const auto known = mEvents.mAckThrough();
+  // Only right after a report of the same life; else its life is asked first.
+  const bool lifeIsFresh =
+    mPorts.mLoop->Now() - mClockReadAt < mTiming.mLifeIsFresh;
+  const auto ack = known > mAckAnswered && lifeIsFresh ? known : 0;
+  request.mAckThrough = ack;
+  request.mWait = known > mAckAnswered && !lifeIsFresh ? Duration(0) : aWait;
   if (aGrantLease) {
     request.mLeaseUntilMs = GrantLease();
   }
@@ -72,7 +76,7 @@
   mPorts.mServers->Report(
     mServer,
     request,
-    aWait + mTiming.mAnswerTimeout,
+    request.mWait + mTiming.mAnswerTimeout,
     [self = shared_from_this(), sentAt, ack](base::Expected<ReportAnswer> aAnswer) {
       self->OnAnswer(sentAt, ack, std::move(aAnswer));
     });
--- a/flamingoloom/node/server_link.h
+++ b/flamingoloom/node/server_link.h
@@ -29,6 +29,9 @@
   base::Duration mRetry = std::chrono::milliseconds(300);
   // While ends wait for the store, which is rarely longer than a commit.
   base::Duration mUnstoredPause = std::chrono::milliseconds(1000);
+  // Ends are acknowledged within this time after a report: a server that began
+  // another life meanwhile would forget ends that nobody has read.
+  base::Duration mLifeIsFresh = std::chrono::milliseconds(400);
   // Tries of a start before it is stopped instead.
   int mStartTries = 3;
   // A server's clock may run this much too slowly.
