Larger machines claim first; passes of the scheduler cost less

Each pass tried each waiting step on each of 350 servers. Ruled out: the store; the entries had been stored in time.

--- a/flamingoloom/event_loop/stream_log.h
+++ b/flamingoloom/event_loop/stream_log.h
@@ -14,7 +14,7 @@
 
 // Over the busiest second of the platform's days, and under 1% of an
 // instance's processor time.
-inline constexpr int kLogLinesPerSecond = 400;
+inline constexpr int kLogLinesPerSecond = 250;
 inline constexpr std::size_t kLogBufferBytes = std::size_t{ 256 } * 1024;
 
 class StreamLog : public node::EventLog
--- a/flamingoloom/node/election.cpp
+++ b/flamingoloom/node/election.cpp
@@ -1,5 +1,6 @@
 #include "flamingoloom/node/election.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace flamingoloom::node {
@@ -14,6 +15,18 @@
 
 } // namespace
 
+base::Duration ClaimDelay(double aCores, double aLinkMbps)
+{
+  // At these weights twice the processor, or twice a slow link, is worth more
+  // than the spread of equal machines.
+  constexpr double kCoreMs = 25.0;
+  constexpr double kLinkMs = 1500.0;
+  constexpr double kLeast = 0.001;
+  const double delayMs = kCoreMs / std::max(aCores, kLeast) +
+                         kLinkMs / std::max(aLinkMbps, 1.0);
+  return base::Duration(static_cast<std::int64_t>(delayMs * 1000.0));
+}
+
 Election::Election(base::InstanceId aSelf,
                    ElectionTiming aTiming,
                    base::Duration aClaimDelay)
--- a/flamingoloom/node/election.h
+++ b/flamingoloom/node/election.h
@@ -34,15 +34,20 @@
   base::Duration mRenewEvery = std::chrono::milliseconds(500);
   // A renewal that was not answered is tried again after this.
   base::Duration mRenewRetry = std::chrono::milliseconds(150);
-  // Instances claim at different times, so that few claims collide.
-  base::Duration mMaxClaimDelay = std::chrono::milliseconds(250);
+  // Equal machines claim at random times within this, so that few claims
+  // collide.
+  base::Duration mClaimSpread = std::chrono::milliseconds(60);
 };
 
+// How long an instance holds back with a claim, so that machines with more
+// processor and a faster link come first: scheduling needs both.
+base::Duration ClaimDelay(double aCores, double aLinkMbps);
+
 class Election
 {
 public:
-  // aSelf must differ between two lives of a process. aClaimDelay, between 0
-  // and mMaxClaimDelay, puts this instance into the order of claims.
+  // aSelf must differ between two lives of a process. aClaimDelay puts this
+  // instance into the order of claims.
   Election(base::InstanceId aSelf,
            ElectionTiming aTiming,
            base::Duration aClaimDelay);
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -20,7 +20,7 @@
   // Unique among the lives of all instances.
   base::InstanceId mId;
   ElectionTiming mElection;
-  // Between 0 and mElection.mMaxClaimDelay; differs between instances.
+  // This instance's place in the order of claims; see ClaimDelay.
   base::Duration mClaimDelay{ 0 };
   // A store that takes longer than mFarStore to answer is in another region:
   // instances that are nearer to it claim first.
--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -369,7 +369,8 @@
     return;
   }
   mPassPending = true;
-  mPorts.mLoop->After(mTiming.mPassDelay, [self = shared_from_this()] {
+  const auto delay = std::max(mTiming.mPassDelay, mPassPause);
+  mPorts.mLoop->After(delay, [self = shared_from_this()] {
     self->mPassPending = false;
     if (self->mPhase == Phase::eScheduling) {
       self->Pass();
@@ -383,6 +384,7 @@
   const auto unixMs = mPorts.mLoop->UnixMs();
   mLastPass = now;
   mScheduler.Schedule(now, unixMs);
+  mPassPause = (mPorts.mLoop->Now() - now) * mTiming.mPassPauseFactor;
   SendOrders();
   CommitNext();
   auto next = mTiming.mPassEvery;
--- a/flamingoloom/node/lead.h
+++ b/flamingoloom/node/lead.h
@@ -29,6 +29,9 @@
   base::Duration mServerListEvery = std::chrono::milliseconds(500);
   // Changes within this time are placed in one pass.
   base::Duration mPassDelay = std::chrono::milliseconds(2);
+  // A pass is followed by a pause of this many times its own length, so that
+  // orders and reports are handled in between on a small machine.
+  int mPassPauseFactor = 3;
   // At least one pass in this time, for work that waits for room or time.
   base::Duration mPassEvery = std::chrono::milliseconds(250);
   // Leases are granted until this long after the end of the own lease at the
@@ -120,6 +123,7 @@
   bool mCommitting = false;
   bool mPassPending = false;
   base::Time mLastPass;
+  base::Duration mPassPause{ 0 };
 };
 
 } // namespace flamingoloom::node
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace flamingoloom::scheduler {
 
@@ -112,7 +113,33 @@
                                 const std::vector<int>& aIndices,
                                 bool aAllowRemote)
 {
-  return PlaceUntilFull(aStep, aIndices, AllPlaces(), aAllowRemote);
+  if (!MayFit(aStep)) {
+    return {};
+  }
+  auto assignment =
+    PlaceUntilFull(aStep, aIndices, AllPlaces(), aAllowRemote);
+  const auto& spec = aStep.Spec();
+  const bool anywhere = aAllowRemote || spec.mDataRack.empty();
+  if (anywhere && spec.mMaxPerServer == 0 &&
+      assignment.size() < aIndices.size()) {
+    mUnplaceable[{ aStep.mJob->mSpec.mRules.mService, spec.mRequiredLabel }]
+      .push_back(spec.Footprint());
+  }
+  return assignment;
+}
+
+bool Placement::MayFit(const StepRun& aStep) const
+{
+  const auto failed = mUnplaceable.find(
+    { aStep.mJob->mSpec.mRules.mService, aStep.Spec().mRequiredLabel });
+  if (failed == mUnplaceable.end()) {
+    return true;
+  }
+  const auto need = aStep.Spec().Footprint();
+  return std::none_of(
+    failed->second.begin(),
+    failed->second.end(),
+    [&need](const jobs::Resources& aFailed) { return aFailed.FitsIn(need); });
 }
 
 Assignment Placement::PlaceUntilFull(const StepRun& aStep,
@@ -154,6 +181,9 @@
                                               const std::vector<int>& aIndices,
                                               bool aAllowRemote)
 {
+  if (!MayFit(aStep)) {
+    return std::nullopt;
+  }
   if (!aStep.Spec().mSameRack) {
     return PlaceOn(aStep, aIndices, AllPlaces(), aAllowRemote);
   }
@@ -316,12 +346,18 @@
 bool Placement::CouldStayLocal(const StepRun& aStep,
                                const std::vector<int>& aIndices)
 {
+  const auto& spec = aStep.Spec();
+  if (spec.mDataRack.empty() && !(spec.mGang && spec.mSameRack)) {
+    return true;
+  }
   std::map<base::ServerId, jobs::Resources> before;
   for (auto& [id, place] : mPlaces) {
     before[id] = place.mFree;
     place.mFree = place.mServer->mInfo.mCapacity;
   }
+  const auto unplaceable = std::exchange(mUnplaceable, {});
   const auto assignment = PlaceAll(aStep, aIndices, false);
+  mUnplaceable = unplaceable;
   for (auto& [id, place] : mPlaces) {
     place.mFree = before[id];
   }
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -109,7 +109,14 @@
   std::map<base::ServerId, int> TasksPerServer(const StepRun& aStep) const;
   std::vector<Place*> AllPlaces();
 
+  // Whether some server has room for one task of the step, whatever the rack.
+  bool MayFit(const StepRun& aStep) const;
+
   std::map<base::ServerId, Place> mPlaces;
+  // Needs that found no place in this pass, by service and label: room only
+  // shrinks within a pass, so equal or larger needs find none either.
+  std::map<std::pair<std::string, std::string>, std::vector<jobs::Resources>>
+    mUnplaceable;
   std::map<std::string, std::vector<Place*>> mRacks;
 };
 
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -18,6 +18,10 @@
 constexpr base::Duration kUnhealthyPause = std::chrono::seconds(2);
 // A plan whose victims have not made room by then is made anew.
 constexpr base::Duration kPlanTimeout = std::chrono::milliseconds(2500);
+// Between searches for other work to stop for the same step; a search visits
+// every run on every server.
+constexpr base::Duration kSeekVictimsEvery = std::chrono::milliseconds(150);
+constexpr base::Duration kLocalCheckEvery = std::chrono::milliseconds(1000);
 // Work away from its data takes a multiple of its time; waiting for the right
 // rack this long is shorter in most cases.
 constexpr base::Duration kLocalWait = std::chrono::milliseconds(1500);
@@ -1150,8 +1154,12 @@
     return;
   }
   auto indices = WaitingIndices(step);
-  const bool remote =
-    MayGoRemote(aNow, step) || !aPlacement.CouldStayLocal(step, indices);
+  // Whether a place near the data exists at all changes only with the fleet.
+  if (aNow - step.mLocalCheckedAt >= kLocalCheckEvery) {
+    step.mLocalCheckedAt = aNow;
+    step.mCouldStayLocal = aPlacement.CouldStayLocal(step, indices);
+  }
+  const bool remote = MayGoRemote(aNow, step) || !step.mCouldStayLocal;
   Assignment assignment;
   if (step.Spec().mGang) {
     assignment =
@@ -1164,9 +1172,11 @@
     Intend(step, index, server, aNow);
   }
   indices = WaitingIndices(step);
-  if (indices.empty() || !aGroup.mGuaranteed) {
+  if (indices.empty() || !aGroup.mGuaranteed ||
+      aNow - step.mVictimsSoughtAt < kSeekVictimsEvery) {
     return;
   }
+  step.mVictimsSoughtAt = aNow;
   std::vector<Victim> victims;
   const auto over = aPlacement.PlaceOver(
     step,
--- a/flamingoloom/scheduler/work.h
+++ b/flamingoloom/scheduler/work.h
@@ -76,6 +76,10 @@
   // Servers chosen for the waiting tasks while what runs there is stopped.
   std::vector<std::pair<int, base::ServerId>> mPlan;
   base::Time mPlannedAt;
+  base::Time mVictimsSoughtAt;
+  // Whether the fleet has a place near the data, as last looked up.
+  bool mCouldStayLocal = true;
+  base::Time mLocalCheckedAt;
   // Row in the store.
   std::int64_t mRowVersion = 0;
   bool mDirty = false;
