Work leaves servers that say when they leave; jobs that can be in time go first

Cause: with spot capacity hundreds of runs were lost with their servers, which had said when they would leave; under overload the earliest objective went first although it could not be met any more. Ruled out: moving only work with checkpoints: the rest is lost in any case. Log lines are written whole, so that lines of several processes on one pipe stay apart.

--- a/flamingoloom/event_loop/stream_log.cpp
+++ b/flamingoloom/event_loop/stream_log.cpp
@@ -1,5 +1,6 @@
 #include "flamingoloom/event_loop/stream_log.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
@@ -11,6 +12,8 @@
 
 // Lines wait this long for others, so that one write carries several.
 constexpr auto kFlushDelay = std::chrono::milliseconds(100);
+// PIPE_BUF on Linux.
+constexpr std::size_t kPipeBytes = 4096;
 
 void AppendValue(std::string& aLine, const std::string& aValue)
 {
@@ -76,19 +79,20 @@
     AppendValue(mBuffer, value);
   }
   mBuffer += '\n';
-  if (!mFlushPending) {
-    mFlushPending = true;
-    mLoop.After(kFlushDelay, [this] {
-      mFlushPending = false;
-      Flush();
-    });
-  }
+  FlushLater();
 }
 
 void StreamLog::Flush()
 {
   while (!mBuffer.empty()) {
-    const auto written = write(mDescriptor, mBuffer.data(), mBuffer.size());
+    // Whole lines, and few enough bytes that a pipe takes them in one piece:
+    // lines of several processes on one pipe stay apart.
+    auto size = std::min(mBuffer.size(), kPipeBytes);
+    const auto lineEnd = mBuffer.rfind('\n', size - 1);
+    if (lineEnd != std::string::npos) {
+      size = lineEnd + 1;
+    }
+    const auto written = write(mDescriptor, mBuffer.data(), size);
     if (written <= 0) {
       if (written < 0 && errno == EINTR) {
         continue;
@@ -97,13 +101,21 @@
     }
     mBuffer.erase(0, static_cast<std::size_t>(written));
   }
-  if (!mBuffer.empty() && !mFlushPending) {
-    mFlushPending = true;
-    mLoop.After(kFlushDelay, [this] {
-      mFlushPending = false;
-      Flush();
-    });
+  if (!mBuffer.empty()) {
+    FlushLater();
+  }
+}
+
+void StreamLog::FlushLater()
+{
+  if (mFlushPending) {
+    return;
   }
+  mFlushPending = true;
+  mLoop.After(kFlushDelay, [this] {
+    mFlushPending = false;
+    Flush();
+  });
 }
 
 } // namespace flamingoloom::event_loop
--- a/flamingoloom/event_loop/stream_log.h
+++ b/flamingoloom/event_loop/stream_log.h
@@ -31,6 +31,7 @@
 
 private:
   bool MayWrite();
+  void FlushLater();
 
   node::Loop& mLoop;
   const int mDescriptor;
--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -259,7 +259,8 @@
 
 void Lead::TakeServerList(const std::vector<scheduler::ServerInfo>& aServers)
 {
-  const auto fresh = mScheduler.UpdateServers(aServers, EarlierLeasesEndBy());
+  const auto fresh = mScheduler.UpdateServers(
+    mPorts.mLoop->Now(), aServers, EarlierLeasesEndBy());
   for (const auto& info : aServers) {
     const auto link = mLinks.find(info.mId);
     if (link != mLinks.end()) {
--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -67,9 +67,9 @@
   return free;
 }
 
-std::vector<base::ServerId> Fleet::Update(
-  const std::vector<ServerInfo>& aListed,
-  base::Time aLeasesEndBy)
+std::vector<base::ServerId> Fleet::Update(base::Time aNow,
+                                            const std::vector<ServerInfo>& aListed,
+                                            base::Time aLeasesEndBy)
 {
   std::vector<base::ServerId> fresh;
   for (auto& [id, server] : mServers) {
@@ -87,6 +87,11 @@
       fresh.push_back(info.mId);
     }
     server.mInfo = info;
+    if (!info.mDraining || !info.mTimeLeft) {
+      server.mLeavesAt.reset();
+    } else if (!server.mLeavesAt) {
+      server.mLeavesAt = aNow + *info.mTimeLeft;
+    }
     server.mListed = true;
   }
   for (auto entry = mServers.begin(); entry != mServers.end();) {
--- a/flamingoloom/scheduler/fleet.h
+++ b/flamingoloom/scheduler/fleet.h
@@ -23,6 +23,8 @@
   bool mListed = true;
   // Has answered in this epoch, so that no older scheduler's orders count.
   bool mFenced = false;
+  // While it drains: when it leaves at the earliest.
+  std::optional<base::Time> mLeavesAt;
   // The last call to it was answered.
   bool mAnswers = true;
   jobs::Resources mUsed;
@@ -48,7 +50,8 @@
   // Replaces the list of entries. Servers that left the list are kept while
   // something may still run there. Returns those that are new or have begun a
   // new life since the last call.
-  std::vector<base::ServerId> Update(const std::vector<ServerInfo>& aListed,
+  std::vector<base::ServerId> Update(base::Time aNow,
+                                     const std::vector<ServerInfo>& aListed,
                                      base::Time aLeasesEndBy);
 
   ServerState* Find(const base::ServerId& aId);
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -808,10 +808,11 @@
 // ----------------------------------------------------------------------
 
 std::vector<ServerId> Scheduler::UpdateServers(
+  Time aNow,
   const std::vector<ServerInfo>& aListed,
   Time aLeasesEndBy)
 {
-  return mFleet.Update(aListed, aLeasesEndBy);
+  return mFleet.Update(aNow, aListed, aLeasesEndBy);
 }
 
 void Scheduler::SetDataCentresOut(std::set<base::DataCentreId> aOut)
@@ -1023,6 +1024,35 @@
   }
 }
 
+void Scheduler::LeaveDrainingServers(Time aNow)
+{
+  for (auto& [id, server] : mFleet.Servers()) {
+    if (!server.mLeavesAt) {
+      continue;
+    }
+    const auto runs = server.mRuns;
+    for (const auto& run : runs) {
+      StepRun* step = nullptr;
+      const Task* task = FindTask(run.mTask, &step);
+      if (task == nullptr || task->mStopWanted ||
+          task->mPhase != TaskPhase::eRunning || step->Spec().mLongRunning) {
+        continue;
+      }
+      const double speed = task->Speed();
+      const std::chrono::duration<double> left =
+        speed > 0
+          ? std::chrono::duration<double>((100 - task->mPercent) / speed)
+          : std::chrono::duration<double>(step->Spec().mEstimate);
+      const std::chrono::duration<double> stays = *server.mLeavesAt - aNow;
+      if (left > stays) {
+        // It would be lost with the server; elsewhere it starts sooner, and
+        // from its checkpoint if it has one.
+        WantStop(*step, run.mTask.mIndex, "server leaves before its end");
+      }
+    }
+  }
+}
+
 std::optional<std::int64_t> Scheduler::MillisecondsToNextDue(
   std::int64_t aUnixMs) const
 {
@@ -1075,12 +1105,15 @@
   }
   const auto key = [aNow](const Group& aGroup) {
     const Job& job = *aGroup.mStep->mJob;
-    // After three times the objective a job earns nothing any more.
+    // Jobs that can still be in time come first; after three times the
+    // objective a job earns nothing any more.
     const auto worthless =
       job.mAcceptedAt + (job.mObjective - job.mAcceptedAt) * 3;
+    const auto end = aNow + aGroup.mStep->Spec().mEstimate;
+    const int lateness = end <= job.mObjective ? 0 : end <= worthless ? 1 : 2;
     return std::make_tuple(!aGroup.mGuaranteed,
                            job.mSpec.mRules.mPriority,
-                           aNow > worthless,
+                           lateness,
                            job.mObjective,
                            aGroup.mStep->mOccurrence,
                            aGroup.mStep->mStep);
@@ -1097,6 +1130,7 @@
 {
   ReleaseLost(aNow);
   LeaveSlowServers(aNow);
+  LeaveDrainingServers(aNow);
   CreateDue(aNow, aUnixMs);
   Placement placement(mFleet, mDataCentresOut, aNow);
   for (const Group& group : OrderedGroups(aNow)) {
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -104,6 +104,7 @@
   // Servers. aLeasesEndBy bounds leases that a predecessor may have granted on
   // servers not heard of before. Returns those to ask for a report.
   std::vector<base::ServerId> UpdateServers(
+    base::Time aNow,
     const std::vector<ServerInfo>& aListed,
     base::Time aLeasesEndBy);
   void SetDataCentresOut(std::set<base::DataCentreId> aOut);
@@ -200,6 +201,7 @@
                  const Task& aTask,
                  double aMedianSpeed) const;
   void LeaveSlowServers(base::Time aNow);
+  void LeaveDrainingServers(base::Time aNow);
   void LeaveSlowServers(base::Time aNow, StepRun& aStep);
   void CreateDue(base::Time aNow, std::int64_t aUnixMs);
   void UpdateReady(base::Time aNow, Occurrence& aOccurrence);
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -31,7 +31,7 @@
       info.mStartedMs = 1;
       mInfos.push_back(info);
     }
-    mScheduler.UpdateServers(mInfos, mNow + seconds(12));
+    mScheduler.UpdateServers(mNow, mInfos, mNow + seconds(12));
     for (const auto& info : mInfos) {
       Report(info.mId, {}, {});
     }
@@ -339,7 +339,7 @@
   CHECK(f.Pass().mStarts.empty());
   f.mScheduler.SetDataCentresOut({});
   f.mInfos[0].mDraining = true;
-  f.mScheduler.UpdateServers(f.mInfos, f.mNow);
+  f.mScheduler.UpdateServers(f.mNow, f.mInfos, f.mNow);
   CHECK(f.Pass().mStarts.empty());
 }
 
@@ -385,6 +385,49 @@
   CHECK(f.mScheduler.TakeOrders().mStarts.size() == 120);
 }
 
+// Guards against work that is lost with a server that said when it leaves.
+TEST_CASE("Work that cannot end before its server leaves moves at once")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::Job("a", 1, 1));
+  const auto start = f.StartAll().at(0);
+  for (auto& info : f.mInfos) {
+    if (info.mId == start.mServer) {
+      info.mDraining = true;
+      info.mTimeLeft = milliseconds(1500);
+    }
+  }
+  f.mScheduler.UpdateServers(f.mNow, f.mInfos, f.mNow);
+  const auto orders = f.Pass();
+  REQUIRE(orders.mStops.size() == 1);
+  f.mNow += milliseconds(50);
+  f.Report(start.mServer, {}, { { 1, start.mRun, RunEnd::eStopped, "cp" } });
+  const auto again = f.Pass().mStarts;
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].mServer != start.mServer);
+  CHECK(again[0].mCheckpoint == "cp");
+}
+
+// Guards against a server that stands still and keeps its tasks.
+TEST_CASE("A task whose progress stands still starts elsewhere")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::Job("a", 1, 1));
+  const auto start = f.StartAll().at(0);
+  for (int i = 0; i < 3; ++i) {
+    f.mNow += milliseconds(2000);
+    f.Report(start.mServer, { { start.mRun, "", 30 } }, {});
+  }
+  CHECK(f.Pass().mStops.size() == 1);
+  f.mNow += milliseconds(50);
+  f.Report(start.mServer, {}, { { 1, start.mRun, RunEnd::eStopped, "" } });
+  const auto again = f.Pass().mStarts;
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].mServer != start.mServer);
+}
+
 // Guards against a run that outlives its job.
 TEST_CASE("Cancelling stops what runs and starts nothing more")
 {
