Callers whose job has an unknown outcome wait for it until their deadline

Cause: after two tries of 800 ms the caller got 504, which it may not repeat on every path, while a slow store would have answered. Ruled out: 503 in that case: the job may have been stored.

--- a/flamingoloom/node/caller_desk.cpp
+++ b/flamingoloom/node/caller_desk.cpp
@@ -71,9 +71,19 @@
   return place;
 }
 
-bool CallerDesk::MayRetry(Time aUntil, int aTry) const
+bool CallerDesk::MayRetry(Time aUntil, int aTry, bool aUnknown) const
 {
-  return aTry < mTiming.mQuickTries && mPorts.mLoop->Now() < aUntil;
+  const auto left = aUntil - mPorts.mLoop->Now();
+  // What may have been done has to be found out; what was refused is not worth
+  // keeping the caller waiting.
+  return left > mTiming.mLeastTry && (aUnknown || aTry < mTiming.mQuickTries);
+}
+
+base::Duration CallerDesk::TryTime(Time aUntil) const
+{
+  return std::clamp<base::Duration>(aUntil - mPorts.mLoop->Now(),
+                                    mTiming.mLeastTry,
+                                    mTiming.mTryTimeout);
 }
 
 void CallerDesk::Submit(
@@ -135,7 +145,7 @@
   };
   mPorts.mStore->Commit(
     transaction,
-    mTiming.mTryTimeout,
+    TryTime(aUntil),
     [this,
      job = std::move(aJob),
      aUntil,
@@ -172,7 +182,7 @@
       }
       const bool unknown =
         aUnknown || aResult.error().mCode == ErrorCode::eOutcomeUnknown;
-      if (MayRetry(aUntil, aTry)) {
+      if (MayRetry(aUntil, aTry, unknown)) {
         mPorts.mLoop->After(mTiming.mQuickRetry,
                             [this, job, aUntil, aTry, unknown, then] {
                               Store(job, aUntil, aTry + 1, unknown, then);
@@ -203,7 +213,7 @@
      found = std::move(aFound),
      then = std::move(aThen)](base::Expected<Rows> aRows) {
       if (!aRows) {
-        if (MayRetry(aUntil, aTry)) {
+        if (MayRetry(aUntil, aTry, false)) {
           mPorts.mLoop->After(mTiming.mQuickRetry,
                               [this, aJob, aUntil, aTry, found, then] {
                                 ReadState(aJob, aUntil, aTry + 1, found, then);
@@ -346,7 +356,7 @@
   };
   mPorts.mStore->Commit(
     transaction,
-    mTiming.mTryTimeout,
+    TryTime(aUntil),
     [this, aJob, aUntil, aTry, then = std::move(aThen)](
       base::Expected<CommitResult> aResult) {
       if (aResult && aResult->mApplied) {
@@ -355,7 +365,7 @@
         return;
       }
       // Writing the mark again does no harm.
-      if (MayRetry(aUntil, aTry)) {
+      if (MayRetry(aUntil, aTry, false)) {
         mPorts.mLoop->After(mTiming.mQuickRetry,
                             [this, aJob, aUntil, aTry, then] {
                               MarkCancelled(aJob, aUntil, aTry + 1, then);
--- a/flamingoloom/node/caller_desk.h
+++ b/flamingoloom/node/caller_desk.h
@@ -51,8 +51,11 @@
 struct CallerDeskTiming
 {
   // One try at the store. Its answer takes 4 ms, 44 ms from another region,
-  // and some hundred while it is slow.
-  base::Duration mTryTimeout = std::chrono::milliseconds(800);
+  // and several hundred while it is slow; a connection that went silent costs
+  // one try.
+  base::Duration mTryTimeout = std::chrono::milliseconds(1400);
+  // A try with less time than this is not begun.
+  base::Duration mLeastTry = std::chrono::milliseconds(150);
   // Refusals of the store that are worth another try at once.
   int mQuickTries = 2;
   base::Duration mQuickRetry = std::chrono::milliseconds(40);
@@ -110,7 +113,8 @@
                     const std::string& aFrom,
                     std::int64_t aSoFar,
                     Then aThen);
-  bool MayRetry(base::Time aUntil, int aTry) const;
+  bool MayRetry(base::Time aUntil, int aTry, bool aUnknown) const;
+  base::Duration TryTime(base::Time aUntil) const;
   CallerAnswer NotNow() const;
 
   const Ports mPorts;
