--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -18,6 +18,12 @@
 constexpr base::Duration kUnhealthyPause = std::chrono::seconds(2);
 // A plan whose victims have not made room by then is made anew.
 constexpr base::Duration kPlanTimeout = std::chrono::milliseconds(2500);
+// From then on a guaranteed job takes room on any rack, and from accounts that
+// use more than their guarantee: stopping work takes up to a second, and the
+// platform's bound for reclaiming is 2.7 s and more.
+constexpr base::Duration kReclaimAnywhereAfter = std::chrono::milliseconds(500);
+// Work of the same priority is stopped only if little else would do.
+constexpr double kSamePriorityCost = 4.0;
 // Between searches for other work to stop for the same step; a search visits
 // every run on every server.
 constexpr base::Duration kSeekVictimsEvery = std::chrono::milliseconds(150);
@@ -1096,6 +1102,13 @@
       }
     }
   }
+  mOverGuarantee.clear();
+  for (const auto& [account, needed] : demand) {
+    const auto guarantee = mGuarantees.find(account);
+    if (guarantee == mGuarantees.end() || needed > guarantee->second) {
+      mOverGuarantee.insert(account);
+    }
+  }
   for (Group& group : groups) {
     const auto& spec = group.mStep->mJob->mSpec;
     const auto guarantee = mGuarantees.find(spec.mAccount);
@@ -1133,7 +1146,15 @@
   LeaveDrainingServers(aNow);
   CreateDue(aNow, aUnixMs);
   Placement placement(mFleet, mDataCentresOut, aNow);
-  for (const Group& group : OrderedGroups(aNow)) {
+  const auto groups = OrderedGroups(aNow);
+  // Room that is being made for a step is not given to others, also not to
+  // more urgent ones: they make room of their own.
+  for (const Group& group : groups) {
+    if (!group.mStep->mPlan.empty()) {
+      HoldPlan(aNow, *group.mStep, placement);
+    }
+  }
+  for (const Group& group : groups) {
     PlaceGroup(aNow, group, placement);
   }
 }
@@ -1150,7 +1171,7 @@
          aNow + aStep.Spec().mEstimate > job.mObjective;
 }
 
-bool Scheduler::FollowPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
+void Scheduler::HoldPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
 {
   bool usable = aNow - aStep.mPlannedAt < kPlanTimeout;
   for (const auto& [index, server] : aStep.mPlan) {
@@ -1160,23 +1181,27 @@
   }
   if (!usable) {
     aStep.mPlan.clear();
-    return false;
+    return;
   }
-  const auto need = aStep.Spec().Footprint();
-  bool fits = true;
   for (const auto& [index, server] : aStep.mPlan) {
-    fits = fits && aPlacement.Fits(server, need);
-    aPlacement.Take(server, need);
+    aPlacement.Take(server, aStep.Spec().Footprint());
   }
-  if (fits) {
-    aStep.mGangRun += aStep.Spec().mGang ? 1 : 0;
-    const auto plan = std::move(aStep.mPlan);
-    aStep.mPlan.clear();
-    for (const auto& [index, server] : plan) {
-      Intend(aStep, index, server, aNow);
+}
+
+void Scheduler::FollowPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
+{
+  // The room is held already: it is there once no server is overdrawn.
+  for (const auto& [index, server] : aStep.mPlan) {
+    if (!aPlacement.Fits(server, jobs::Resources{})) {
+      return;
     }
   }
-  return true;
+  aStep.mGangRun += aStep.Spec().mGang ? 1 : 0;
+  const auto plan = std::move(aStep.mPlan);
+  aStep.mPlan.clear();
+  for (const auto& [index, server] : plan) {
+    Intend(aStep, index, server, aNow);
+  }
 }
 
 void Scheduler::PlaceGroup(Time aNow,
@@ -1184,7 +1209,8 @@
                            Placement& aPlacement)
 {
   StepRun& step = *aGroup.mStep;
-  if (!step.mPlan.empty() && FollowPlan(aNow, step, aPlacement)) {
+  if (!step.mPlan.empty()) {
+    FollowPlan(aNow, step, aPlacement);
     return;
   }
   auto indices = WaitingIndices(step);
@@ -1193,7 +1219,10 @@
     step.mLocalCheckedAt = aNow;
     step.mCouldStayLocal = aPlacement.CouldStayLocal(step, indices);
   }
-  const bool remote = MayGoRemote(aNow, step) || !step.mCouldStayLocal;
+  const bool reclaimNow =
+    aGroup.mGuaranteed && aNow - step.mReadyAt >= kReclaimAnywhereAfter;
+  const bool remote =
+    reclaimNow || MayGoRemote(aNow, step) || !step.mCouldStayLocal;
   Assignment assignment;
   if (step.Spec().mGang) {
     assignment =
@@ -1216,7 +1245,7 @@
     step,
     indices,
     remote,
-    [&](const ServerState& aServer) { return VictimsOn(aServer, step, aNow); },
+    [&](const ServerState& aServer) { return VictimsOn(aServer, step, reclaimNow, aNow); },
     victims);
   if (!over) {
     return;
@@ -1234,14 +1263,22 @@
 
 std::vector<Victim> Scheduler::VictimsOn(const ServerState& aServer,
                                          const StepRun& aFor,
+                                         bool aFromOverGuarantee,
                                          Time aNow)
 {
   std::vector<Victim> victims;
   for (const auto& run : aServer.mRuns) {
     StepRun* step = nullptr;
     const Task* task = FindTask(run.mTask, &step);
-    if (task == nullptr || step->mJob->mSpec.mRules.mPriority <=
-                             aFor.mJob->mSpec.mRules.mPriority) {
+    if (task == nullptr || step->Spec().mLongRunning) {
+      continue;
+    }
+    const auto& rules = step->mJob->mSpec.mRules;
+    const bool lessUrgent = rules.mPriority > aFor.mJob->mSpec.mRules.mPriority;
+    const bool overGuarantee =
+      aFromOverGuarantee &&
+      mOverGuarantee.count(step->mJob->mSpec.mAccount) > 0;
+    if (!lessUrgent && !overGuarantee) {
       continue;
     }
     if (task->mPhase != TaskPhase::eRunning &&
@@ -1258,6 +1295,7 @@
           ? step->Spec().mPerTask.WeightedCores() * members * 0.5
           : step->Spec().mPerTask.WeightedCores() * members * age.count();
     }
+    victim.mCost *= lessUrgent ? 1.0 : kSamePriorityCost;
     victims.push_back(victim);
   }
   return victims;
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -207,10 +207,12 @@
   void UpdateReady(base::Time aNow, Occurrence& aOccurrence);
   std::vector<Group> OrderedGroups(base::Time aNow);
   void PlaceGroup(base::Time aNow, const Group& aGroup, Placement& aPlacement);
-  bool FollowPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
+  void HoldPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
+  void FollowPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
   bool MayGoRemote(base::Time aNow, const StepRun& aStep) const;
   std::vector<Victim> VictimsOn(const ServerState& aServer,
                                 const StepRun& aFor,
+                                bool aFromOverGuarantee,
                                 base::Time aNow);
   void Log(const char* aEvent,
            const std::string& aJob,
@@ -222,6 +224,8 @@
   Fleet mFleet;
   std::set<base::DataCentreId> mDataCentresOut;
   std::map<base::AccountId, std::int64_t> mGuarantees;
+  // Accounts whose jobs of priority 0 need more than their guarantee.
+  std::set<base::AccountId> mOverGuarantee;
 
   std::set<StepRun*> mDirtySteps;
   std::set<Job*> mDirtyJobs;
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -275,6 +275,51 @@
   CHECK(starts[0].mRun.mTask.mJob == "high");
 }
 
+// Guards against a guarantee that others of the same priority have taken.
+TEST_CASE("A guaranteed job takes room from accounts beyond their guarantee")
+{
+  Fixture f;
+  f.AddServers(1);
+  auto other = Fixture::Job("other", 1, 8);
+  other.mRules.mPriority = 0;
+  other.mAccount = base::AccountId("large");
+  f.mScheduler.SetGuarantees(
+    { { base::AccountId("shop"), 8 }, { other.mAccount, 4 } });
+  f.Add(other);
+  f.StartAll();
+  auto job = Fixture::Job("high", 1, 8);
+  job.mRules.mPriority = 0;
+  f.Add(job);
+  CHECK(f.Pass().mStops.empty());
+  f.mNow += milliseconds(600);
+  const auto orders = f.Pass();
+  REQUIRE(orders.mStops.size() == 1);
+  CHECK(orders.mStops[0].mRun.mTask.mJob == "other");
+}
+
+// Guards against guaranteed jobs that take each other's room, so that a wide
+// one waits for as long as others come.
+TEST_CASE("Room that is being made for a job is not taken by a more urgent one")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("low", 1, 8));
+  const auto low = f.StartAll().at(0);
+  f.mScheduler.SetGuarantees({ { base::AccountId("shop"), 16 } });
+  auto first = Fixture::Job("first", 1, 8);
+  first.mRules.mPriority = 0;
+  f.Add(first);
+  CHECK(f.Pass().mStops.size() == 1);
+  auto second = Fixture::Job("second", 1, 8);
+  second.mRules.mPriority = 0;
+  second.mRules.mStretch = 1.0;
+  f.Add(second);
+  f.Report(low.mServer, {}, { { 1, low.mRun, RunEnd::eStopped, "" } });
+  const auto starts = f.Pass().mStarts;
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].mRun.mTask.mJob == "first");
+}
+
 // Guards against a task that is tried more often than its queue allows.
 TEST_CASE("A job fails when a task has failed as often as its queue allows")
 {
