--- /dev/null
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -0,0 +1,58 @@
+#include "flamingoloom/event_loop/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace flamingoloom::event_loop {
+namespace {
+
+// Seconds. From an answer within a zone to the longest wait for one.
+const prometheus::Histogram::BucketBoundaries kBuckets = {
+  0.002, 0.005, 0.01, 0.03, 0.06, 0.15, 0.3, 0.6, 1.2, 3.0
+};
+
+} // namespace
+
+Metrics::Metrics()
+  : mRegistry(std::make_shared<prometheus::Registry>())
+  , mEvents(prometheus::BuildCounter()
+              .Name("flamingoloom_events_total")
+              .Help("Decisions and changes of belief, by kind")
+              .Register(*mRegistry))
+  , mCalls(prometheus::BuildHistogram()
+             .Name("flamingoloom_call_seconds")
+             .Help("Time of calls, by peer and whether they were answered")
+             .Register(*mRegistry))
+{
+}
+
+void
+Metrics::CountEvent(const std::string& aEvent)
+{
+  auto& counter = mEventCounters[aEvent];
+  if (counter == nullptr) {
+    counter = &mEvents.Add({ { "event", aEvent } });
+  }
+  counter->Increment();
+}
+
+void
+Metrics::ObserveCall(const std::string& aPeer,
+                     base::Duration aDuration,
+                     bool aAnswered)
+{
+  auto& histogram = mCallHistograms[aPeer + (aAnswered ? "+" : "-")];
+  if (histogram == nullptr) {
+    histogram = &mCalls.Add(
+      { { "peer", aPeer }, { "answered", aAnswered ? "true" : "false" } },
+      kBuckets);
+  }
+  histogram->Observe(std::chrono::duration<double>(aDuration).count());
+}
+
+std::string
+Metrics::Text() const
+{
+  return prometheus::TextSerializer().Serialize(mRegistry->Collect());
+}
+
+} // namespace flamingoloom::event_loop
--- a/flamingoloom/event_loop/stream_log.cpp
+++ b/flamingoloom/event_loop/stream_log.cpp
@@ -34,8 +34,9 @@
 
 } // namespace
 
-StreamLog::StreamLog(node::Loop& aLoop, int aDescriptor)
+StreamLog::StreamLog(node::Loop& aLoop, Metrics& aMetrics, int aDescriptor)
   : mLoop(aLoop)
+  , mMetrics(aMetrics)
   , mDescriptor(aDescriptor)
 {
   const int flags = fcntl(mDescriptor, F_GETFL);
@@ -55,6 +56,7 @@
 
 void StreamLog::Write(const char* aEvent, const Fields& aFields)
 {
+  mMetrics.CountEvent(aEvent);
   if (!MayWrite()) {
     ++mDropped;
     return;
--- a/flamingoloom/event_loop/stream_log.h
+++ b/flamingoloom/event_loop/stream_log.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 
+#include "flamingoloom/event_loop/metrics.h"
 #include "flamingoloom/node/ports.h"
 
 namespace flamingoloom::event_loop {
@@ -20,8 +21,9 @@
 class StreamLog : public node::EventLog
 {
 public:
-  // The descriptor is made non-blocking. aLoop gives the time.
-  StreamLog(node::Loop& aLoop, int aDescriptor);
+  // The descriptor is made non-blocking. aLoop gives the time. Each line,
+  // dropped or not, is counted in aMetrics.
+  StreamLog(node::Loop& aLoop, Metrics& aMetrics, int aDescriptor);
 
   void Write(const char* aEvent, const Fields& aFields) override;
   // Writes what the descriptor takes.
@@ -34,6 +36,7 @@
   void FlushLater();
 
   node::Loop& mLoop;
+  Metrics& mMetrics;
   const int mDescriptor;
   std::string mBuffer;
   bool mFlushPending = false;
--- a/flamingoloom/event_loop/stream_log_test.cpp
+++ b/flamingoloom/event_loop/stream_log_test.cpp
@@ -32,7 +32,8 @@
   FakeLoop loop;
   int ends[2];
   REQUIRE(pipe(ends) == 0);
-  StreamLog log(loop, ends[1]);
+  Metrics metrics;
+  StreamLog log(loop, metrics, ends[1]);
   log.Write("event", { { "a", "x" }, { "b", "two\nlines \"q\"" } });
   log.Flush();
   CHECK(ReadAll(ends[0]) ==
@@ -45,7 +46,8 @@
   FakeLoop loop;
   int ends[2];
   REQUIRE(pipe(ends) == 0);
-  StreamLog log(loop, ends[1]);
+  Metrics metrics;
+  StreamLog log(loop, metrics, ends[1]);
   for (int i = 0; i < kLogLinesPerSecond + 7; ++i) {
     log.Write("e", {});
   }
--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -83,9 +83,10 @@
 class Client::Impl : public std::enable_shared_from_this<Client::Impl>
 {
 public:
-  Impl(asio::io_context& aLoop, ClientOptions aOptions)
+  Impl(asio::io_context& aLoop, ClientOptions aOptions, Observer aObserver)
     : mLoop(aLoop)
     , mOptions(aOptions)
+    , mObserver(std::move(aObserver))
   {
   }
 
@@ -116,6 +117,7 @@
 
   asio::io_context& mLoop;
   ClientOptions mOptions;
+  Observer mObserver;
   ClientCounters mCounters;
   std::map<std::string, std::deque<ConnectionPtr>> mIdle;
 };
@@ -139,6 +141,7 @@
   void Start(Request aRequest, base::Duration aTimeout)
   {
     ++mPool->mCounters.mCalls;
+    mStartedAt = std::chrono::steady_clock::now();
     mRequest.method_string(aRequest.mMethod);
     mRequest.target(aRequest.mTarget);
     mRequest.version(11);
@@ -270,6 +273,12 @@
     }
     mDone = true;
     mTimer.cancel();
+    if (mPool->mObserver) {
+      mPool->mObserver(mPeer,
+                       std::chrono::duration_cast<base::Duration>(
+                         std::chrono::steady_clock::now() - mStartedAt),
+                       aResult.has_value());
+    }
     auto callback = std::move(mCallback);
     callback(std::move(aResult));
   }
@@ -278,6 +287,7 @@
   std::string mPeer;
   Client::Callback mCallback;
   asio::steady_timer mTimer;
+  SteadyTime mStartedAt;
   ConnectionPtr mConnection;
   beast::http::request<beast::http::string_body> mRequest;
   beast::http::response_parser<beast::http::string_body> mParser;
@@ -287,8 +297,10 @@
 
 } // namespace
 
-Client::Client(asio::io_context& aLoop, ClientOptions aOptions)
-  : mImpl(std::make_shared<Impl>(aLoop, aOptions))
+Client::Client(asio::io_context& aLoop,
+               ClientOptions aOptions,
+               Observer aObserver)
+  : mImpl(std::make_shared<Impl>(aLoop, aOptions, std::move(aObserver)))
 {
 }
 
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -47,7 +47,14 @@
 public:
   using Callback = std::function<void(base::Expected<Response>)>;
 
-  Client(boost::asio::io_context& aLoop, ClientOptions aOptions);
+  // Told about each call that ended: the peer, its time, whether an answer
+  // came.
+  using Observer =
+    std::function<void(const std::string&, base::Duration, bool)>;
+
+  Client(boost::asio::io_context& aLoop,
+         ClientOptions aOptions,
+         Observer aObserver = {});
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
