The fake servers take an acknowledgement when the call arrives

A fault of the fake, by the trace. Ruled out: the instance sent it only once, right after a report. A server that refuses an order as such is left alone for 1 s.

--- a/flamingoloom/event_loop/metrics.cpp
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -25,8 +25,7 @@
 {
 }
 
-void
-Metrics::CountEvent(const std::string& aEvent)
+void Metrics::CountEvent(const std::string& aEvent)
 {
   auto& counter = mEventCounters[aEvent];
   if (counter == nullptr) {
@@ -35,10 +34,9 @@
   counter->Increment();
 }
 
-void
-Metrics::ObserveCall(const std::string& aPeer,
-                     base::Duration aDuration,
-                     bool aAnswered)
+void Metrics::ObserveCall(const std::string& aPeer,
+                          base::Duration aDuration,
+                          bool aAnswered)
 {
   auto& histogram = mCallHistograms[aPeer + (aAnswered ? "+" : "-")];
   if (histogram == nullptr) {
@@ -49,8 +47,7 @@
   histogram->Observe(std::chrono::duration<double>(aDuration).count());
 }
 
-std::string
-Metrics::Text() const
+std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
 }
--- a/flamingoloom/node/caller_desk.cpp
+++ b/flamingoloom/node/caller_desk.cpp
@@ -101,9 +101,8 @@
 
 base::Duration CallerDesk::TryTime(Time aUntil) const
 {
-  return std::clamp<base::Duration>(aUntil - mPorts.mLoop->Now(),
-                                    mTiming.mLeastTry,
-                                    mTiming.mTryTimeout);
+  return std::clamp<base::Duration>(
+    aUntil - mPorts.mLoop->Now(), mTiming.mLeastTry, mTiming.mTryTimeout);
 }
 
 void CallerDesk::Submit(
@@ -176,8 +175,7 @@
      aTry,
      aUnknown,
      then = std::move(aThen)](base::Expected<CommitResult> aResult) {
-      mStoreBreaker.Note(
-        mPorts.mLoop->Now(), sentAt, aResult.has_value());
+      mStoreBreaker.Note(mPorts.mLoop->Now(), sentAt, aResult.has_value());
       const auto done = [&](CallerVerdict aVerdict, const char* aHow) {
         mPorts.mLog->Write(
           "job_submitted",
--- a/flamingoloom/node/election.cpp
+++ b/flamingoloom/node/election.cpp
@@ -22,8 +22,8 @@
   constexpr double kCoreMs = 25.0;
   constexpr double kLinkMs = 1500.0;
   constexpr double kLeast = 0.001;
-  const double delayMs = kCoreMs / std::max(aCores, kLeast) +
-                         kLinkMs / std::max(aLinkMbps, 1.0);
+  const double delayMs =
+    kCoreMs / std::max(aCores, kLeast) + kLinkMs / std::max(aLinkMbps, 1.0);
   return base::Duration(static_cast<std::int64_t>(delayMs * 1000.0));
 }
 
--- a/flamingoloom/node/server_link.cpp
+++ b/flamingoloom/node/server_link.cpp
@@ -73,13 +73,13 @@
   }
   mAsking = true;
   const Time sentAt = mPorts.mLoop->Now();
-  mPorts.mServers->Report(
-    mServer,
-    request,
-    request.mWait + mTiming.mAnswerTimeout,
-    [self = shared_from_this(), sentAt, ack](base::Expected<ReportAnswer> aAnswer) {
-      self->OnAnswer(sentAt, ack, std::move(aAnswer));
-    });
+  mPorts.mServers->Report(mServer,
+                          request,
+                          request.mWait + mTiming.mAnswerTimeout,
+                          [self = shared_from_this(), sentAt, ack](
+                            base::Expected<ReportAnswer> aAnswer) {
+                            self->OnAnswer(sentAt, ack, std::move(aAnswer));
+                          });
 }
 
 void ServerLink::AskAfter(Duration aDelay)
--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -67,9 +67,10 @@
   return free;
 }
 
-std::vector<base::ServerId> Fleet::Update(base::Time aNow,
-                                            const std::vector<ServerInfo>& aListed,
-                                            base::Time aLeasesEndBy)
+std::vector<base::ServerId> Fleet::Update(
+  base::Time aNow,
+  const std::vector<ServerInfo>& aListed,
+  base::Time aLeasesEndBy)
 {
   std::vector<base::ServerId> fresh;
   for (auto& [id, server] : mServers) {
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -116,8 +116,7 @@
   if (!MayFit(aStep)) {
     return {};
   }
-  auto assignment =
-    PlaceUntilFull(aStep, aIndices, AllPlaces(), aAllowRemote);
+  auto assignment = PlaceUntilFull(aStep, aIndices, AllPlaces(), aAllowRemote);
   const auto& spec = aStep.Spec();
   const bool anywhere = aAllowRemote || spec.mDataRack.empty();
   if (anywhere && spec.mMaxPerServer == 0 &&
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -16,6 +16,8 @@
 constexpr base::Duration kNoRoomPause = std::chrono::milliseconds(200);
 // A server that calls itself unhealthy is left alone this long.
 constexpr base::Duration kUnhealthyPause = std::chrono::seconds(2);
+// A server that refuses an order as such is left alone this long.
+constexpr base::Duration kRefusedPause = std::chrono::seconds(1);
 // A plan whose victims have not made room by then is made anew.
 constexpr base::Duration kPlanTimeout = std::chrono::milliseconds(2500);
 // From then on a guaranteed job takes room on any rack, and from accounts that
@@ -409,9 +411,12 @@
     case StartAnswer::eUnhealthy:
       mFleet.Pause(*server, aNow, kUnhealthyPause);
       break;
-    case StartAnswer::eTooLate:
     case StartAnswer::eBadTicket:
     case StartAnswer::eInvalid:
+      // The same order would be refused again at once.
+      mFleet.Pause(*server, aNow, kRefusedPause);
+      break;
+    case StartAnswer::eTooLate:
       break;
   }
   if (aEarlierUnknown) {
@@ -1245,7 +1250,9 @@
     step,
     indices,
     remote,
-    [&](const ServerState& aServer) { return VictimsOn(aServer, step, reclaimNow, aNow); },
+    [&](const ServerState& aServer) {
+      return VictimsOn(aServer, step, reclaimNow, aNow);
+    },
     victims);
   if (!over) {
     return;
--- a/testing/platform_world/checker.cpp
+++ b/testing/platform_world/checker.cpp
@@ -6,8 +6,7 @@
 // A cancel has to reach the scheduling instance, also when it changes.
 constexpr auto kCancelBound = std::chrono::seconds(14);
 
-std::string
-Text(const jobs::TaskRun& aRun)
+std::string Text(const jobs::TaskRun& aRun)
 {
   return aRun.mTask.mJob + "." + std::to_string(aRun.mTask.mOccurrence) + "." +
          std::to_string(aRun.mTask.mStep) + "." +
@@ -16,16 +15,14 @@
 
 } // namespace
 
-void
-Checker::OnCancelled(base::Time aNow, const std::string& aJob)
+void Checker::OnCancelled(base::Time aNow, const std::string& aJob)
 {
   mCancelled.emplace(aJob, aNow);
 }
 
-void
-Checker::OnStart(base::Time aNow,
-                 const std::string& aServer,
-                 const jobs::TaskRun& aRun)
+void Checker::OnStart(base::Time aNow,
+                      const std::string& aServer,
+                      const jobs::TaskRun& aRun)
 {
   ++mStarts;
   const auto& name = aRun.mTask;
@@ -62,26 +59,22 @@
   }
 }
 
-void
-Checker::OnOver(const std::string& aServer, const jobs::TaskRun& aRun)
+void Checker::OnOver(const std::string& aServer, const jobs::TaskRun& aRun)
 {
   mRunning[aRun.mTask].erase(aServer);
 }
 
-void
-Checker::OnDoneAcknowledged(const jobs::TaskRun& aRun)
+void Checker::OnDoneAcknowledged(const jobs::TaskRun& aRun)
 {
   mAcknowledgedDone.insert(aRun.mTask);
 }
 
-void
-Checker::OnDone(const jobs::TaskRun& aRun)
+void Checker::OnDone(const jobs::TaskRun& aRun)
 {
   mDone.insert(aRun.mTask);
 }
 
-void
-Checker::OnShown(const std::string& aJob, jobs::JobState aState)
+void Checker::OnShown(const std::string& aJob, jobs::JobState aState)
 {
   const auto job = mAccepted.find(aJob);
   if (job == mAccepted.end()) {
@@ -106,8 +99,7 @@
   }
 }
 
-std::vector<std::string>
-Checker::Unfinished() const
+std::vector<std::string> Checker::Unfinished() const
 {
   std::vector<std::string> jobs;
   for (const auto& [id, spec] : mAccepted) {
--- a/testing/platform_world/fake_servers.cpp
+++ b/testing/platform_world/fake_servers.cpp
@@ -36,8 +36,7 @@
 {
 }
 
-void
-FakeServers::Add(const scheduler::ServerInfo& aInfo)
+void FakeServers::Add(const scheduler::ServerInfo& aInfo)
 {
   Server server;
   server.mInfo = aInfo;
@@ -46,8 +45,7 @@
   mServers.emplace(aInfo.mId, server);
 }
 
-void
-FakeServers::Crash(const ServerId& aServer)
+void FakeServers::Crash(const ServerId& aServer)
 {
   Server& server = mServers.at(aServer);
   const auto runs = server.mRuns;
@@ -67,26 +65,22 @@
   server.mBorn = mClock.Now();
 }
 
-void
-FakeServers::SetCut(const ServerId& aServer, bool aCut)
+void FakeServers::SetCut(const ServerId& aServer, bool aCut)
 {
   mServers.at(aServer).mCut = aCut;
 }
 
-bool
-FakeServers::IsCut(const ServerId& aServer) const
+bool FakeServers::IsCut(const ServerId& aServer) const
 {
   return mServers.at(aServer).mCut;
 }
 
-int
-FakeServers::Life(const ServerId& aServer) const
+int FakeServers::Life(const ServerId& aServer) const
 {
   return mServers.at(aServer).mLife;
 }
 
-std::vector<scheduler::ServerInfo>
-FakeServers::Listed() const
+std::vector<scheduler::ServerInfo> FakeServers::Listed() const
 {
   std::vector<scheduler::ServerInfo> infos;
   for (const auto& [id, server] : mServers) {
@@ -95,22 +89,19 @@
   return infos;
 }
 
-std::int64_t
-FakeServers::ClockMs(const Server& aServer) const
+std::int64_t FakeServers::ClockMs(const Server& aServer) const
 {
   const auto age = mClock.Now() - aServer.mBorn;
   return static_cast<std::int64_t>(
     static_cast<double>(base::ToMilliseconds(age)) * kClockRate);
 }
 
-void
-FakeServers::SetLease(Server& aServer, std::int64_t aUntilMs)
+void FakeServers::SetLease(Server& aServer, std::int64_t aUntilMs)
 {
-  const auto left = std::min<std::int64_t>(aUntilMs - ClockMs(aServer),
-                                           kMaxLease.count());
-  const auto until =
-    mClock.Now() + milliseconds(static_cast<std::int64_t>(
-                     static_cast<double>(left) / kClockRate));
+  const auto left =
+    std::min<std::int64_t>(aUntilMs - ClockMs(aServer), kMaxLease.count());
+  const auto until = mClock.Now() + milliseconds(static_cast<std::int64_t>(
+                                      static_cast<double>(left) / kClockRate));
   if (until > aServer.mLeaseUntil) {
     aServer.mLeaseUntil = until;
     mClock.At(until, [this, id = aServer.mInfo.mId, life = aServer.mLife] {
@@ -119,8 +110,7 @@
   }
 }
 
-void
-FakeServers::CheckLease(const ServerId& aServer, int aLife)
+void FakeServers::CheckLease(const ServerId& aServer, int aLife)
 {
   Server& server = mServers.at(aServer);
   if (server.mLife != aLife || mClock.Now() < server.mLeaseUntil) {
@@ -132,8 +122,8 @@
   }
 }
 
-std::vector<std::pair<FakeServers::Server*, TaskRun>>
-FakeServers::Members(const TaskRun& aRun)
+std::vector<std::pair<FakeServers::Server*, TaskRun>> FakeServers::Members(
+  const TaskRun& aRun)
 {
   std::vector<std::pair<Server*, TaskRun>> members;
   for (auto& [id, server] : mServers) {
@@ -149,8 +139,7 @@
   return members;
 }
 
-void
-FakeServers::End(Server& aServer, const TaskRun& aRun, RunEnd aEnd)
+void FakeServers::End(Server& aServer, const TaskRun& aRun, RunEnd aEnd)
 {
   if (aServer.mRuns.erase(aRun) == 0) {
     return;
@@ -164,8 +153,7 @@
   }
 }
 
-void
-FakeServers::BreakGang(const TaskRun& aRun)
+void FakeServers::BreakGang(const TaskRun& aRun)
 {
   if (mGangSize(aRun.mTask) == 1) {
     return;
@@ -175,8 +163,7 @@
   }
 }
 
-void
-FakeServers::BeginWork(const TaskRun& aRun)
+void FakeServers::BeginWork(const TaskRun& aRun)
 {
   const int size = mGangSize(aRun.mTask);
   if (size > 1 && static_cast<int>(Members(aRun).size()) < size) {
@@ -200,8 +187,7 @@
   mClock.After(mWorkTime(aRun.mTask), [this, aRun] { FinishRun(aRun); });
 }
 
-void
-FakeServers::FinishRun(const TaskRun& aRun)
+void FakeServers::FinishRun(const TaskRun& aRun)
 {
   const int size = mGangSize(aRun.mTask);
   if (size > 1) {
@@ -226,11 +212,11 @@
   }
 }
 
-std::optional<StartAnswer>
-FakeServers::Start(const ServerId& aServer,
-                   const scheduler::StartOrder& aOrder,
-                   std::int64_t aEpoch,
-                   std::int64_t aLeaseUntilMs)
+std::optional<StartAnswer> FakeServers::Start(
+  const ServerId& aServer,
+  const scheduler::StartOrder& aOrder,
+  std::int64_t aEpoch,
+  std::int64_t aLeaseUntilMs)
 {
   Server& server = mServers.at(aServer);
   if (aEpoch < server.mEpoch) {
@@ -260,10 +246,9 @@
   return StartAnswer::eStarted;
 }
 
-bool
-FakeServers::Stop(const ServerId& aServer,
-                  const scheduler::StopOrder& aOrder,
-                  std::int64_t aEpoch)
+bool FakeServers::Stop(const ServerId& aServer,
+                       const scheduler::StopOrder& aOrder,
+                       std::int64_t aEpoch)
 {
   Server& server = mServers.at(aServer);
   if (aEpoch < server.mEpoch) {
@@ -276,19 +261,19 @@
   return true;
 }
 
-bool
-FakeServers::HasNews(const ServerId& aServer, std::int64_t aAckThrough) const
+bool FakeServers::HasNews(const ServerId& aServer) const
 {
-  return mServers.at(aServer).mLastEnd > aAckThrough;
+  return !mServers.at(aServer).mEnded.empty();
 }
 
-Expected<node::ReportAnswer>
-FakeServers::Report(const ServerId& aServer,
-                    const node::ReportRequest& aRequest)
+Expected<node::ReportAnswer> FakeServers::Report(
+  const ServerId& aServer,
+  const node::ReportRequest& aRequest)
 {
   Server& server = mServers.at(aServer);
   if (aRequest.mEpoch < server.mEpoch) {
-    return MakeError(ErrorCode::eStaleEpoch, "report", aServer.Value(), "fence");
+    return MakeError(
+      ErrorCode::eStaleEpoch, "report", aServer.Value(), "fence");
   }
   server.mEpoch = aRequest.mEpoch;
   if (aRequest.mLeaseUntilMs) {
@@ -316,8 +301,7 @@
   return answer;
 }
 
-void
-ServersLink::Later(Duration aDelay, std::function<void()> aThen)
+void ServersLink::Later(Duration aDelay, std::function<void()> aThen)
 {
   mClock.After(aDelay, [this, life = mLife, then = std::move(aThen)] {
     if (life == mLife) {
@@ -326,21 +310,19 @@
   });
 }
 
-Duration
-ServersLink::OrderDelay(bool& aLost)
+Duration ServersLink::OrderDelay(bool& aLost)
 {
   aLost = mServers.NextIsLate();
   return aLost ? mClock.Between(milliseconds(500), milliseconds(9000))
                : Duration(kHop);
 }
 
-void
-ServersLink::Start(const scheduler::ServerInfo& aServer,
-                   const scheduler::StartOrder& aOrder,
-                   std::int64_t aEpoch,
-                   std::int64_t aLeaseUntilMs,
-                   Duration aTimeout,
-                   std::function<void(StartAnswer)> aThen)
+void ServersLink::Start(const scheduler::ServerInfo& aServer,
+                        const scheduler::StartOrder& aOrder,
+                        std::int64_t aEpoch,
+                        std::int64_t aLeaseUntilMs,
+                        Duration aTimeout,
+                        std::function<void(StartAnswer)> aThen)
 {
   const auto id = aServer.mId;
   bool lost = false;
@@ -376,12 +358,11 @@
   }
 }
 
-void
-ServersLink::Stop(const scheduler::ServerInfo& aServer,
-                  const scheduler::StopOrder& aOrder,
-                  std::int64_t aEpoch,
-                  Duration aTimeout,
-                  std::function<void(bool)> aThen)
+void ServersLink::Stop(const scheduler::ServerInfo& aServer,
+                       const scheduler::StopOrder& aOrder,
+                       std::int64_t aEpoch,
+                       Duration aTimeout,
+                       std::function<void(bool)> aThen)
 {
   const auto id = aServer.mId;
   bool lost = false;
@@ -401,17 +382,17 @@
   }
 }
 
-void
-ServersLink::Report(const scheduler::ServerInfo& aServer,
-                    const node::ReportRequest& aRequest,
-                    Duration aTimeout,
-                    std::function<void(Expected<node::ReportAnswer>)> aThen)
+void ServersLink::Report(
+  const scheduler::ServerInfo& aServer,
+  const node::ReportRequest& aRequest,
+  Duration aTimeout,
+  std::function<void(Expected<node::ReportAnswer>)> aThen)
 {
   const auto id = aServer.mId;
   if (mServers.IsCut(id)) {
     Later(aTimeout, [then = std::move(aThen), id] {
-      then(MakeError(
-        ErrorCode::eOutcomeUnknown, "report", id.Value(), "cut off"));
+      then(
+        MakeError(ErrorCode::eOutcomeUnknown, "report", id.Value(), "cut off"));
     });
     return;
   }
@@ -422,8 +403,7 @@
              std::move(aThen));
 }
 
-void
-ServersLink::PollReport(
+void ServersLink::PollReport(
   const ServerId& aServer,
   const node::ReportRequest& aRequest,
   int aServerLife,
@@ -448,13 +428,16 @@
         return;
       }
       auto answer = mServers.Report(aServer, aRequest);
-      const bool wait = answer && mClock.Now() < aUntil &&
-                        !mServers.HasNews(aServer, aRequest.mAckThrough);
+      const bool wait =
+        answer && mClock.Now() < aUntil && !mServers.HasNews(aServer);
       if (life != mLife) {
         return;
       }
       if (wait) {
-        PollReport(aServer, aRequest, aServerLife, aUntil, then);
+        // The acknowledgement counts when the call arrives, not while it waits.
+        auto waiting = aRequest;
+        waiting.mAckThrough = 0;
+        PollReport(aServer, waiting, aServerLife, aUntil, then);
       } else {
         Later(kHop, [then, answer] { then(answer); });
       }
--- a/testing/platform_world/fake_servers.h
+++ b/testing/platform_world/fake_servers.h
@@ -38,16 +38,19 @@
   std::vector<scheduler::ServerInfo> Listed() const;
 
   // Calls of instances; aThen gets no answer if the server is cut off.
-  std::optional<scheduler::StartAnswer> Start(const base::ServerId& aServer,
-                                              const scheduler::StartOrder& aOrder,
-                                              std::int64_t aEpoch,
-                                              std::int64_t aLeaseUntilMs);
+  std::optional<scheduler::StartAnswer> Start(
+    const base::ServerId& aServer,
+    const scheduler::StartOrder& aOrder,
+    std::int64_t aEpoch,
+    std::int64_t aLeaseUntilMs);
   bool Stop(const base::ServerId& aServer,
             const scheduler::StopOrder& aOrder,
             std::int64_t aEpoch);
-  base::Expected<node::ReportAnswer> Report(const base::ServerId& aServer,
-                                            const node::ReportRequest& aRequest);
-  bool HasNews(const base::ServerId& aServer, std::int64_t aAckThrough) const;
+  base::Expected<node::ReportAnswer> Report(
+    const base::ServerId& aServer,
+    const node::ReportRequest& aRequest);
+  // Ends are listed that nobody has acknowledged.
+  bool HasNews(const base::ServerId& aServer) const;
   bool IsCut(const base::ServerId& aServer) const;
   // Orders that are under way end with the server's life.
   int Life(const base::ServerId& aServer) const;
@@ -79,9 +82,7 @@
   void CheckLease(const base::ServerId& aServer, int aLife);
   void BeginWork(const jobs::TaskRun& aRun);
   void FinishRun(const jobs::TaskRun& aRun);
-  void End(Server& aServer,
-           const jobs::TaskRun& aRun,
-           scheduler::RunEnd aEnd);
+  void End(Server& aServer, const jobs::TaskRun& aRun, scheduler::RunEnd aEnd);
   void BreakGang(const jobs::TaskRun& aRun);
   std::vector<std::pair<Server*, jobs::TaskRun>> Members(
     const jobs::TaskRun& aRun);
@@ -128,11 +129,12 @@
   void Later(base::Duration aDelay, std::function<void()> aThen);
   // Delay until an order takes effect, and whether its answer is lost.
   base::Duration OrderDelay(bool& aLost);
-  void PollReport(const base::ServerId& aServer,
-                  const node::ReportRequest& aRequest,
-                  int aServerLife,
-                  base::Time aUntil,
-                  std::function<void(base::Expected<node::ReportAnswer>)> aThen);
+  void PollReport(
+    const base::ServerId& aServer,
+    const node::ReportRequest& aRequest,
+    int aServerLife,
+    base::Time aUntil,
+    std::function<void(base::Expected<node::ReportAnswer>)> aThen);
 
   FakeServers& mServers;
   fakes::VirtualClock& mClock;
--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -17,14 +17,12 @@
 
 } // namespace
 
-std::int64_t
-FakeStore::NowMs() const
+std::int64_t FakeStore::NowMs() const
 {
   return base::ToMilliseconds(mClock.Now().time_since_epoch());
 }
 
-void
-FakeStore::Write(const Key& aKey, std::optional<std::string> aValue)
+void FakeStore::Write(const Key& aKey, std::optional<std::string> aValue)
 {
   node::Row row{ aKey.second, std::move(aValue), mVersion };
   if (row.mValue) {
@@ -39,31 +37,28 @@
   }
 }
 
-void
-FakeStore::Put(const std::string& aTable,
-               const std::string& aKey,
-               std::optional<std::string> aValue)
+void FakeStore::Put(const std::string& aTable,
+                    const std::string& aKey,
+                    std::optional<std::string> aValue)
 {
   ++mVersion;
   Write({ aTable, aKey }, std::move(aValue));
 }
 
-void
-FakeStore::ForgetHistory()
+void FakeStore::ForgetHistory()
 {
   mForgotten = mVersion;
   mHistory.clear();
 }
 
-std::optional<std::string>
-FakeStore::Value(const std::string& aTable, const std::string& aKey) const
+std::optional<std::string> FakeStore::Value(const std::string& aTable,
+                                            const std::string& aKey) const
 {
   const auto row = mRows.find({ aTable, aKey });
   return row == mRows.end() ? std::nullopt : row->second.mValue;
 }
 
-node::CommitResult
-FakeStore::Apply(const node::Transaction& aTransaction)
+node::CommitResult FakeStore::Apply(const node::Transaction& aTransaction)
 {
   std::vector<node::RowCondition> conditions = aTransaction.mConditions;
   for (const auto& change : aTransaction.mChanges) {
@@ -94,10 +89,9 @@
   return result;
 }
 
-node::Rows
-FakeStore::Read(const std::string& aTable,
-                const std::string& aFrom,
-                const std::string& aTo) const
+node::Rows FakeStore::Read(const std::string& aTable,
+                           const std::string& aFrom,
+                           const std::string& aTo) const
 {
   node::Rows rows;
   for (auto row = mRows.lower_bound({ aTable, aFrom });
@@ -113,10 +107,9 @@
   return rows;
 }
 
-bool
-FakeStore::Changes(const std::string& aTable,
-                   std::int64_t aVersion,
-                   node::Rows& aRows) const
+bool FakeStore::Changes(const std::string& aTable,
+                        std::int64_t aVersion,
+                        node::Rows& aRows) const
 {
   if (aVersion < mForgotten) {
     return false;
@@ -131,8 +124,7 @@
   return true;
 }
 
-void
-StoreLink::Later(base::Duration aDelay, std::function<void()> aThen)
+void StoreLink::Later(base::Duration aDelay, std::function<void()> aThen)
 {
   mClock.After(aDelay, [this, life = mLife, then = std::move(aThen)] {
     if (life == mLife) {
@@ -141,10 +133,9 @@
   });
 }
 
-void
-StoreLink::Commit(const node::Transaction& aTransaction,
-                  base::Duration aTimeout,
-                  std::function<void(Expected<node::CommitResult>)> aThen)
+void StoreLink::Commit(const node::Transaction& aTransaction,
+                       base::Duration aTimeout,
+                       std::function<void(Expected<node::CommitResult>)> aThen)
 {
   const auto fail = [&](ErrorCode aCode, base::Duration aAfter) {
     Later(aAfter, [then = aThen, aCode] {
@@ -173,55 +164,53 @@
                         ? mClock.Between(milliseconds(500), milliseconds(6000))
                         : base::Duration(kDelay);
     // It is done also if the sender is gone by then.
-    mClock.After(late,
-                 [&store = mStore, aTransaction] { store.Apply(aTransaction); });
+    mClock.After(
+      late, [&store = mStore, aTransaction] { store.Apply(aTransaction); });
     fail(ErrorCode::eOutcomeUnknown, aTimeout);
     return;
   }
   // Done by the store although the sender may be gone by then.
-  mClock.After(kDelay, [this, life = mLife, aTransaction, then = std::move(aThen)] {
-    auto result = mStore.Apply(aTransaction);
-    if (life == mLife) {
-      Later(kDelay, [then, result] { then(result); });
-    }
-  });
+  mClock.After(kDelay,
+               [this, life = mLife, aTransaction, then = std::move(aThen)] {
+                 auto result = mStore.Apply(aTransaction);
+                 if (life == mLife) {
+                   Later(kDelay, [then, result] { then(result); });
+                 }
+               });
 }
 
-void
-StoreLink::Read(const std::string& aTable,
-                const std::string& aFrom,
-                const std::string& aTo,
-                base::Duration aTimeout,
-                std::function<void(Expected<node::Rows>)> aThen)
+void StoreLink::Read(const std::string& aTable,
+                     const std::string& aFrom,
+                     const std::string& aTo,
+                     base::Duration aTimeout,
+                     std::function<void(Expected<node::Rows>)> aThen)
 {
   if (mFault == StoreFault::eRefuses || mFault == StoreFault::eSilent) {
     const bool refused = mFault == StoreFault::eRefuses;
-    Later(refused ? base::Duration(kDelay) : aTimeout, [then = std::move(aThen)] {
-      then(MakeError(ErrorCode::eUnavailable, "read", "store", "fault"));
-    });
+    Later(refused ? base::Duration(kDelay) : aTimeout,
+          [then = std::move(aThen)] {
+            then(MakeError(ErrorCode::eUnavailable, "read", "store", "fault"));
+          });
     return;
   }
   Later(kDelay, [this, aTable, aFrom, aTo, then = std::move(aThen)] {
-    Later(kDelay, [rows = mStore.Read(aTable, aFrom, aTo), then] {
-      then(rows);
-    });
+    Later(kDelay,
+          [rows = mStore.Read(aTable, aFrom, aTo), then] { then(rows); });
   });
 }
 
-void
-StoreLink::Follow(const std::string& aTable,
-                  std::int64_t aVersion,
-                  base::Duration aWait,
-                  std::function<void(Expected<node::Rows>)> aThen)
+void StoreLink::Follow(const std::string& aTable,
+                       std::int64_t aVersion,
+                       base::Duration aWait,
+                       std::function<void(Expected<node::Rows>)> aThen)
 {
   Poll(aTable, aVersion, mClock.Now() + aWait, std::move(aThen));
 }
 
-void
-StoreLink::Poll(const std::string& aTable,
-                std::int64_t aVersion,
-                base::Time aUntil,
-                std::function<void(Expected<node::Rows>)> aThen)
+void StoreLink::Poll(const std::string& aTable,
+                     std::int64_t aVersion,
+                     base::Time aUntil,
+                     std::function<void(Expected<node::Rows>)> aThen)
 {
   Later(kPollEvery, [this, aTable, aVersion, aUntil, then = std::move(aThen)] {
     if (mFault == StoreFault::eRefuses || mFault == StoreFault::eSilent) {
--- a/testing/platform_world/fake_store.h
+++ b/testing/platform_world/fake_store.h
@@ -81,10 +81,10 @@
   // Answers that are under way are dropped: the instance is gone.
   void Cut() { ++mLife; }
 
-  void Commit(const node::Transaction& aTransaction,
-              base::Duration aTimeout,
-              std::function<void(base::Expected<node::CommitResult>)> aThen)
-    override;
+  void Commit(
+    const node::Transaction& aTransaction,
+    base::Duration aTimeout,
+    std::function<void(base::Expected<node::CommitResult>)> aThen) override;
   void Read(const std::string& aTable,
             const std::string& aFrom,
             const std::string& aTo,
--- a/testing/platform_world/world.cpp
+++ b/testing/platform_world/world.cpp
@@ -102,9 +102,8 @@
     if (!mPrints) {
       return;
     }
-    std::printf("%lld %s",
-                base::ToMilliseconds(mClock.Now().time_since_epoch()),
-                aEvent);
+    std::printf(
+      "%lld %s", base::ToMilliseconds(mClock.Now().time_since_epoch()), aEvent);
     for (const auto& [name, value] : aFields) {
       std::printf(" %s=%s", name, value.c_str());
     }
@@ -133,13 +132,13 @@
       mClock,
       mChecker,
       [this](const jobs::TaskName& aName) {
-        const auto& step = mJobs.at(aName.mJob)
-                             .mSteps.at(static_cast<std::size_t>(aName.mStep));
+        const auto& step =
+          mJobs.at(aName.mJob).mSteps.at(static_cast<std::size_t>(aName.mStep));
         return step.mEstimate;
       },
       [this](const jobs::TaskName& aName) {
-        const auto& step = mJobs.at(aName.mJob)
-                             .mSteps.at(static_cast<std::size_t>(aName.mStep));
+        const auto& step =
+          mJobs.at(aName.mJob).mSteps.at(static_cast<std::size_t>(aName.mStep));
         return step.mGang ? step.mTaskCount : 1;
       })
   , mForeign(std::make_unique<OperatorRows>(mServers))
@@ -167,16 +166,14 @@
 
 World::~World() = default;
 
-void
-World::ListServers()
+void World::ListServers()
 {
   for (const auto& info : mServers.Listed()) {
     mStore.Put("members", info.mId.Value(), "entry");
   }
 }
 
-void
-World::StartInstance(Member& aMember)
+void World::StartInstance(Member& aMember)
 {
   aMember.mLoop = std::make_unique<ClockLoop>(mClock);
   aMember.mStore = std::make_unique<StoreLink>(mStore, mClock);
@@ -188,18 +185,17 @@
   if (mOptions.mChange) {
     mOptions.mChange(settings);
   }
-  aMember.mInstance = std::make_unique<node::Instance>(
-    node::Ports{ aMember.mLoop.get(),
-                 aMember.mStore.get(),
-                 aMember.mServers.get(),
-                 mForeign.get(),
-                 mLog.get() },
-    settings);
+  aMember.mInstance =
+    std::make_unique<node::Instance>(node::Ports{ aMember.mLoop.get(),
+                                                  aMember.mStore.get(),
+                                                  aMember.mServers.get(),
+                                                  mForeign.get(),
+                                                  mLog.get() },
+                                     settings);
   aMember.mInstance->Start();
 }
 
-void
-World::KillInstance(Member& aMember)
+void World::KillInstance(Member& aMember)
 {
   aMember.mLoop->Kill();
   aMember.mStore->Cut();
@@ -212,14 +208,12 @@
   static_cast<void>(aMember.mServers.release());
 }
 
-World::Member*
-World::AnyMember()
+World::Member* World::AnyMember()
 {
   return mMembers[mClock.Random() % mMembers.size()].get();
 }
 
-void
-World::SubmitJob(int aNumber)
+void World::SubmitJob(int aNumber)
 {
   char id[17];
   std::snprintf(id, sizeof(id), "%016x", static_cast<unsigned>(aNumber + 1));
@@ -246,8 +240,7 @@
   }
 }
 
-void
-World::Hand(const jobs::JobSpec& aJob, int aTry)
+void World::Hand(const jobs::JobSpec& aJob, int aTry)
 {
   constexpr int kTries = 12;
   if (aTry > kTries) {
@@ -255,7 +248,8 @@
   }
   mChecker.OnMaybeAccepted(aJob);
   const auto again = [this, aJob, aTry] {
-    mClock.After(milliseconds(700), [this, aJob, aTry] { Hand(aJob, aTry + 1); });
+    mClock.After(milliseconds(700),
+                 [this, aJob, aTry] { Hand(aJob, aTry + 1); });
   };
   AnyMember()->mInstance->Callers().Submit(
     { "host", "/q/" + aJob.mId, "key", seconds(3) },
@@ -269,8 +263,7 @@
     });
 }
 
-void
-World::CancelJob(const std::string& aId)
+void World::CancelJob(const std::string& aId)
 {
   mChecker.OnCancelAsked(aId);
   AnyMember()->mInstance->Callers().Cancel(
@@ -286,8 +279,7 @@
     });
 }
 
-void
-World::AskStates()
+void World::AskStates()
 {
   for (const auto& [id, job] : mJobs) {
     AnyMember()->mInstance->Callers().Query(
@@ -300,8 +292,7 @@
   }
 }
 
-void
-World::InjectFault()
+void World::InjectFault()
 {
   Member* member = AnyMember();
   const auto length = mClock.Between(milliseconds(500), milliseconds(9000));
@@ -353,8 +344,7 @@
   }
 }
 
-void
-World::Run()
+void World::Run()
 {
   const auto start = mClock.Now() + seconds(2);
   for (int i = 0; i < mOptions.mJobs; ++i) {
--- a/testing/platform_world/world_test.cpp
+++ b/testing/platform_world/world_test.cpp
@@ -10,15 +10,13 @@
 namespace flamingoloom::testing::platform_world {
 namespace {
 
-std::uint64_t
-FromEnvironment(const char* aName, std::uint64_t aDefault)
+std::uint64_t FromEnvironment(const char* aName, std::uint64_t aDefault)
 {
   const char* value = std::getenv(aName);
   return value == nullptr ? aDefault : std::strtoull(value, nullptr, 10);
 }
 
-std::string
-FirstLines(const std::vector<std::string>& aLines)
+std::string FirstLines(const std::vector<std::string>& aLines)
 {
   std::string text;
   for (std::size_t i = 0; i < aLines.size() && i < 3; ++i) {
