--- /dev/null
+++ b/flamingoloom/scheduler/scheduler_runs.cpp
@@ -0,0 +1,418 @@
+// The life of a run: placed, ordered, answered, reported, ended.
+#include "flamingoloom/scheduler/scheduler.h"
+
+#include <algorithm>
+
+namespace flamingoloom::scheduler {
+
+using base::ServerId;
+using base::Time;
+using jobs::JobState;
+
+namespace {
+
+// A server that has no room contrary to our books is left alone this long:
+// the end that makes room is about to be reported.
+constexpr base::Duration kNoRoomPause = std::chrono::milliseconds(200);
+// A server that calls itself unhealthy is left alone this long.
+constexpr base::Duration kUnhealthyPause = std::chrono::seconds(2);
+// A server that refuses an order as such is left alone this long.
+constexpr base::Duration kRefusedPause = std::chrono::seconds(1);
+
+} // namespace
+
+void Scheduler::Intend(StepRun& aStep,
+                       int aIndex,
+                       const ServerId& aServer,
+                       Time aNow)
+{
+  Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
+  task.mPhase = TaskPhase::eIntended;
+  task.mRun = aStep.Spec().mGang ? aStep.mGangRun : task.mRun + 1;
+  task.mServer = aServer;
+  task.mStopWanted = task.mStopAnswered = false;
+  task.mAnsweredAt.reset();
+  task.mPlacedAt = aNow;
+  task.mPercent = task.mFirstPercent = 0;
+  --aStep.mWaiting;
+  ServerState* server = mFleet.Find(aServer);
+  server->mUsed += aStep.Spec().Footprint();
+  server->mRuns.insert({ aStep.Name(aIndex), task.mRun });
+  MarkDirty(aStep);
+  Job& job = *aStep.mJob;
+  if (job.mState == JobState::eQueued) {
+    SetState(job, JobState::eRunning);
+  }
+}
+
+void Scheduler::Detach(StepRun& aStep, Task& aTask, int aIndex)
+{
+  ServerState* server = mFleet.Find(aTask.mServer);
+  const jobs::TaskRun run{ aStep.Name(aIndex), aTask.mRun };
+  if (server != nullptr && server->mRuns.erase(run) > 0) {
+    server->mUsed -= aStep.Spec().Footprint();
+  }
+  mStops.erase({ aTask.mServer, run });
+  aTask.mStopWanted = aTask.mStopAnswered = false;
+}
+
+void Scheduler::Release(StepRun& aStep, int aIndex, const char* aReason)
+{
+  Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
+  Log("run_released",
+      aStep.mJob->mSpec.mId,
+      { { "run", RunText(aStep.Name(aIndex), task.mRun) },
+        { "server", task.mServer.Value() },
+        { "reason", aReason } });
+  Detach(aStep, task, aIndex);
+  task.mPhase = TaskPhase::eWaiting;
+  ++aStep.mWaiting;
+  MarkDirty(aStep);
+  if (!aStep.Spec().mGang) {
+    return;
+  }
+  if (aStep.mWaiting == static_cast<int>(aStep.mTasks.size())) {
+    aStep.mGangBreaking = false;
+  } else if (!aStep.mGangBreaking) {
+    BreakGang(aStep);
+  }
+}
+
+void Scheduler::WantStop(StepRun& aStep, int aIndex, const char* aReason)
+{
+  Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
+  if (task.mStopWanted) {
+    return;
+  }
+  task.mStopWanted = true;
+  Log("stop_wanted",
+      aStep.mJob->mSpec.mId,
+      { { "run", RunText(aStep.Name(aIndex), task.mRun) },
+        { "server", task.mServer.Value() },
+        { "reason", aReason } });
+  // An intent is dropped when it is stored; a predecessor's run is stopped
+  // when its server has reported it.
+  if (task.mPhase == TaskPhase::eOrdered ||
+      task.mPhase == TaskPhase::eRunning) {
+    mStops.insert({ task.mServer, { aStep.Name(aIndex), task.mRun } });
+  }
+}
+
+void Scheduler::BreakGang(StepRun& aStep)
+{
+  aStep.mGangBreaking = true;
+  for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
+    if (IsPlaced(aStep.mTasks[i].mPhase)) {
+      WantStop(aStep, static_cast<int>(i), "gang is incomplete");
+    }
+  }
+}
+
+// Answers
+// ----------------------------------------------------------------------
+
+void Scheduler::OnStart(Time aNow,
+                        const StartOrder& aOrder,
+                        StartAnswer aAnswer,
+                        bool aEarlierUnknown)
+{
+  StepRun* step = nullptr;
+  Task* task = FindTask(aOrder.mRun.mTask, &step);
+  ServerState* server = mFleet.Find(aOrder.mServer);
+  if (task == nullptr || server == nullptr || task->mRun != aOrder.mRun.mRun ||
+      task->mPhase != TaskPhase::eOrdered) {
+    return;
+  }
+  const int index = aOrder.mRun.mTask.mIndex;
+  Log("start_answered",
+      step->mJob->mSpec.mId,
+      { { "run", RunText(aOrder.mRun.mTask, aOrder.mRun.mRun) },
+        { "server", aOrder.mServer.Value() },
+        { "answer", StartAnswerName(aAnswer) },
+        { "earlier_unknown", aEarlierUnknown ? "1" : "0" } });
+  switch (aAnswer) {
+    case StartAnswer::eStarted:
+      task->mPhase = TaskPhase::eRunning;
+      task->mAnsweredAt = aNow;
+      task->mStartedAt = task->mPercentChangedAt = aNow;
+      if (task->mStopWanted) {
+        mStops.insert({ aOrder.mServer, aOrder.mRun });
+      }
+      return;
+    case StartAnswer::eOldRun:
+      // The run has been there: its end is listed, or it is absent.
+      task->mAnsweredAt = aNow;
+      return;
+    case StartAnswer::eUnknown:
+      WantStop(*step, index, "start not answered");
+      return;
+    case StartAnswer::eOtherServer:
+      OnReplaced(aNow, aOrder.mServer);
+      return;
+    case StartAnswer::eFenced:
+      return;
+    case StartAnswer::eNoRoom:
+      mFleet.Pause(*server, aNow, kNoRoomPause);
+      break;
+    case StartAnswer::eUnhealthy:
+      mFleet.Pause(*server, aNow, kUnhealthyPause);
+      break;
+    case StartAnswer::eBadTicket:
+    case StartAnswer::eInvalid:
+      // The same order would be refused again at once.
+      mFleet.Pause(*server, aNow, kRefusedPause);
+      break;
+    case StartAnswer::eTooLate:
+      break;
+  }
+  if (aEarlierUnknown) {
+    WantStop(*step, index, "an earlier try may still arrive");
+  } else {
+    Release(*step, index, StartAnswerName(aAnswer));
+  }
+}
+
+void Scheduler::OnStop(Time aNow, const StopOrder& aOrder, bool aAnswered)
+{
+  StepRun* step = nullptr;
+  Task* task = FindTask(aOrder.mRun.mTask, &step);
+  if (task == nullptr || task->mRun != aOrder.mRun.mRun ||
+      !IsPlaced(task->mPhase) || task->mServer != aOrder.mServer) {
+    return;
+  }
+  if (aAnswered) {
+    task->mStopAnswered = true;
+    task->mAnsweredAt = aNow;
+  } else {
+    mStops.insert(aOrder);
+  }
+}
+
+void Scheduler::OnSilence(Time, const ServerId& aServer)
+{
+  ServerState* server = mFleet.Find(aServer);
+  if (server != nullptr && server->mAnswers) {
+    server->mAnswers = false;
+    Log("server_silent", "", { { "server", aServer.Value() } });
+  }
+}
+
+void Scheduler::OnReplaced(Time, const ServerId& aServer)
+{
+  ServerState* server = mFleet.Find(aServer);
+  if (server != nullptr) {
+    server->mAnswers = false;
+    ReleaseAll(*server, "server was replaced");
+  }
+}
+
+void Scheduler::NoteLease(const ServerId& aServer, Time aEndsBy)
+{
+  if (ServerState* server = mFleet.Find(aServer)) {
+    server->mLeasesEndBy = std::max(server->mLeasesEndBy, aEndsBy);
+  }
+}
+
+void Scheduler::ReleaseAll(ServerState& aServer, const char* aReason)
+{
+  const auto runs = aServer.mRuns;
+  for (const auto& run : runs) {
+    StepRun* step = nullptr;
+    const Task* task = FindTask(run.mTask, &step);
+    if (task != nullptr && task->mRun == run.mRun &&
+        task->mPhase != TaskPhase::eIntended) {
+      Release(*step, run.mTask.mIndex, aReason);
+    }
+  }
+}
+
+void Scheduler::ReleaseLost(Time aNow)
+{
+  for (auto& [id, server] : mFleet.Servers()) {
+    if (!server.mAnswers && aNow > server.mLeasesEndBy &&
+        !server.mRuns.empty()) {
+      ReleaseAll(server, "leases ended");
+    }
+  }
+}
+
+void Scheduler::OnReport(Time aNow,
+                         const ServerId& aServer,
+                         const ServerReport& aReport,
+                         Time aSentAt)
+{
+  ServerState* server = mFleet.Find(aServer);
+  if (server == nullptr) {
+    return;
+  }
+  if (!server->mAnswers || !server->mFenced) {
+    Log("server_answers",
+        "",
+        { { "server", aServer.Value() },
+          { "running", std::to_string(aReport.mRunning.size()) } });
+  }
+  server->mAnswers = server->mFenced = true;
+  const bool newLife =
+    server->mLife != 0 && server->mLife != aReport.mStartedMs;
+  server->mLife = aReport.mStartedMs;
+  if (newLife) {
+    server->mSeenEnds = server->mAckThrough = 0;
+    server->mUnstoredEnds.clear();
+  }
+  std::set<jobs::TaskRun> listed;
+  for (const auto& end : aReport.mEnded) {
+    listed.insert(end.mRun);
+    if (end.mNumber > server->mSeenEnds) {
+      TakeEnd(aNow, *server, end);
+      server->mSeenEnds = end.mNumber;
+      server->mUnstoredEnds.emplace_back(end.mNumber, mChange);
+    }
+  }
+  for (const auto& running : aReport.mRunning) {
+    listed.insert(running.mRun);
+    TakeRunning(aNow, *server, running);
+  }
+  const auto runs = server->mRuns;
+  for (const auto& run : runs) {
+    StepRun* step = nullptr;
+    const Task* task = FindTask(run.mTask, &step);
+    if (task == nullptr || listed.count(run) > 0) {
+      continue;
+    }
+    const bool answered =
+      task->mAnsweredAt.has_value() && *task->mAnsweredAt <= aSentAt;
+    if (task->mPhase == TaskPhase::eUnresolved ||
+        (newLife && task->mPhase == TaskPhase::eRunning) || answered) {
+      Release(*step, run.mTask.mIndex, "absent from the server's report");
+    }
+  }
+}
+
+void Scheduler::TakeRunning(Time aNow,
+                            ServerState& aServer,
+                            const RunningTask& aRunning)
+{
+  StepRun* step = nullptr;
+  Task* task = FindTask(aRunning.mRun.mTask, &step);
+  const bool ours = task != nullptr && task->mRun == aRunning.mRun.mRun &&
+                    task->mServer == aServer.mInfo.mId &&
+                    IsPlaced(task->mPhase);
+  if (!ours) {
+    // Carried out after it was given up, or unknown here.
+    Log("stray_run",
+        aRunning.mRun.mTask.mJob,
+        { { "run", RunText(aRunning.mRun.mTask, aRunning.mRun.mRun) },
+          { "server", aServer.mInfo.mId.Value() } });
+    mStops.insert({ aServer.mInfo.mId, aRunning.mRun });
+    return;
+  }
+  if (task->mPhase != TaskPhase::eRunning) {
+    task->mPhase = TaskPhase::eRunning;
+    task->mStartedAt = task->mPercentChangedAt = aNow;
+    task->mPercent = task->mFirstPercent = aRunning.mPercent;
+    if (task->mStopWanted) {
+      mStops.insert({ aServer.mInfo.mId, aRunning.mRun });
+    }
+  }
+  if (aRunning.mPercent != task->mPercent) {
+    task->mPercent = aRunning.mPercent;
+    task->mPercentChangedAt = aNow;
+  }
+  task->mReportedAt = aNow;
+  if (!aRunning.mCheckpoint.empty()) {
+    task->mCheckpoint = aRunning.mCheckpoint;
+    step->mGangCheckpoint = aRunning.mCheckpoint;
+  }
+}
+
+void Scheduler::TakeEnd(Time aNow, ServerState& aServer, const EndedTask& aEnd)
+{
+  StepRun* step = nullptr;
+  Task* task = FindTask(aEnd.mRun.mTask, &step);
+  const bool ours = task != nullptr && task->mRun == aEnd.mRun.mRun &&
+                    task->mServer == aServer.mInfo.mId &&
+                    IsPlaced(task->mPhase);
+  Log("run_ended",
+      aEnd.mRun.mTask.mJob,
+      { { "run", RunText(aEnd.mRun.mTask, aEnd.mRun.mRun) },
+        { "server", aServer.mInfo.mId.Value() },
+        { "end", RunEndName(aEnd.mEnd) },
+        { "number", std::to_string(aEnd.mNumber) },
+        { "known", ours ? "1" : "0" } });
+  if (!ours) {
+    return;
+  }
+  const int index = aEnd.mRun.mTask.mIndex;
+  if (!aEnd.mCheckpoint.empty()) {
+    task->mCheckpoint = aEnd.mCheckpoint;
+    step->mGangCheckpoint = aEnd.mCheckpoint;
+  }
+  if (aEnd.mEnd == RunEnd::eDone) {
+    mFleet.NoteDone(aServer);
+    TakeDone(aNow, *step, index);
+  } else if (aEnd.mEnd == RunEnd::eFailed) {
+    TakeFailed(aNow, aServer, *step, index);
+  } else {
+    Release(*step, index, RunEndName(aEnd.mEnd));
+  }
+}
+
+void Scheduler::TakeDone(Time aNow, StepRun& aStep, int aIndex)
+{
+  if (aStep.Spec().mLongRunning) {
+    Release(aStep, aIndex, "long-running task ended");
+    return;
+  }
+  const bool gang = aStep.Spec().mGang;
+  for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
+    Task& task = aStep.mTasks[i];
+    if (!gang && static_cast<int>(i) != aIndex) {
+      continue;
+    }
+    if (task.mPhase == TaskPhase::eDone) {
+      continue;
+    }
+    Detach(aStep, task, static_cast<int>(i));
+    aStep.mWaiting -= task.mPhase == TaskPhase::eWaiting ? 1 : 0;
+    task.mPhase = TaskPhase::eDone;
+    --aStep.mUnfinished;
+  }
+  aStep.mGangBreaking = false;
+  MarkDirty(aStep);
+  if (aStep.mUnfinished == 0) {
+    FinishStep(aNow, aStep);
+  }
+}
+
+void Scheduler::FinishStep(Time aNow, StepRun& aStep)
+{
+  Job& job = *aStep.mJob;
+  Occurrence& occurrence = job.mOccurrences.at(aStep.mOccurrence);
+  if (--occurrence.mUnfinishedSteps > 0) {
+    UpdateReady(aNow, occurrence);
+    return;
+  }
+  if (--job.mUnfinishedOccurrences == 0 && !job.IsFinal()) {
+    SetState(job, JobState::eCompleted);
+  }
+}
+
+void Scheduler::TakeFailed(Time aNow,
+                           ServerState& aServer,
+                           StepRun& aStep,
+                           int aIndex)
+{
+  Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
+  Job& job = *aStep.mJob;
+  mFleet.NoteFailed(aServer, job.mSpec.mId, aNow);
+  task.mFailedOn.insert(aServer.mInfo.mId);
+  const int failures =
+    aStep.Spec().mGang ? ++aStep.mGangFailures : ++task.mFailures;
+  Release(aStep, aIndex, "failed");
+  if (failures >= job.mSpec.mRules.mMaxAttempts && !aStep.Spec().mLongRunning &&
+      !job.IsFinal()) {
+    FailJob(job);
+  }
+}
+
+} // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/work.cpp
+++ b/flamingoloom/scheduler/work.cpp
@@ -114,4 +114,16 @@
   }
 }
 
+bool IsPlaced(TaskPhase aPhase)
+{
+  return aPhase == TaskPhase::eIntended || aPhase == TaskPhase::eOrdered ||
+         aPhase == TaskPhase::eRunning || aPhase == TaskPhase::eUnresolved;
+}
+
+std::string RunText(const jobs::TaskName& aName, int aRun)
+{
+  return std::to_string(aName.mOccurrence) + "." + std::to_string(aName.mStep) +
+         "." + std::to_string(aName.mIndex) + "#" + std::to_string(aRun);
+}
+
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/work.h
+++ b/flamingoloom/scheduler/work.h
@@ -30,6 +30,12 @@
   eFailed,
 };
 
+// A run of the task may be on its server, or come there.
+bool IsPlaced(TaskPhase aPhase);
+
+// "K.STEP.INDEX#RUN" for the log.
+std::string RunText(const jobs::TaskName& aName, int aRun);
+
 struct Task
 {
   TaskPhase mPhase = TaskPhase::eWaiting;
