The first failed call to the store ends readiness

Cause: an instance that the store refuses went on taking callers for up to 2.4 s. Conclusion: kept, since callers that cannot be served go elsewhere sooner.

--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -47,7 +47,9 @@
 
 bool Instance::StoreAnswers() const
 {
+  // A failed call tells at once; a silent store only by the missing answer.
   return mOperatorWatch && mOperatorWatch->IsComplete() &&
+         mOperatorWatch->IsConnected() &&
          mPorts.mLoop->Now() - mOperatorWatch->LastContact() <
            mSettings.mStoreContact;
 }
