--- a/flamingoloom/jobs/job.cpp
+++ b/flamingoloom/jobs/job.cpp
@@ -61,16 +61,6 @@
   return longest;
 }
 
-double JobSpec::EstimatedWork() const
-{
-  double work = 0;
-  for (const auto& step : mSteps) {
-    work += step.mPerTask.WeightedCores() * step.mTaskCount *
-            std::chrono::duration<double>(step.mEstimate).count();
-  }
-  return work;
-}
-
 bool IsFinal(JobState aState)
 {
   return aState == JobState::eCompleted || aState == JobState::eFailed ||
--- a/flamingoloom/jobs/job.h
+++ b/flamingoloom/jobs/job.h
@@ -111,8 +111,6 @@
   int OccurrenceCount() const { return mOccurrences > 0 ? mOccurrences : 1; }
   // The longest chain of estimates through the steps of one occurrence.
   base::Duration LongestChain() const;
-  // Core-seconds of one occurrence by its estimates.
-  double EstimatedWork() const;
 };
 
 struct TaskName
--- a/flamingoloom/node/caller_desk.h
+++ b/flamingoloom/node/caller_desk.h
@@ -95,7 +95,6 @@
   // Whether the store has lately answered; if not, callers are refused at
   // once instead of being kept waiting.
   void SetStoreReachable(bool aReachable) { mStoreReachable = aReachable; }
-  bool HasConfiguration() const { return mConfiguration.has_value(); }
 
   // aRead reads the job from the request's body; it is called only if the
   // queue and the key are good.
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -48,8 +48,6 @@
   bool IsReady() const;
   CallerDesk& Callers() { return mCallers; }
   const std::optional<Configuration>& InForce() const { return mInForce; }
-  // The lead, if this instance holds it.
-  const Lead* Leading() const { return mLead.get(); }
 
 private:
   void OnOperatorRows(const std::vector<Row>& aRows);
--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -14,6 +14,8 @@
 
 constexpr const char* kLoadedTables[] = { jobs::kStateTable, jobs::kRunTable };
 constexpr auto kReadTimeout = milliseconds(1000);
+// Far beyond any objective.
+constexpr base::Duration kLongestAge = std::chrono::minutes(10);
 constexpr auto kReadRetry = milliseconds(150);
 
 } // namespace
@@ -158,7 +160,13 @@
                        { { "job", row.mKey },
                          { "queue", job->mRules.mQueue },
                          { "version", std::to_string(row.mVersion) } });
-    mScheduler.AddJob(now, std::move(*job), row.mVersion);
+    // A successor counts the job's time from its acceptance, not from the
+    // take-over; clocks that jump must not make it absurd.
+    const auto age =
+      std::clamp<std::int64_t>(mPorts.mLoop->UnixMs() - job->mAcceptedMs,
+                               0,
+                               base::ToMilliseconds(kLongestAge));
+    mScheduler.AddJob(now - milliseconds(age), std::move(*job), row.mVersion);
   }
   if (mPhase == Phase::eLoading) {
     for (const auto& row : mLoadedStates) {
--- a/flamingoloom/node/lead.h
+++ b/flamingoloom/node/lead.h
@@ -66,9 +66,6 @@
   void SetConfiguration(const Configuration& aConfiguration);
   void SetDataCentresOut(const std::set<base::DataCentreId>& aOut);
 
-  const scheduler::Scheduler& Decisions() const { return mScheduler; }
-  bool IsScheduling() const { return mPhase == Phase::eScheduling; }
-
 private:
   enum class Phase
   {
--- a/flamingoloom/node/server_link.h
+++ b/flamingoloom/node/server_link.h
@@ -17,8 +17,6 @@
   // scheduling instance (under 4 s); work lost with a server is started again
   // after it.
   base::Duration mLease = std::chrono::milliseconds(8000);
-  // The platform cuts longer leases.
-  base::Duration mMaxLease = std::chrono::milliseconds(10000);
   // How long a report may wait for an end; 2 s is the longest the platform
   // takes, and each report is priced.
   base::Duration mReportWait = std::chrono::milliseconds(2000);
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -384,13 +384,4 @@
   return mPlaces.count(aServer) > 0;
 }
 
-std::int64_t Placement::FreeAccelerators() const
-{
-  std::int64_t free = 0;
-  for (const auto& [id, place] : mPlaces) {
-    free += std::max<std::int64_t>(0, place.mFree.mAccelerators);
-  }
-  return free;
-}
-
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -68,9 +68,6 @@
   bool Fits(const base::ServerId& aServer, const jobs::Resources& aNeed) const;
   bool IsUsable(const base::ServerId& aServer) const;
 
-  // Accelerators free on usable servers.
-  std::int64_t FreeAccelerators() const;
-
 private:
   struct Place
   {
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -238,22 +238,6 @@
           !server->mFenced);
 }
 
-int Scheduler::WaitingTasks() const
-{
-  int waiting = 0;
-  for (const auto& [id, job] : mJobs) {
-    if (job->IsFinal()) {
-      continue;
-    }
-    for (const auto& [number, occurrence] : job->mOccurrences) {
-      for (const auto& step : occurrence.mSteps) {
-        waiting += step->mReady ? step->mWaiting : 0;
-      }
-    }
-  }
-  return waiting;
-}
-
 // Passes
 // -----------------------------------------------------------------------
 
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -158,7 +158,6 @@
   {
     return mJobs;
   }
-  int WaitingTasks() const;
 
 private:
   struct Group
