A store that is back is noticed at once

Cause: after a failed call the watch of a table waited for a change, up to 1.5 s, before it counted the store as back. A follow after a failure no longer waits. Ruled out: the callers' own waits; they come back every 0.4 to 1.1 s. Test: table_watch_test fails without the change. The schedules of the mechanism test for leases had become too kind to show the fault: their tasks now last up to 12 s, and the violation is found with and without this change.

--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -76,10 +76,12 @@
 
 void TableWatch::FollowChanges()
 {
+  // After a failure the answer that the store is back matters more than a
+  // change, so it is not asked to wait for one.
   mPorts.mStore->Follow(
     mTable,
     mVersion,
-    mTiming.mWait,
+    mConnected ? mTiming.mWait : base::Duration(0),
     [self = shared_from_this()](base::Expected<Rows> aRows) {
       if (self->mStopped) {
         return;
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -16,8 +16,9 @@
 
 struct TableWatchTiming
 {
-  // How long the store may hold one call back. A silent connection is noticed
-  // after it, which must be well below the platform's bound for configuration.
+  // How long the store may hold one call back while it answers. A silent
+  // connection is noticed after it, which must be well below the platform's
+  // bound for configuration.
   base::Duration mWait = std::chrono::milliseconds(1500);
   // Pause after a call that failed.
   base::Duration mRetry = std::chrono::milliseconds(150);
--- /dev/null
+++ b/testing/platform_world/table_watch_test.cpp
@@ -0,0 +1,50 @@
+#include "flamingoloom/node/table_watch.h"
+
+#include <doctest/doctest.h>
+
+#include "testing/platform_world/clock_loop.h"
+#include "testing/platform_world/fake_store.h"
+
+namespace flamingoloom::testing::platform_world {
+namespace {
+
+using std::chrono::milliseconds;
+
+class SilentLog : public node::EventLog
+{
+public:
+  void Write(const char*, const Fields&) override {}
+};
+
+struct Fixture
+{
+  fakes::VirtualClock mClock{ 1 };
+  FakeStore mStore{ mClock };
+  StoreLink mLink{ mStore, mClock };
+  ClockLoop mLoop{ mClock };
+  SilentLog mLog;
+  std::shared_ptr<node::TableWatch> mWatch = std::make_shared<node::TableWatch>(
+    node::Ports{ &mLoop, &mLink, nullptr, nullptr, &mLog },
+    "table",
+    node::TableWatchTiming{},
+    [](const std::vector<node::Row>&) {});
+};
+
+// Guards against an instance that goes on refusing callers for a whole wait
+// after the store is back, because nothing changes in the table.
+TEST_CASE("A store that is back is noticed at once without any change")
+{
+  Fixture fixture;
+  fixture.mWatch->Start();
+  fixture.mClock.RunFor(milliseconds(100));
+  REQUIRE(fixture.mWatch->IsConnected());
+  fixture.mLink.SetFault(StoreFault::eRefuses);
+  fixture.mClock.RunFor(milliseconds(4000));
+  REQUIRE_FALSE(fixture.mWatch->IsConnected());
+  fixture.mLink.SetFault(StoreFault::eNone);
+  fixture.mClock.RunFor(node::TableWatchTiming{}.mRetry + milliseconds(50));
+  CHECK(fixture.mWatch->IsConnected());
+}
+
+} // namespace
+} // namespace flamingoloom::testing::platform_world
--- a/testing/platform_world/world.cpp
+++ b/testing/platform_world/world.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "testing/platform_world/clock_loop.h"
+
 namespace flamingoloom::testing::platform_world {
 
 using base::Duration;
@@ -11,35 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The instances' time; timers of an instance that was killed do not fire.
-class World::ClockLoop : public node::Loop
-{
-public:
-  explicit ClockLoop(fakes::VirtualClock& aClock)
-    : mClock(aClock)
-  {
-  }
-
-  base::Time Now() const override { return mClock.Now(); }
-  std::int64_t UnixMs() const override
-  {
-    return base::ToMilliseconds(mClock.Now().time_since_epoch());
-  }
-  void After(Duration aDelay, std::function<void()> aThen) override
-  {
-    mClock.After(aDelay, [alive = mAlive, then = std::move(aThen)] {
-      if (*alive) {
-        then();
-      }
-    });
-  }
-  void Kill() { *mAlive = false; }
-
-private:
-  fakes::VirtualClock& mClock;
-  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
-};
-
 // The rows of operators and servers; a server's entry is only its id here.
 class World::OperatorRows : public node::ForeignRows
 {
@@ -225,7 +198,7 @@
     jobs::StepSpec step;
     step.mTaskCount = 1 + static_cast<int>(mClock.Random() % 4);
     step.mPerTask = { 1000, 1000, 1 };
-    step.mEstimate = mClock.Between(milliseconds(300), milliseconds(4000));
+    step.mEstimate = mClock.Between(milliseconds(300), mOptions.mLongestTask);
     step.mGang = step.mTaskCount > 1 && mClock.Chance(0.4);
     if (i > 0) {
       step.mAfter = { i - 1 };
--- a/testing/platform_world/world.h
+++ b/testing/platform_world/world.h
@@ -23,6 +23,8 @@
   // Jobs come, and faults happen, within this time; then all heals.
   base::Duration mBusy = std::chrono::seconds(30);
   base::Duration mQuiet = std::chrono::seconds(45);
+  // Tasks take from 0.3 s to this.
+  base::Duration mLongestTask = std::chrono::seconds(4);
   bool mFaults = true;
   // Changes a mechanism of the leads, to show that the checks see it.
   std::function<void(node::InstanceSettings&)> mChange;
@@ -38,7 +40,6 @@
   const Checker& Judge() const { return mChecker; }
 
 private:
-  class ClockLoop;
   class OperatorRows;
   class TraceLog;
   struct Member;
--- a/testing/platform_world/world_test.cpp
+++ b/testing/platform_world/world_test.cpp
@@ -63,6 +63,8 @@
   for (std::uint64_t seed = 1; seed <= 60 && violations == 0; ++seed) {
     WorldOptions options;
     options.mSeed = seed;
+    // Long enough to run on behind a cut after the scheduler gave them up.
+    options.mLongestTask = std::chrono::seconds(12);
     options.mChange = [](node::InstanceSettings& aSettings) {
       // Clocks of servers are taken to run three times too fast.
       aSettings.mLead.mLink.mSlowestClock = 8.0;
