--- a/flamingoloom/jobs/records.cpp
+++ b/flamingoloom/jobs/records.cpp
@@ -108,6 +108,25 @@
 
 } // namespace
 
+const std::vector<std::string>& JobParts()
+{
+  // A slow store takes a few transactions a second in each part; the grown
+  // sites hand in 14 jobs a second. More parts cost a successor more reads.
+  static const std::vector<std::string> kParts = { "j0", "j1", "j2", "j3",
+                                                   "j4", "j5", "j6", "j7" };
+  return kParts;
+}
+
+const std::string& PartOfJob(const std::string& aJob)
+{
+  // FNV-1a: all instances, also of other builds, must agree on the part.
+  std::uint32_t hash = 2166136261U;
+  for (const char c : aJob) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
+  }
+  return JobParts()[hash % JobParts().size()];
+}
+
 std::string CancelKey(const std::string& aJob)
 {
   return aJob + kCancelSuffix;
@@ -124,11 +143,6 @@
   return aKey.substr(0, aKey.find_first_of("./"));
 }
 
-std::string PendingKey(const std::string& aQueue, const std::string& aJob)
-{
-  return aQueue + "/" + aJob;
-}
-
 std::string RunKey(const std::string& aJob, int aOccurrence, int aStep)
 {
   return aJob + "/" + std::to_string(aOccurrence) + "/" + std::to_string(aStep);
@@ -222,4 +236,17 @@
   });
 }
 
+std::string EncodeQueueLengths(const QueueLengths& aLengths)
+{
+  return Json(aLengths).dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+base::Expected<QueueLengths> DecodeQueueLengths(const std::string& aValue)
+{
+  return Decoded<QueueLengths>(
+    "read queue lengths", aValue, [](const Json& aJson) {
+      return aJson.get<QueueLengths>();
+    });
+}
+
 } // namespace flamingoloom::jobs
--- a/flamingoloom/jobs/records.h
+++ b/flamingoloom/jobs/records.h
@@ -4,14 +4,19 @@
 //   table kJobTable, key ID + ".c"     the job was cancelled
 //   table kStateTable, key ID          its state, for callers
 //   table kRunTable, key ID/K/STEP     what became of the tasks of a step
-//   table kPendingTable, key QUEUE/ID  while no task of it has started
 //
-// Instances that talk to callers create the rows; after that only the
-// scheduling instance writes kStateTable and kRunTable and removes rows.
+// Instances that talk to callers create the rows of kJobTable, in the part of
+// the store that PartOfJob names: the store works through the transactions of
+// a part one after another, so acceptances wait neither for each other nor for
+// the scheduling instance. That instance alone writes kStateTable and
+// kRunTable, in kSchedulerPart, and removes rows. A job without a row in
+// kStateTable is queued.
+//
 // Decoding never throws: a row that cannot be read is an error value.
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -23,13 +28,16 @@
 inline constexpr const char* kJobTable = "job";
 inline constexpr const char* kStateTable = "state";
 inline constexpr const char* kRunTable = "run";
-inline constexpr const char* kPendingTable = "pending";
+
+inline constexpr const char* kSchedulerPart = "scheduler";
+// All parts of kJobTable.
+const std::vector<std::string>& JobParts();
+const std::string& PartOfJob(const std::string& aJob);
 
 std::string CancelKey(const std::string& aJob);
 bool IsCancelKey(const std::string& aKey);
 // The job that a key of kJobTable or kRunTable belongs to.
 std::string JobOfKey(const std::string& aKey);
-std::string PendingKey(const std::string& aQueue, const std::string& aJob);
 std::string RunKey(const std::string& aJob, int aOccurrence, int aStep);
 
 struct StateRecord
@@ -81,4 +89,9 @@
 std::string EncodeStep(const StepRecord& aStep);
 base::Expected<StepRecord> DecodeStep(const std::string& aValue);
 
+// Jobs of which no task has started, by queue; queues without any are left out.
+using QueueLengths = std::map<std::string, std::int64_t>;
+std::string EncodeQueueLengths(const QueueLengths& aLengths);
+base::Expected<QueueLengths> DecodeQueueLengths(const std::string& aValue);
+
 } // namespace flamingoloom::jobs
--- a/flamingoloom/node/caller_desk.cpp
+++ b/flamingoloom/node/caller_desk.cpp
@@ -148,21 +148,11 @@
                        bool aUnknown,
                        Then aThen)
 {
-  Transaction transaction;
-  // A cancel may have overtaken the job.
-  transaction.mConditions = {
-    { jobs::kJobTable, jobs::CancelKey(aJob.mId), 0 }
-  };
-  transaction.mChanges = {
-    { jobs::kJobTable, aJob.mId, jobs::EncodeJob(aJob), 0 },
-    { jobs::kStateTable,
-      aJob.mId,
-      jobs::EncodeState({ jobs::JobState::eQueued, aJob.mAccount, 0 }),
-      0 },
-    { jobs::kPendingTable,
-      jobs::PendingKey(aJob.mRules.mQueue, aJob.mId),
-      "",
-      std::nullopt }
+  const Transaction transaction{
+    jobs::PartOfJob(aJob.mId),
+    // A cancel may have overtaken the job.
+    { { jobs::kJobTable, jobs::CancelKey(aJob.mId), 0 } },
+    { { jobs::kJobTable, aJob.mId, jobs::EncodeJob(aJob), 0 } }
   };
   const Time sentAt = mPorts.mLoop->Now();
   mPorts.mStore->Commit(
@@ -218,55 +208,96 @@
     });
 }
 
-void CallerDesk::ReadState(
-  const std::string& aJob,
+void CallerDesk::ReadRow(
+  const char* aTable,
+  const std::string& aPart,
+  const std::string& aKey,
   Time aUntil,
   int aTry,
-  std::function<void(std::optional<jobs::StateRecord>)> aFound,
+  std::function<void(const std::optional<std::string>&)> aFound,
   Then aThen)
 {
   mPorts.mStore->Read(
-    jobs::kStateTable,
-    aJob,
-    aJob + '\0',
+    aTable,
+    aPart,
+    aKey,
+    aKey + '\0',
     mTiming.mTryTimeout,
     [this,
-     aJob,
+     aTable,
+     aPart,
+     aKey,
      aUntil,
      aTry,
      found = std::move(aFound),
      then = std::move(aThen)](base::Expected<Rows> aRows) {
-      if (!aRows) {
-        if (MayRetry(aUntil, aTry, false)) {
-          mPorts.mLoop->After(mTiming.mQuickRetry,
-                              [this, aJob, aUntil, aTry, found, then] {
-                                ReadState(aJob, aUntil, aTry + 1, found, then);
-                              });
-          return;
-        }
-        mPorts.mLog->Write(
-          "state_unreadable",
-          { { "job", aJob }, { "error", aRows.error().ToString() } });
-        then(NotNow());
-        return;
-      }
-      if (aRows->mRows.empty()) {
-        found(std::nullopt);
+      if (aRows) {
+        found(aRows->mRows.empty() ? std::nullopt
+                                   : aRows->mRows.front().mValue);
         return;
       }
-      const auto state =
-        jobs::DecodeState(aRows->mRows.front().mValue.value_or(""));
-      if (!state) {
-        mPorts.mLog->Write(
-          "row_unreadable",
-          { { "key", aJob }, { "error", state.error().ToString() } });
-        then(NotNow());
+      if (MayRetry(aUntil, aTry, false)) {
+        mPorts.mLoop->After(
+          mTiming.mQuickRetry,
+          [this, aTable, aPart, aKey, aUntil, aTry, found, then] {
+            ReadRow(aTable, aPart, aKey, aUntil, aTry + 1, found, then);
+          });
         return;
       }
-      found(*state);
+      mPorts.mLog->Write(
+        "state_unreadable",
+        { { "job", aKey }, { "error", aRows.error().ToString() } });
+      then(NotNow());
     });
 }
 
+void CallerDesk::ReadState(
+  const std::string& aJob,
+  Time aUntil,
+  std::function<void(std::optional<jobs::StateRecord>)> aFound,
+  Then aThen)
+{
+  const auto unreadable = [this, aJob, aThen](const base::Error& aError) {
+    mPorts.mLog->Write("row_unreadable",
+                       { { "key", aJob }, { "error", aError.ToString() } });
+    aThen(NotNow());
+  };
+  const auto onJob = [found = aFound, unreadable, aJob](
+                       const std::optional<std::string>& aValue) {
+    if (!aValue) {
+      found(std::nullopt);
+      return;
+    }
+    const auto job = jobs::DecodeJob(aJob, *aValue);
+    if (!job) {
+      unreadable(job.error());
+      return;
+    }
+    found(jobs::StateRecord{ jobs::JobState::eQueued, job->mAccount, 0 });
+  };
+  const auto onState = [this,
+                        found = aFound,
+                        unreadable,
+                        aJob,
+                        aUntil,
+                        onJob,
+                        aThen](const std::optional<std::string>& aValue) {
+    if (!aValue) {
+      ReadRow(
+        jobs::kJobTable, jobs::PartOfJob(aJob), aJob, aUntil, 1, onJob, aThen);
+      return;
+    }
+    const auto state = jobs::DecodeState(*aValue);
+    if (!state) {
+      unreadable(state.error());
+      return;
+    }
+    found(*state);
+  };
+  ReadRow(
+    jobs::kStateTable, jobs::kSchedulerPart, aJob, aUntil, 1, onState, aThen);
+}
+
 void CallerDesk::Query(const CallerTarget& aTarget, Then aThen)
 {
   const auto place = Find(aTarget, aThen);
@@ -278,7 +309,7 @@
     return;
   }
   if (place->mJob.empty()) {
-    CountPending(place->mQueue->mRules.mQueue, "", 0, std::move(aThen));
+    aThen(Length(place->mQueue->mRules.mQueue));
     return;
   }
   const auto account = place->mAccount;
@@ -286,7 +317,6 @@
   ReadState(
     place->mJob,
     until,
-    1,
     [aThen, account](std::optional<jobs::StateRecord> aState) {
       if (!aState || aState->mAccount != account) {
         aThen(Answer(CallerVerdict::eNoSuchJob));
@@ -299,35 +329,21 @@
     aThen);
 }
 
-void CallerDesk::CountPending(const std::string& aQueue,
-                              const std::string& aFrom,
-                              std::int64_t aSoFar,
-                              Then aThen)
+void CallerDesk::SetQueueLengths(Time aNow, jobs::QueueLengths aLengths)
 {
-  const auto first = jobs::PendingKey(aQueue, "");
-  auto last = first;
-  ++last.back();
-  mPorts.mStore->Read(
-    jobs::kPendingTable,
-    aFrom.empty() ? first : aFrom,
-    last,
-    mTiming.mTryTimeout,
-    [this, aQueue, aSoFar, then = std::move(aThen)](
-      base::Expected<Rows> aRows) {
-      if (!aRows) {
-        then(NotNow());
-        return;
-      }
-      const auto count =
-        aSoFar + static_cast<std::int64_t>(aRows->mRows.size());
-      if (aRows->mMore && !aRows->mRows.empty()) {
-        CountPending(aQueue, aRows->mRows.back().mKey + '\0', count, then);
-        return;
-      }
-      CallerAnswer answer = Answer(CallerVerdict::eFound);
-      answer.mPendingJobs = count;
-      then(answer);
-    });
+  mLengths = std::move(aLengths);
+  mLengthsAt = aNow;
+}
+
+CallerAnswer CallerDesk::Length(const std::string& aQueue) const
+{
+  if (!mLengthsAt || mPorts.mLoop->Now() - *mLengthsAt > mTiming.mLengthsHold) {
+    return NotNow();
+  }
+  CallerAnswer answer = Answer(CallerVerdict::eFound);
+  const auto length = mLengths.find(aQueue);
+  answer.mPendingJobs = length == mLengths.end() ? 0 : length->second;
+  return answer;
 }
 
 void CallerDesk::Cancel(const CallerTarget& aTarget, Then aThen)
@@ -350,7 +366,6 @@
   ReadState(
     job,
     until,
-    1,
     [this, job, account, until, aThen](
       std::optional<jobs::StateRecord> aState) {
       if (aState && aState->mAccount != account) {
@@ -374,9 +389,10 @@
                                int aTry,
                                Then aThen)
 {
-  Transaction transaction;
-  transaction.mChanges = {
-    { jobs::kJobTable, jobs::CancelKey(aJob), "", std::nullopt }
+  const Transaction transaction{
+    jobs::PartOfJob(aJob),
+    {},
+    { { jobs::kJobTable, jobs::CancelKey(aJob), "", std::nullopt } }
   };
   mPorts.mStore->Commit(
     transaction,
--- a/flamingoloom/node/caller_desk.h
+++ b/flamingoloom/node/caller_desk.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "flamingoloom/jobs/records.h"
 #include "flamingoloom/node/configuration.h"
 #include "flamingoloom/node/ports.h"
 
@@ -61,6 +62,9 @@
   base::Duration mQuickRetry = std::chrono::milliseconds(40);
   // What a refused caller is told to wait. Outages of the store last seconds.
   base::Duration mRetryAfter = std::chrono::seconds(1);
+  // A queue's length is told for this long after it was heard of; the
+  // scheduling instance renews it every 500 ms, and the platform allows 2 s.
+  base::Duration mLengthsHold = std::chrono::milliseconds(1500);
 };
 
 // A circuit breaker in front of the store's writes: while they fail or are
@@ -95,6 +99,8 @@
   // Whether the store has lately answered; if not, callers are refused at
   // once instead of being kept waiting.
   void SetStoreReachable(bool aReachable) { mStoreReachable = aReachable; }
+  // Heard of at aNow.
+  void SetQueueLengths(base::Time aNow, jobs::QueueLengths aLengths);
 
   // aRead reads the job from the request's body; it is called only if the
   // queue and the key are good.
@@ -123,15 +129,20 @@
                      base::Time aUntil,
                      int aTry,
                      Then aThen);
+  // The state of a job, or none if there is no such job.
   void ReadState(const std::string& aJob,
                  base::Time aUntil,
-                 int aTry,
                  std::function<void(std::optional<jobs::StateRecord>)> aFound,
                  Then aThen);
-  void CountPending(const std::string& aQueue,
-                    const std::string& aFrom,
-                    std::int64_t aSoFar,
-                    Then aThen);
+  // Reads one row, again if the store refuses; aFound gets its value, if any.
+  void ReadRow(const char* aTable,
+               const std::string& aPart,
+               const std::string& aKey,
+               base::Time aUntil,
+               int aTry,
+               std::function<void(const std::optional<std::string>&)> aFound,
+               Then aThen);
+  CallerAnswer Length(const std::string& aQueue) const;
   bool MayRetry(base::Time aUntil, int aTry, bool aUnknown) const;
   base::Duration TryTime(base::Time aUntil) const;
   CallerAnswer NotNow() const;
@@ -141,6 +152,8 @@
   std::optional<Configuration> mConfiguration;
   bool mStoreReachable = false;
   StoreBreaker mStoreBreaker;
+  jobs::QueueLengths mLengths;
+  std::optional<base::Time> mLengthsAt;
 };
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/election.cpp
+++ b/flamingoloom/node/election.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdlib>
 
+#include "flamingoloom/jobs/records.h"
+
 namespace flamingoloom::node {
 namespace {
 
@@ -73,7 +75,7 @@
 
 Transaction Election::Claim() const
 {
-  Transaction transaction;
+  Transaction transaction{ jobs::kSchedulerPart, {}, {} };
   transaction.mChanges = {
     { kLeadTable, kEpochKey, EncodeEpoch(mEpoch + 1, mSelf), mEpochVersion },
     { kLeadTable, kRenewalKey, mSelf.Value(), mRenewalVersion }
@@ -83,7 +85,7 @@
 
 Transaction Election::Renewal() const
 {
-  Transaction transaction;
+  Transaction transaction{ jobs::kSchedulerPart, {}, {} };
   transaction.mConditions = { EpochCondition() };
   transaction.mChanges = {
     { kLeadTable, kRenewalKey, mSelf.Value(), std::nullopt }
@@ -93,7 +95,7 @@
 
 Transaction Election::Release() const
 {
-  Transaction transaction;
+  Transaction transaction{ jobs::kSchedulerPart, {}, {} };
   transaction.mConditions = { EpochCondition() };
   transaction.mChanges = { { kLeadTable, kRenewalKey, "", std::nullopt } };
   return transaction;
--- a/flamingoloom/node/election.h
+++ b/flamingoloom/node/election.h
@@ -1,9 +1,10 @@
 // Which instance schedules: a lease in the store, with an epoch that rises
 // with each change of holder.
 //
-// Two rows: kEpochKey changes only when the holder changes, so that a
-// scheduler's writes can be made conditional on it; kRenewalKey changes with
-// each renewal. Election is a state machine of one instance:
+// Two rows in jobs::kSchedulerPart: kEpochKey changes only when the holder
+// changes, so that a scheduler's writes can be made conditional on it;
+// kRenewalKey changes with each renewal. Election is a state machine of one
+// instance:
 //
 //   election.Observe(now, rows);              // changes of kLeadTable
 //   if (election.ClaimDue(now, contact)) {    // commit election.Claim()
@@ -25,6 +26,8 @@
 inline constexpr const char* kLeadTable = "lead";
 inline constexpr const char* kEpochKey = "epoch";
 inline constexpr const char* kRenewalKey = "renewal";
+// Written by the holder with its renewals; see jobs::QueueLengths.
+inline constexpr const char* kQueueLengthsKey = "queues";
 
 struct ElectionTiming
 {
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "flamingoloom/jobs/records.h"
+
 namespace flamingoloom::node {
 
 using base::Time;
@@ -33,12 +35,14 @@
   mOperatorWatch = std::make_shared<TableWatch>(
     mPorts,
     mPorts.mForeign->OperatorTable(),
+    std::vector<std::string>{ "" },
     TableWatchTiming{},
     [this](const std::vector<Row>& aRows) { OnOperatorRows(aRows); });
   mOperatorWatch->Start();
   mLeadWatch = std::make_shared<TableWatch>(
     mPorts,
     kLeadTable,
+    std::vector<std::string>{ jobs::kSchedulerPart },
     TableWatchTiming{},
     [this](const std::vector<Row>& aRows) { OnLeadRows(aRows); });
   mLeadWatch->Start();
@@ -123,6 +127,19 @@
 void Instance::OnLeadRows(const std::vector<Row>& aRows)
 {
   mElection.Observe(mPorts.mLoop->Now(), aRows);
+  for (const auto& row : aRows) {
+    if (row.mKey != kQueueLengthsKey) {
+      continue;
+    }
+    auto lengths = jobs::DecodeQueueLengths(row.mValue.value_or(""));
+    if (lengths) {
+      mCallers.SetQueueLengths(mPorts.mLoop->Now(), std::move(*lengths));
+    } else {
+      mPorts.mLog->Write(
+        "row_unreadable",
+        { { "key", row.mKey }, { "error", lengths.error().ToString() } });
+    }
+  }
   if (mLead && !mElection.IsLeading()) {
     mPorts.mLog->Write("lead_superseded",
                        { { "holder", mElection.Holder().Value() } });
@@ -206,7 +223,14 @@
   }
   ++mRenewalsInFlight;
   const Time sentAt = mPorts.mLoop->Now();
-  mPorts.mStore->Commit(mElection.Renewal(),
+  auto renewal = mElection.Renewal();
+  if (const auto lengths = mLead->QueueLengths()) {
+    renewal.mChanges.push_back({ kLeadTable,
+                                 kQueueLengthsKey,
+                                 jobs::EncodeQueueLengths(*lengths),
+                                 std::nullopt });
+  }
+  mPorts.mStore->Commit(renewal,
                         kClaimTimeout,
                         [this, sentAt](base::Expected<CommitResult> aResult) {
                           --mRenewalsInFlight;
--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -93,6 +93,7 @@
 {
   mPorts.mStore->Read(
     kLoadedTables[aTable],
+    jobs::kSchedulerPart,
     aFrom,
     "",
     kReadTimeout,
@@ -124,12 +125,13 @@
 
 void Lead::FinishLoading()
 {
-  // Jobs are read last: a job whose state is missing was accepted meanwhile,
-  // and its state row has the version of the job's row.
+  // Jobs are read last, so that each state that was read has its job; only a
+  // cleaning that was cut short leaves states alone.
   std::weak_ptr<Lead> weak = shared_from_this();
   mJobWatch =
     std::make_shared<TableWatch>(mPorts,
                                  jobs::kJobTable,
+                                 jobs::JobParts(),
                                  TableWatchTiming{},
                                  [weak](const std::vector<Row>& aRows) {
                                    if (const auto self = weak.lock()) {
@@ -166,20 +168,26 @@
       std::clamp<std::int64_t>(mPorts.mLoop->UnixMs() - job->mAcceptedMs,
                                0,
                                base::ToMilliseconds(kLongestAge));
-    mScheduler.AddJob(now - milliseconds(age), std::move(*job), row.mVersion);
+    mScheduler.AddJob(now - milliseconds(age), std::move(*job));
   }
   if (mPhase == Phase::eLoading) {
     for (const auto& row : mLoadedStates) {
       const auto state = jobs::DecodeState(row.mValue.value_or(""));
-      if (state) {
-        mScheduler.RestoreState(row.mKey, *state, row.mVersion);
+      if (state && !mScheduler.RestoreState(row.mKey, *state, row.mVersion)) {
+        mLeftovers.push_back(
+          { jobs::kStateTable, row.mKey, std::nullopt, std::nullopt });
       }
     }
     for (const auto& row : mLoadedSteps) {
       const auto step = jobs::DecodeStep(row.mValue.value_or(""));
       if (step) {
-        mScheduler.RestoreStep(
-          jobs::JobOfKey(row.mKey), *step, row.mVersion, EarlierLeasesEndBy());
+        if (!mScheduler.RestoreStep(jobs::JobOfKey(row.mKey),
+                                    *step,
+                                    row.mVersion,
+                                    EarlierLeasesEndBy())) {
+          mLeftovers.push_back(
+            { jobs::kRunTable, row.mKey, std::nullopt, std::nullopt });
+        }
       } else {
         mPorts.mLog->Write(
           "row_unreadable",
@@ -200,8 +208,9 @@
     Clean();
   }
   for (const auto& row : aRows) {
-    if (row.mValue && jobs::IsCancelKey(row.mKey)) {
-      mScheduler.Cancel(now, jobs::JobOfKey(row.mKey));
+    if (row.mValue && jobs::IsCancelKey(row.mKey) &&
+        !mScheduler.Cancel(jobs::JobOfKey(row.mKey))) {
+      mLoneCancels.emplace(jobs::JobOfKey(row.mKey), now);
     }
   }
   Poke();
@@ -231,6 +240,7 @@
 {
   mPorts.mStore->Read(
     mPorts.mForeign->ServerTable(),
+    "",
     aFrom,
     "",
     kReadTimeout,
@@ -418,9 +428,9 @@
 void Lead::SendCommit(scheduler::Batch aBatch, bool aRetry)
 {
   mCommitting = true;
-  Transaction transaction;
-  transaction.mConditions = { mEpochCondition };
-  transaction.mChanges = aBatch.mRows;
+  const Transaction transaction{ jobs::kSchedulerPart,
+                                 { mEpochCondition },
+                                 aBatch.mRows };
   mPorts.mStore->Commit(transaction,
                         mTiming.mCommitTimeout,
                         [self = shared_from_this(),
@@ -526,33 +536,98 @@
   return mStoreMs + base::ToMilliseconds(mPorts.mLoop->Now() - mStoreMsReadAt);
 }
 
+std::optional<jobs::QueueLengths> Lead::QueueLengths() const
+{
+  if (mPhase != Phase::eScheduling) {
+    return std::nullopt;
+  }
+  return mScheduler.QueueLengths();
+}
+
 void Lead::Clean()
 {
   if (mPhase != Phase::eScheduling) {
     return;
   }
-  const auto rows = mScheduler.TakeExpired(
-    StoreNowMs() - base::ToMilliseconds(mTiming.mKeepFinal));
-  if (!rows.empty()) {
-    Transaction transaction;
-    transaction.mConditions = { mEpochCondition };
-    transaction.mChanges.assign(
-      rows.begin(),
-      rows.begin() +
-        std::min<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(rows.size()), 90));
-    mPorts.mStore->Commit(
-      transaction,
-      mTiming.mCommitTimeout,
-      [self = shared_from_this()](const base::Expected<CommitResult>& aResult) {
-        // A row that stays is read again by the next lead.
-        if (!aResult) {
-          self->mPorts.mLog->Write("clean_failed",
-                                   { { "error", aResult.error().ToString() } });
-        }
-      });
+  if (!mUncleaned.empty()) {
+    CleanNext(std::exchange(mUncleaned, {}), 0);
+    return;
+  }
+  std::map<std::string, std::vector<scheduler::RowChange>> jobRows;
+  auto rows = std::move(mLeftovers);
+  mLeftovers.clear();
+  const auto remove = [](std::vector<scheduler::RowChange>& aRows,
+                         const char* aTable,
+                         const std::string& aKey) {
+    aRows.push_back({ aTable, aKey, std::nullopt, std::nullopt });
+  };
+  for (const auto& expired : mScheduler.TakeExpired(
+         StoreNowMs() - base::ToMilliseconds(mTiming.mKeepFinal))) {
+    auto& ofPart = jobRows[jobs::PartOfJob(expired.mJob)];
+    remove(ofPart, jobs::kJobTable, expired.mJob);
+    if (expired.mCancelled) {
+      remove(ofPart, jobs::kJobTable, jobs::CancelKey(expired.mJob));
+    }
+    for (const auto& key : expired.mRunKeys) {
+      remove(rows, jobs::kRunTable, key);
+    }
+    remove(rows, jobs::kStateTable, expired.mJob);
+  }
+  for (auto cancel = mLoneCancels.begin(); cancel != mLoneCancels.end();) {
+    if (mPorts.mLoop->Now() - cancel->second < mTiming.mKeepFinal) {
+      ++cancel;
+      continue;
+    }
+    remove(jobRows[jobs::PartOfJob(cancel->first)],
+           jobs::kJobTable,
+           jobs::CancelKey(cancel->first));
+    cancel = mLoneCancels.erase(cancel);
+  }
+  // The jobs go first: one that outlived its state would be taken for queued
+  // and run again.
+  std::vector<Transaction> transactions;
+  for (auto& [part, changes] : jobRows) {
+    transactions.push_back({ part, {}, std::move(changes) });
+  }
+  constexpr std::ptrdiff_t kRowsAtOnce = 90;
+  for (auto from = rows.begin(); from != rows.end();) {
+    const auto to = from + std::min(kRowsAtOnce, rows.end() - from);
+    transactions.push_back(
+      { jobs::kSchedulerPart, { mEpochCondition }, { from, to } });
+    from = to;
   }
-  mPorts.mLoop->After(mTiming.mCleanEvery,
-                      [self = shared_from_this()] { self->Clean(); });
+  CleanNext(std::move(transactions), 0);
+}
+
+void Lead::CleanNext(std::vector<Transaction> aTransactions, std::size_t aNext)
+{
+  if (aNext == aTransactions.size()) {
+    mPorts.mLoop->After(mTiming.mCleanEvery,
+                        [self = shared_from_this()] { self->Clean(); });
+    return;
+  }
+  const Transaction transaction = aTransactions[aNext];
+  mPorts.mStore->Commit(
+    transaction,
+    mTiming.mCommitTimeout,
+    [self = shared_from_this(), transactions = std::move(aTransactions), aNext](
+      const base::Expected<CommitResult>& aResult) mutable {
+      if (self->mPhase != Phase::eScheduling) {
+        return;
+      }
+      if (!aResult) {
+        self->mPorts.mLog->Write("clean_failed",
+                                 { { "error", aResult.error().ToString() } });
+        self->mUncleaned.assign(transactions.begin() +
+                                  static_cast<std::ptrdiff_t>(aNext),
+                                transactions.end());
+        transactions.clear();
+        aNext = 0;
+      } else {
+        ++aNext;
+      }
+      self->CleanNext(std::move(transactions), aNext);
+    });
 }
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/lead.h
+++ b/flamingoloom/node/lead.h
@@ -66,6 +66,9 @@
   void SetConfiguration(const Configuration& aConfiguration);
   void SetDataCentresOut(const std::set<base::DataCentreId>& aOut);
 
+  // None until the stored jobs are taken over.
+  std::optional<jobs::QueueLengths> QueueLengths() const;
+
 private:
   enum class Phase
   {
@@ -96,6 +99,7 @@
   void AskServers();
   void Lose(const char* aReason);
   void Clean();
+  void CleanNext(std::vector<Transaction> aTransactions, std::size_t aNext);
   std::int64_t StoreNowMs() const;
   // Every lease that an earlier epoch granted has ended by then.
   base::Time EarlierLeasesEndBy() const;
@@ -115,6 +119,12 @@
   // Rows read while loading.
   std::vector<Row> mLoadedStates;
   std::vector<Row> mLoadedSteps;
+  // Rows of jobs that an interrupted cleaning has removed.
+  std::vector<scheduler::RowChange> mLeftovers;
+  // Cancels of jobs that are not known, and since when.
+  std::map<std::string, base::Time> mLoneCancels;
+  // What a cleaning did not get done.
+  std::vector<Transaction> mUncleaned;
   std::int64_t mStoreMs = 0;
   base::Time mStoreMsReadAt;
   bool mCommitting = false;
--- a/flamingoloom/node/ports.h
+++ b/flamingoloom/node/ports.h
@@ -62,8 +62,12 @@
   friend bool operator==(const RowCondition&, const RowCondition&) = default;
 };
 
+// Changes that are made together or not at all. The store works through the
+// transactions of one part in order; those of other parts go on meanwhile.
 struct Transaction
 {
+  // The part that holds all rows of the transaction.
+  std::string mPart;
   std::vector<RowCondition> mConditions;
   // Expected versions of changes count as conditions.
   std::vector<scheduler::RowChange> mChanges;
@@ -99,15 +103,16 @@
     base::Duration aTimeout,
     std::function<void(base::Expected<CommitResult>)> aThen) = 0;
 
-  // Rows with aFrom <= key < aTo in order; an empty aTo is open.
+  // Rows of one part with aFrom <= key < aTo in order; an empty aTo is open.
   virtual void Read(const std::string& aTable,
+                    const std::string& aPart,
                     const std::string& aFrom,
                     const std::string& aTo,
                     base::Duration aTimeout,
                     std::function<void(base::Expected<Rows>)> aThen) = 0;
 
-  // Waits up to aWait for changes after aVersion. eNotFound: the store has
-  // forgotten that far back.
+  // Waits up to aWait for changes after aVersion in any part. eNotFound: the
+  // store has forgotten that far back.
   virtual void Follow(const std::string& aTable,
                       std::int64_t aVersion,
                       base::Duration aWait,
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -4,10 +4,12 @@
 
 TableWatch::TableWatch(Ports aPorts,
                        std::string aTable,
+                       std::vector<std::string> aParts,
                        TableWatchTiming aTiming,
                        OnChange aOnChange)
   : mPorts(aPorts)
   , mTable(std::move(aTable))
+  , mParts(std::move(aParts))
   , mTiming(aTiming)
   , mOnChange(std::move(aOnChange))
 {
@@ -15,17 +17,22 @@
 
 void TableWatch::Start()
 {
-  ReadPage("", {});
+  ReadPage(0, "", {});
 }
 
-void TableWatch::ReadPage(const std::string& aFrom, std::vector<Row> aSoFar)
+void TableWatch::ReadPage(std::size_t aPart,
+                          const std::string& aFrom,
+                          std::vector<Row> aSoFar)
 {
   mPorts.mStore->Read(
     mTable,
+    mParts[aPart],
     aFrom,
     "",
     mTiming.mReadTimeout,
     [self = shared_from_this(),
+     aPart,
+     first = aPart == 0 && aFrom.empty(),
      rows = std::move(aSoFar)](base::Expected<Rows> aPage) mutable {
       if (self->mStopped) {
         return;
@@ -36,14 +43,18 @@
         return;
       }
       self->NoteContact();
-      if (rows.empty()) {
+      if (first) {
         // Changes after the first page are followed from here.
         self->mVersion = aPage->mVersion;
       }
       rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
       if (aPage->mMore && !aPage->mRows.empty()) {
         const auto next = aPage->mRows.back().mKey + '\0';
-        self->ReadPage(next, std::move(rows));
+        self->ReadPage(aPart, next, std::move(rows));
+        return;
+      }
+      if (aPart + 1 < self->mParts.size()) {
+        self->ReadPage(aPart + 1, "", std::move(rows));
         return;
       }
       self->TakeSnapshot(rows);
@@ -124,7 +135,7 @@
       return;
     }
     if (self->mReadWhole) {
-      self->ReadPage("", {});
+      self->ReadPage(0, "", {});
     } else {
       self->FollowChanges();
     }
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -32,8 +32,10 @@
   // Rows that changed, with no value for those that are gone.
   using OnChange = std::function<void(const std::vector<Row>&)>;
 
+  // aParts are all parts that hold rows of the table.
   TableWatch(Ports aPorts,
              std::string aTable,
+             std::vector<std::string> aParts,
              TableWatchTiming aTiming,
              OnChange aOnChange);
 
@@ -48,7 +50,9 @@
   bool IsConnected() const { return mConnected; }
 
 private:
-  void ReadPage(const std::string& aFrom, std::vector<Row> aSoFar);
+  void ReadPage(std::size_t aPart,
+                const std::string& aFrom,
+                std::vector<Row> aSoFar);
   void TakeSnapshot(const std::vector<Row>& aRows);
   void FollowChanges();
   void Retry();
@@ -57,6 +61,7 @@
 
   const Ports mPorts;
   const std::string mTable;
+  const std::vector<std::string> mParts;
   const TableWatchTiming mTiming;
   const OnChange mOnChange;
   std::map<std::string, std::int64_t> mVersions;
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -23,7 +23,7 @@
   }
 }
 
-void Scheduler::AddJob(Time aNow, jobs::JobSpec aSpec, std::int64_t aVersion)
+void Scheduler::AddJob(Time aNow, jobs::JobSpec aSpec)
 {
   const auto [entry, added] = mJobs.try_emplace(aSpec.mId);
   if (!added) {
@@ -33,7 +33,6 @@
   Job& job = *entry->second;
   job.mSpec = std::move(aSpec);
   job.mAcceptedAt = aNow;
-  job.mStateVersion = aVersion;
   job.mUnfinishedOccurrences = job.mSpec.OccurrenceCount();
   job.mObjective = aNow +
                    std::chrono::duration_cast<base::Duration>(
@@ -46,23 +45,33 @@
   }
 }
 
-void Scheduler::RestoreState(const std::string& aJob,
+bool Scheduler::RestoreState(const std::string& aJob,
                              const jobs::StateRecord& aState,
                              std::int64_t aVersion)
 {
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end()) {
-    return;
+    return false;
   }
   Job& job = *entry->second;
   job.mState = aState.mState;
   job.mStateVersion = aVersion;
   job.mEndedAtStoreMs = aState.mEndedAtStoreMs;
-  job.mPendingRow = aState.mState == JobState::eQueued;
-  job.mCancelled = aState.mState == JobState::eCancelled;
+  return true;
+}
+
+jobs::QueueLengths Scheduler::QueueLengths() const
+{
+  jobs::QueueLengths lengths;
+  for (const auto& [id, job] : mJobs) {
+    if (job->mState == JobState::eQueued) {
+      ++lengths[job->mSpec.mRules.mQueue];
+    }
+  }
+  return lengths;
 }
 
-void Scheduler::RestoreStep(const std::string& aJob,
+bool Scheduler::RestoreStep(const std::string& aJob,
                             const jobs::StepRecord& aStep,
                             std::int64_t aVersion,
                             Time aLeasesEndBy)
@@ -70,7 +79,7 @@
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end() || aStep.mStep < 0 ||
       aStep.mStep >= static_cast<int>(entry->second->mSpec.mSteps.size())) {
-    return;
+    return false;
   }
   Job& job = *entry->second;
   auto occurrence = job.mOccurrences.find(aStep.mOccurrence);
@@ -92,6 +101,7 @@
     server.mRuns.insert({ step.Name(static_cast<int>(i)), task.mRun });
     server.mUsed += step.Spec().Footprint();
   }
+  return true;
 }
 
 void Scheduler::Resume(Time aNow)
@@ -121,17 +131,21 @@
   }
 }
 
-void Scheduler::Cancel(Time, const std::string& aJob)
+bool Scheduler::Cancel(const std::string& aJob)
 {
   const auto entry = mJobs.find(aJob);
-  if (entry == mJobs.end() || entry->second->IsFinal()) {
-    return;
+  if (entry == mJobs.end()) {
+    return false;
   }
   Job& job = *entry->second;
   job.mCancelled = true;
+  if (job.IsFinal()) {
+    return true;
+  }
   Log("job_cancelled", aJob);
   SetState(job, JobState::eCancelled);
   StopAll(job, "cancelled");
+  return true;
 }
 
 void Scheduler::StopAll(Job& aJob, const char* aReason)
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -4,7 +4,7 @@
 // clock or network. It is fed with jobs, entries of servers, their reports and
 // the answers to orders; it gives out rows to store and orders to send:
 //
-//   scheduler.AddJob(now, job, version);
+//   scheduler.AddJob(now, job);
 //   scheduler.Schedule(now, unixMs);
 //   auto batch = scheduler.TakeBatch();         // store it, then
 //   scheduler.OnStored(now, batch, version);
@@ -71,6 +71,15 @@
   std::vector<StopOrder> mStops;
 };
 
+// A job of which nothing is needed any more, with the keys of its rows.
+struct ExpiredJob
+{
+  std::string mJob;
+  // It has a cancel's mark.
+  bool mCancelled = false;
+  std::vector<std::string> mRunKeys;
+};
+
 // One decision for the log.
 struct Decision
 {
@@ -86,20 +95,21 @@
 
   Scheduler(SchedulerSettings aSettings, DecisionSink aSink);
 
-  // Jobs. aVersion is the version of the job's row, which its state row has
-  // too until the first change. A job that is known already is left as it is.
-  void AddJob(base::Time aNow, jobs::JobSpec aSpec, std::int64_t aVersion);
-  // What a predecessor stored; call after AddJob and before Resume.
-  void RestoreState(const std::string& aJob,
+  // Jobs. A job that is known already is left as it is.
+  void AddJob(base::Time aNow, jobs::JobSpec aSpec);
+  // What a predecessor stored; call after AddJob and before Resume. False for
+  // a job, or a step, that is not known.
+  bool RestoreState(const std::string& aJob,
                     const jobs::StateRecord& aState,
                     std::int64_t aVersion);
-  void RestoreStep(const std::string& aJob,
+  bool RestoreStep(const std::string& aJob,
                    const jobs::StepRecord& aStep,
                    std::int64_t aVersion,
                    base::Time aLeasesEndBy);
   // Ends restoring: sets what follows from the restored rows.
   void Resume(base::Time aNow);
-  void Cancel(base::Time aNow, const std::string& aJob);
+  // False for a job that is not known.
+  bool Cancel(const std::string& aJob);
 
   // Servers. aLeasesEndBy bounds leases that a predecessor may have granted on
   // servers not heard of before. Returns those to ask for a report.
@@ -150,8 +160,10 @@
   bool NeedsReports(const base::ServerId& aServer) const;
   // Until the next occurrence is due, in milliseconds of the time of day.
   std::optional<std::int64_t> MillisecondsToNextDue(std::int64_t aUnixMs) const;
-  // Rows of jobs that became final before aStoreMs; the jobs are forgotten.
-  std::vector<RowChange> TakeExpired(std::int64_t aStoreMs);
+  // Some of the jobs that became final before aStoreMs; they are forgotten
+  // here.
+  std::vector<ExpiredJob> TakeExpired(std::int64_t aStoreMs);
+  jobs::QueueLengths QueueLengths() const;
 
   const Fleet& Servers() const { return mFleet; }
   const std::map<std::string, std::unique_ptr<Job>>& Jobs() const
@@ -172,7 +184,7 @@
   void MarkDirty(Job& aJob);
   void SetState(Job& aJob, jobs::JobState aState);
   void AddStepRow(StepRun& aStep, Batch& aBatch);
-  void AddStateRows(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch);
+  void AddStateRow(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch);
 
   void Intend(StepRun& aStep,
               int aIndex,
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -13,9 +13,10 @@
 // The store takes 100 entries in a transaction, and a condition counts as one;
 // some are left for the epoch's condition.
 constexpr std::size_t kEntriesPerBatch = 95;
-// A row with a condition, and a job's state with its row in kPendingTable.
-constexpr std::size_t kEntriesPerStep = 2;
-constexpr std::size_t kEntriesPerState = 3;
+// A row with a condition.
+constexpr std::size_t kEntriesPerRow = 2;
+// Jobs that are cleaned away at a time, so that cleaning stays beside the work.
+constexpr std::size_t kExpiredAtOnce = 40;
 // Below the store's 1 MB for a transaction, also in base64.
 constexpr std::size_t kBytesPerBatch = std::size_t{ 500 } * 1024;
 
@@ -35,23 +36,22 @@
   std::size_t entries = 0;
   std::size_t bytes = 0;
   for (StepRun* step : mDirtySteps) {
-    if (entries + kEntriesPerStep > kEntriesPerBatch ||
-        bytes > kBytesPerBatch) {
+    if (entries + kEntriesPerRow > kEntriesPerBatch || bytes > kBytesPerBatch) {
       break;
     }
-    entries += kEntriesPerStep;
+    entries += kEntriesPerRow;
     steps.push_back(step);
     AddStepRow(*step, batch);
     bytes += batch.mRows.back().mValue->size();
   }
   const bool allSteps = steps.size() == mDirtySteps.size();
   for (Job* job : mDirtyJobs) {
-    if (!allSteps || entries + kEntriesPerState > kEntriesPerBatch) {
+    if (!allSteps || entries + kEntriesPerRow > kEntriesPerBatch) {
       break;
     }
-    entries += kEntriesPerState;
+    entries += kEntriesPerRow;
     states.push_back(job);
-    AddStateRows(*job, aStoreNowMs, batch);
+    AddStateRow(*job, aStoreNowMs, batch);
   }
   for (StepRun* step : steps) {
     mDirtySteps.erase(step);
@@ -79,7 +79,7 @@
   }
 }
 
-void Scheduler::AddStateRows(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch)
+void Scheduler::AddStateRow(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch)
 {
   aJob.mStateDirty = false;
   if (aJob.IsFinal() && aJob.mEndedAtStoreMs == 0) {
@@ -91,14 +91,6 @@
       jobs::EncodeState(
         { aJob.mState, aJob.mSpec.mAccount, aJob.mEndedAtStoreMs }),
       aJob.mStateVersion });
-  if (aJob.mPendingRow && aJob.mState != JobState::eQueued) {
-    aJob.mPendingRow = false;
-    aBatch.mRows.push_back(
-      { jobs::kPendingTable,
-        jobs::PendingKey(aJob.mSpec.mRules.mQueue, aJob.mSpec.mId),
-        std::nullopt,
-        std::nullopt });
-  }
 }
 
 void Scheduler::OnStored(Time aNow, const Batch& aBatch, std::int64_t aVersion)
@@ -161,19 +153,25 @@
   return orders;
 }
 
-std::vector<RowChange> Scheduler::TakeExpired(std::int64_t aStoreMs)
+std::vector<ExpiredJob> Scheduler::TakeExpired(std::int64_t aStoreMs)
 {
-  std::vector<RowChange> rows;
-  for (auto entry = mJobs.begin(); entry != mJobs.end();) {
-    Job& job = *entry->second;
-    bool busy = job.mStateDirty || !job.IsFinal() ||
-                job.mEndedAtStoreMs >= aStoreMs ||
-                rows.size() > kEntriesPerBatch / 2;
+  std::vector<ExpiredJob> expired;
+  for (auto entry = mJobs.begin();
+       entry != mJobs.end() && expired.size() < kExpiredAtOnce;) {
+    const Job& job = *entry->second;
+    bool busy =
+      job.mStateDirty || !job.IsFinal() || job.mEndedAtStoreMs >= aStoreMs;
+    ExpiredJob candidate{ entry->first, job.mCancelled, {} };
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (const auto& step : occurrence.mSteps) {
-        busy = busy || step->mDirty;
-        for (const auto& task : step->mTasks) {
-          busy = busy || IsPlaced(task.mPhase);
+        busy =
+          busy || step->mDirty ||
+          std::any_of(step->mTasks.begin(),
+                      step->mTasks.end(),
+                      [](const Task& aTask) { return IsPlaced(aTask.mPhase); });
+        if (step->mRowVersion != 0) {
+          candidate.mRunKeys.push_back(
+            jobs::RunKey(entry->first, number, step->mStep));
         }
       }
     }
@@ -181,29 +179,10 @@
       ++entry;
       continue;
     }
-    for (const auto& [number, occurrence] : job.mOccurrences) {
-      for (const auto& step : occurrence.mSteps) {
-        if (step->mRowVersion != 0) {
-          rows.push_back({ jobs::kRunTable,
-                           jobs::RunKey(entry->first, number, step->mStep),
-                           std::nullopt,
-                           std::nullopt });
-        }
-      }
-    }
-    rows.push_back(
-      { jobs::kStateTable, entry->first, std::nullopt, std::nullopt });
-    rows.push_back(
-      { jobs::kJobTable, entry->first, std::nullopt, std::nullopt });
-    if (job.mCancelled) {
-      rows.push_back({ jobs::kJobTable,
-                       jobs::CancelKey(entry->first),
-                       std::nullopt,
-                       std::nullopt });
-    }
+    expired.push_back(std::move(candidate));
     entry = mJobs.erase(entry);
   }
-  return rows;
+  return expired;
 }
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -53,7 +53,7 @@
     return job;
   }
 
-  void Add(const jobs::JobSpec& aJob) { mScheduler.AddJob(mNow, aJob, 1); }
+  void Add(const jobs::JobSpec& aJob) { mScheduler.AddJob(mNow, aJob); }
 
   void Report(const ServerId& aServer,
               std::vector<RunningTask> aRunning,
@@ -480,7 +480,7 @@
   f.AddServers(1);
   f.Add(Fixture::Job("a", 1, 1));
   f.StartAll();
-  f.mScheduler.Cancel(f.mNow, "a");
+  f.mScheduler.Cancel("a");
   const auto orders = f.Pass();
   CHECK(orders.mStops.size() == 1);
   CHECK(f.State("a") == JobState::eCancelled);
--- a/flamingoloom/scheduler/work.h
+++ b/flamingoloom/scheduler/work.h
@@ -106,12 +106,12 @@
   jobs::JobState mState = jobs::JobState::eQueued;
   base::Time mAcceptedAt;
   std::int64_t mEndedAtStoreMs = 0;
+  // It has a cancel's mark in the store.
   bool mCancelled = false;
   std::map<int, Occurrence> mOccurrences;
   int mUnfinishedOccurrences = 0;
   std::int64_t mStateVersion = 0;
   bool mStateDirty = false;
-  bool mPendingRow = true;
   // Latest time at which completing still earns the full credit.
   base::Time mObjective;
 
--- /dev/null
+++ b/testing/platform_world/caller_desk_test.cpp
@@ -0,0 +1,120 @@
+#include <doctest/doctest.h>
+
+#include "flamingoloom/node/caller_desk.h"
+#include "testing/platform_world/clock_loop.h"
+#include "testing/platform_world/fake_store.h"
+#include "testing/platform_world/silent_log.h"
+
+namespace flamingoloom::testing::platform_world {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+jobs::JobSpec Job(int aNumber)
+{
+  jobs::JobSpec job;
+  char id[17];
+  std::snprintf(id, sizeof(id), "%016x", static_cast<unsigned>(aNumber));
+  job.mId = id;
+  job.mSteps.resize(1);
+  return job;
+}
+
+node::Configuration OneQueue()
+{
+  node::Configuration configuration;
+  configuration.mVersion = 1;
+  node::Queue queue;
+  queue.mHost = "host";
+  queue.mPathPrefix = "/q/";
+  queue.mPublic = true;
+  configuration.mQueues = { queue };
+  return configuration;
+}
+
+struct Fixture
+{
+  Fixture()
+  {
+    mDesk.SetConfiguration(OneQueue());
+    mDesk.SetStoreReachable(true);
+  }
+
+  fakes::VirtualClock mClock{ 1 };
+  FakeStore mStore{ mClock };
+  StoreLink mLink{ mStore, mClock };
+  ClockLoop mLoop{ mClock };
+  SilentLog mLog;
+  node::CallerDesk mDesk{ { &mLoop, &mLink, nullptr, nullptr, &mLog }, {} };
+};
+
+// Guards against acceptances that queue up behind each other in one part of
+// the store: a store that takes 250 ms for a transaction then takes 4 a second.
+TEST_CASE("Acceptances do not wait for each other while the store is slow")
+{
+  Fixture fixture;
+  fixture.mStore.SetTransactionTime(milliseconds(250));
+  int accepted = 0;
+  constexpr int kJobs = 56;
+  for (int i = 0; i < kJobs; ++i) {
+    fixture.mClock.After(milliseconds(i * 1000 / 14), [&, i] {
+      fixture.mDesk.Submit(
+        { "host", "/q/" + Job(i).mId, "", seconds(3) },
+        [i] { return base::Expected<jobs::JobSpec>(Job(i)); },
+        [&accepted](const node::CallerAnswer& aAnswer) {
+          accepted += aAnswer.mVerdict == node::CallerVerdict::eAccepted;
+        });
+    });
+  }
+  fixture.mClock.RunFor(seconds(10));
+  CHECK(accepted >= kJobs * 9 / 10);
+}
+
+// Guards against a length that is told as current although the scheduling
+// instance, which counts it, is gone.
+TEST_CASE("A queue's length is told while it is fresh")
+{
+  Fixture fixture;
+  const auto ask = [&fixture] {
+    node::CallerAnswer answer;
+    fixture.mDesk.Query(
+      { "host", "/q/", "", seconds(3) },
+      [&answer](const node::CallerAnswer& aAnswer) { answer = aAnswer; });
+    return answer;
+  };
+  CHECK(ask().mVerdict == node::CallerVerdict::eNotNow);
+  fixture.mDesk.SetQueueLengths(fixture.mClock.Now(), { { "", 7 } });
+  CHECK(ask().mVerdict == node::CallerVerdict::eFound);
+  CHECK(ask().mPendingJobs == 7);
+  fixture.mClock.RunFor(seconds(2));
+  CHECK(ask().mVerdict == node::CallerVerdict::eNotNow);
+}
+
+// Guards against a job that is taken for unknown between its acceptance and
+// its first start, when only the row of its acceptance exists.
+TEST_CASE("An accepted job without a state of its own is queued")
+{
+  Fixture fixture;
+  const auto job = Job(1);
+  fixture.mDesk.Submit(
+    { "host", "/q/" + job.mId, "", seconds(3) },
+    [&job] { return base::Expected<jobs::JobSpec>(job); },
+    [](const node::CallerAnswer&) {});
+  fixture.mClock.RunFor(seconds(1));
+  node::CallerAnswer answer;
+  const auto ask = [&](const std::string& aId) {
+    fixture.mDesk.Query(
+      { "host", "/q/" + aId, "", seconds(3) },
+      [&answer](const node::CallerAnswer& aAnswer) { answer = aAnswer; });
+    fixture.mClock.RunFor(seconds(1));
+  };
+  ask(job.mId);
+  CHECK(answer.mVerdict == node::CallerVerdict::eFound);
+  CHECK(answer.mState == jobs::JobState::eQueued);
+  ask(Job(2).mId);
+  CHECK(answer.mVerdict == node::CallerVerdict::eNoSuchJob);
+}
+
+} // namespace
+} // namespace flamingoloom::testing::platform_world
--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -24,13 +24,13 @@
 
 void FakeStore::Write(const Key& aKey, std::optional<std::string> aValue)
 {
-  node::Row row{ aKey.second, std::move(aValue), mVersion };
+  node::Row row{ std::get<2>(aKey), std::move(aValue), mVersion };
   if (row.mValue) {
     mRows[aKey] = row;
   } else {
     mRows.erase(aKey);
   }
-  mHistory.emplace_back(aKey.first, std::move(row));
+  mHistory.emplace_back(std::get<0>(aKey), std::move(row));
   while (mHistory.size() > kHistory) {
     mForgotten = mHistory.front().second.mVersion;
     mHistory.pop_front();
@@ -42,7 +42,7 @@
                     std::optional<std::string> aValue)
 {
   ++mVersion;
-  Write({ aTable, aKey }, std::move(aValue));
+  Write({ aTable, "", aKey }, std::move(aValue));
 }
 
 void FakeStore::ForgetHistory()
@@ -51,11 +51,11 @@
   mHistory.clear();
 }
 
-std::optional<std::string> FakeStore::Value(const std::string& aTable,
-                                            const std::string& aKey) const
+base::Duration FakeStore::Enqueue(const std::string& aPart)
 {
-  const auto row = mRows.find({ aTable, aKey });
-  return row == mRows.end() ? std::nullopt : row->second.mValue;
+  auto& busyUntil = mBusyUntil[aPart];
+  busyUntil = std::max(busyUntil, mClock.Now()) + mTransactionTime;
+  return busyUntil - mClock.Now();
 }
 
 node::CommitResult FakeStore::Apply(const node::Transaction& aTransaction)
@@ -71,7 +71,8 @@
   result.mStoreNowMs = NowMs();
   result.mApplied = true;
   for (const auto& condition : conditions) {
-    const auto found = mRows.find({ condition.mTable, condition.mKey });
+    const auto found =
+      mRows.find({ condition.mTable, aTransaction.mPart, condition.mKey });
     const node::Row row = found == mRows.end()
                             ? node::Row{ condition.mKey, std::nullopt, 0 }
                             : found->second;
@@ -82,7 +83,7 @@
     result.mCurrent.clear();
     ++mVersion;
     for (const auto& change : aTransaction.mChanges) {
-      Write({ change.mTable, change.mKey }, change.mValue);
+      Write({ change.mTable, aTransaction.mPart, change.mKey }, change.mValue);
     }
   }
   result.mVersion = mVersion;
@@ -90,14 +91,16 @@
 }
 
 node::Rows FakeStore::Read(const std::string& aTable,
+                           const std::string& aPart,
                            const std::string& aFrom,
                            const std::string& aTo) const
 {
   node::Rows rows;
-  for (auto row = mRows.lower_bound({ aTable, aFrom });
-       row != mRows.end() && row->first.first == aTable;
+  for (auto row = mRows.lower_bound({ aTable, aPart, aFrom });
+       row != mRows.end() && std::get<0>(row->first) == aTable &&
+       std::get<1>(row->first) == aPart;
        ++row) {
-    if (!aTo.empty() && row->first.second >= aTo) {
+    if (!aTo.empty() && std::get<2>(row->first) >= aTo) {
       break;
     }
     rows.mRows.push_back(row->second);
@@ -170,7 +173,7 @@
     return;
   }
   // Done by the store although the sender may be gone by then.
-  mClock.After(kDelay,
+  mClock.After(kDelay + mStore.Enqueue(aTransaction.mPart),
                [this, life = mLife, aTransaction, then = std::move(aThen)] {
                  auto result = mStore.Apply(aTransaction);
                  if (life == mLife) {
@@ -180,6 +183,7 @@
 }
 
 void StoreLink::Read(const std::string& aTable,
+                     const std::string& aPart,
                      const std::string& aFrom,
                      const std::string& aTo,
                      base::Duration aTimeout,
@@ -193,9 +197,10 @@
           });
     return;
   }
-  Later(kDelay, [this, aTable, aFrom, aTo, then = std::move(aThen)] {
-    Later(kDelay,
-          [rows = mStore.Read(aTable, aFrom, aTo), then] { then(rows); });
+  Later(kDelay, [this, aTable, aPart, aFrom, aTo, then = std::move(aThen)] {
+    Later(kDelay, [rows = mStore.Read(aTable, aPart, aFrom, aTo), then] {
+      then(rows);
+    });
   });
 }
 
--- a/testing/platform_world/fake_store.h
+++ b/testing/platform_world/fake_store.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -39,30 +40,38 @@
 
   node::CommitResult Apply(const node::Transaction& aTransaction);
   node::Rows Read(const std::string& aTable,
+                  const std::string& aPart,
                   const std::string& aFrom,
                   const std::string& aTo) const;
   // Changes after aVersion; false if they are forgotten.
   bool Changes(const std::string& aTable,
                std::int64_t aVersion,
                node::Rows& aRows) const;
-  // Writes without a condition, as operators and servers do.
+  // Writes to the empty part without a condition, as operators and servers do.
   void Put(const std::string& aTable,
            const std::string& aKey,
            std::optional<std::string> aValue);
   void ForgetHistory();
+  // What a transaction takes; those of one part wait for each other.
+  void SetTransactionTime(base::Duration aTime) { mTransactionTime = aTime; }
+  // Puts a transaction into its part's queue; returns its wait until it is
+  // done.
+  base::Duration Enqueue(const std::string& aPart);
   std::int64_t NowMs() const;
   std::int64_t Version() const { return mVersion; }
-  std::optional<std::string> Value(const std::string& aTable,
-                                   const std::string& aKey) const;
 
 private:
-  using Key = std::pair<std::string, std::string>;
+  // Table, part and key.
+  using Key = std::tuple<std::string, std::string, std::string>;
 
   void Write(const Key& aKey, std::optional<std::string> aValue);
 
   fakes::VirtualClock& mClock;
   std::map<Key, node::Row> mRows;
   std::deque<std::pair<std::string, node::Row>> mHistory;
+  base::Duration mTransactionTime{ 0 };
+  // Until when the queued transactions of a part take.
+  std::map<std::string, base::Time> mBusyUntil;
   std::int64_t mForgotten = 0;
   std::int64_t mVersion = 0;
 };
@@ -86,6 +95,7 @@
     base::Duration aTimeout,
     std::function<void(base::Expected<node::CommitResult>)> aThen) override;
   void Read(const std::string& aTable,
+            const std::string& aPart,
             const std::string& aFrom,
             const std::string& aTo,
             base::Duration aTimeout,
--- a/testing/platform_world/table_watch_test.cpp
+++ b/testing/platform_world/table_watch_test.cpp
@@ -4,18 +4,13 @@
 
 #include "testing/platform_world/clock_loop.h"
 #include "testing/platform_world/fake_store.h"
+#include "testing/platform_world/silent_log.h"
 
 namespace flamingoloom::testing::platform_world {
 namespace {
 
 using std::chrono::milliseconds;
 
-class SilentLog : public node::EventLog
-{
-public:
-  void Write(const char*, const Fields&) override {}
-};
-
 struct Fixture
 {
   fakes::VirtualClock mClock{ 1 };
@@ -26,6 +21,7 @@
   std::shared_ptr<node::TableWatch> mWatch = std::make_shared<node::TableWatch>(
     node::Ports{ &mLoop, &mLink, nullptr, nullptr, &mLog },
     "table",
+    std::vector<std::string>{ "" },
     node::TableWatchTiming{},
     [](const std::vector<node::Row>&) {});
 };
--- a/testing/platform_world/world.cpp
+++ b/testing/platform_world/world.cpp
@@ -284,7 +284,7 @@
       }
     });
   };
-  switch (mClock.Random() % 9) {
+  switch (mClock.Random() % 10) {
     case 0:
     case 1:
       KillInstance(*member);
@@ -311,6 +311,10 @@
       mServers.SetLateShare(0.2);
       mClock.After(length, [this] { mServers.SetLateShare(0); });
       break;
+    case 8:
+      mStore.SetTransactionTime(milliseconds(250));
+      mClock.After(length, [this] { mStore.SetTransactionTime(Duration(0)); });
+      break;
     default:
       mStore.ForgetHistory();
       break;
--- a/testing/platform_world/world.h
+++ b/testing/platform_world/world.h
@@ -38,6 +38,7 @@
 
   void Run();
   const Checker& Judge() const { return mChecker; }
+  const FakeStore& Store() const { return mStore; }
 
 private:
   class OperatorRows;
--- a/testing/platform_world/world_test.cpp
+++ b/testing/platform_world/world_test.cpp
@@ -55,6 +55,34 @@
   }
 }
 
+// Guards against tables that grow for ever, and against a job that is run
+// again because its state is removed before the job itself.
+TEST_CASE("Rows of ended jobs are removed and the jobs do not run again")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.mSeed = seed;
+    options.mFaults = seed > 1;
+    options.mChange = [](node::InstanceSettings& aSettings) {
+      aSettings.mLead.mKeepFinal = std::chrono::seconds(6);
+    };
+    World world(options);
+    world.Run();
+    INFO("seed " << seed << FirstLines(world.Judge().Violations()));
+    CHECK(world.Judge().Violations().empty());
+    std::size_t rows = world.Store()
+                         .Read(jobs::kStateTable, jobs::kSchedulerPart, "", "")
+                         .mRows.size() +
+                       world.Store()
+                         .Read(jobs::kRunTable, jobs::kSchedulerPart, "", "")
+                         .mRows.size();
+    for (const auto& part : jobs::JobParts()) {
+      rows += world.Store().Read(jobs::kJobTable, part, "", "").mRows.size();
+    }
+    CHECK(rows == 0);
+  }
+}
+
 // Shows that the check for two runs sees them: a scheduler that takes leases
 // for ended before they are starts tasks again that still run.
 TEST_CASE("Leases that outlive what the scheduler believes are noticed")
