A lease that ended by the store's clock is not waited for

The renewal now names the end of the lease on the store's steady clock, bounded from above by the time at which the call before it was sent. Renewals are conditional on each other, since a late one with an earlier end would let two instances hold the lead; a holder whose unanswered renewal was carried out learns that from the refusal and goes on. Ruled out: a shorter lease; a renewal takes 0.65 s on a slow store.

--- a/flamingoloom/node/election.cpp
+++ b/flamingoloom/node/election.cpp
@@ -8,8 +8,12 @@
 namespace flamingoloom::node {
 namespace {
 
-// The epoch's row holds "EPOCH HOLDER"; the renewal's row holds the holder,
-// or nothing once it was given up.
+// Steady clocks of machines and of the store may differ by this much in speed.
+constexpr double kClockSlack = 1.02;
+
+// The epoch's row holds "EPOCH HOLDER"; the renewal's row holds "HOLDER END"
+// with the end of the lease on the store's clock, where the holder knows it,
+// or nothing once the lead was given up.
 std::string EncodeEpoch(std::int64_t aEpoch, const base::InstanceId& aHolder)
 {
   return std::to_string(aEpoch) + " " + aHolder.Value();
@@ -35,10 +39,13 @@
   : mSelf(std::move(aSelf))
   , mTiming(aTiming)
   , mClaimDelay(aClaimDelay)
+  , mLeaseLeft(aTiming.mLease)
 {
 }
 
-void Election::Observe(base::Time aNow, const std::vector<Row>& aRows)
+void Election::Observe(base::Time aNow,
+                       const std::vector<Row>& aRows,
+                       std::int64_t aStoreNowMs)
 {
   mSeen = true;
   for (const auto& row : aRows) {
@@ -54,10 +61,19 @@
       }
       mHolder = holder;
       mChangedAt = aNow;
+      mLeaseLeft = mTiming.mLease;
     } else if (row.mKey == kRenewalKey && row.mVersion > mRenewalVersion) {
       mRenewalVersion = row.mVersion;
-      mHolder = base::InstanceId(value);
+      const auto space = value.find(' ');
+      mHolder = base::InstanceId(value.substr(0, space));
       mChangedAt = aNow;
+      mLeaseLeft = mTiming.mLease;
+      if (space != std::string::npos) {
+        const std::chrono::milliseconds left(
+          std::atoll(value.c_str() + space + 1) - aStoreNowMs);
+        mLeaseLeft =
+          std::clamp<base::Duration>(left, base::Duration(0), mTiming.mLease);
+      }
     }
   }
 }
@@ -70,7 +86,7 @@
   if (mHolder.IsEmpty()) {
     return mChangedAt + mClaimDelay;
   }
-  return mChangedAt + mTiming.mLease + mClaimDelay;
+  return mChangedAt + mLeaseLeft + mClaimDelay;
 }
 
 Transaction Election::Claim() const
@@ -83,12 +99,20 @@
   return transaction;
 }
 
-Transaction Election::Renewal() const
+Transaction Election::Renewal(base::Time aSentAt) const
 {
   Transaction transaction{ jobs::kSchedulerPart, {}, {} };
   transaction.mConditions = { EpochCondition() };
+  std::string value = mSelf.Value();
+  if (mStoreMs > 0) {
+    // The store's clock at aSentAt is at most this much beyond mStoreMs.
+    const auto elapsed = std::chrono::duration<double, std::milli>(
+      (aSentAt - mStoreMsSentAt + mTiming.mLease) * kClockSlack);
+    value += ' ' + std::to_string(
+                     mStoreMs + static_cast<std::int64_t>(elapsed.count()) + 1);
+  }
   transaction.mChanges = {
-    { kLeadTable, kRenewalKey, mSelf.Value(), std::nullopt }
+    { kLeadTable, kRenewalKey, std::move(value), mRenewalVersion }
   };
   return transaction;
 }
@@ -123,6 +147,35 @@
   }
   mLeading = true;
   mValidUntil = aSentAt + mTiming.mLease;
+  NoteStoreClock(aSentAt, aResult);
+}
+
+bool Election::OnRenewed(base::Time aSentAt, const CommitResult& aResult)
+{
+  NoteStoreClock(aSentAt, aResult);
+  if (aResult.mApplied) {
+    mRenewalVersion = std::max(mRenewalVersion, aResult.mVersion);
+    mValidUntil = aSentAt + mTiming.mLease;
+    return true;
+  }
+  // An earlier renewal without an answer may have been carried out.
+  for (const auto& current : aResult.mCurrent) {
+    if (current.mRow.mKey == kEpochKey &&
+        current.mRow.mVersion != mEpochVersion) {
+      mLeading = false;
+    } else if (current.mRow.mKey == kRenewalKey) {
+      mRenewalVersion = std::max(mRenewalVersion, current.mRow.mVersion);
+    }
+  }
+  return mLeading;
+}
+
+void Election::NoteStoreClock(base::Time aSentAt, const CommitResult& aResult)
+{
+  if (aResult.mStoreNowMs > 0) {
+    mStoreMs = aResult.mStoreNowMs;
+    mStoreMsSentAt = aSentAt;
+  }
 }
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/election.h
+++ b/flamingoloom/node/election.h
@@ -6,11 +6,13 @@
 // kRenewalKey changes with each renewal. Election is a state machine of one
 // instance:
 //
-//   election.Observe(now, rows);              // changes of kLeadTable
-//   if (election.ClaimDue(now, contact)) {    // commit election.Claim()
+//   election.Observe(now, rows, storeNowMs);  // changes of kLeadTable
+//   if (election.ClaimAt() <= now) {          // commit election.Claim()
 //
 // The holder counts its lease from before it sent the renewal; others count
-// from when they saw it. Not thread-safe.
+// from when they saw it. A renewal also names the end of the lease on the
+// store's clock, so that instances that have just started need not wait for a
+// lease that ended long ago. Not thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -55,20 +57,27 @@
            ElectionTiming aTiming,
            base::Duration aClaimDelay);
 
-  // Changed rows of kLeadTable, seen at aNow.
-  void Observe(base::Time aNow, const std::vector<Row>& aRows);
+  // Changed rows of kLeadTable, seen at aNow in an answer that the store gave
+  // at aStoreNowMs on its clock.
+  void Observe(base::Time aNow,
+               const std::vector<Row>& aRows,
+               std::int64_t aStoreNowMs);
 
   // When this instance may claim the lead, if nothing changes; none while it
-  // holds it. aStartedAt bounds what it can have seen.
+  // holds it.
   std::optional<base::Time> ClaimAt() const;
   Transaction Claim() const;
-  Transaction Renewal() const;
+  // A renewal that is sent at aSentAt. It fails once another one was carried
+  // out, so that a late one cannot name an earlier end of the lease.
+  Transaction Renewal(base::Time aSentAt) const;
   // Gives the lead up, so that others need not wait for the lease to end.
   Transaction Release() const;
 
   // The outcome of a claim that was sent at aSentAt.
   void OnClaimed(base::Time aSentAt, const CommitResult& aResult);
-  void OnRenewed(base::Time aSentAt) { mValidUntil = aSentAt + mTiming.mLease; }
+  // The outcome of a renewal. False: the lead is lost. A renewal that was not
+  // applied although the lead is still held is to be sent again.
+  bool OnRenewed(base::Time aSentAt, const CommitResult& aResult);
   void OnLost() { mLeading = false; }
 
   bool IsLeading() const { return mLeading; }
@@ -80,6 +89,8 @@
   const base::InstanceId& Holder() const { return mHolder; }
 
 private:
+  void NoteStoreClock(base::Time aSentAt, const CommitResult& aResult);
+
   const base::InstanceId mSelf;
   const ElectionTiming mTiming;
   const base::Duration mClaimDelay;
@@ -89,7 +100,13 @@
   std::int64_t mRenewalVersion = 0;
   base::InstanceId mHolder;
   base::Time mChangedAt;
+  // From mChangedAt until the holder's lease has certainly ended.
+  base::Duration mLeaseLeft;
   bool mSeen = false;
+  // An answer of the store to this instance: its clock, and when the call that
+  // it answers was sent, which was earlier.
+  std::int64_t mStoreMs = 0;
+  base::Time mStoreMsSentAt;
   base::Time mValidUntil;
 };
 
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -126,7 +126,7 @@
 
 void Instance::OnLeadRows(const std::vector<Row>& aRows)
 {
-  mElection.Observe(mPorts.mLoop->Now(), aRows);
+  mElection.Observe(mPorts.mLoop->Now(), aRows, mLeadWatch->StoreNowMs());
   for (const auto& row : aRows) {
     if (row.mKey != kQueueLengthsKey) {
       continue;
@@ -223,34 +223,33 @@
   }
   ++mRenewalsInFlight;
   const Time sentAt = mPorts.mLoop->Now();
-  auto renewal = mElection.Renewal();
+  auto renewal = mElection.Renewal(sentAt);
   if (const auto lengths = mLead->QueueLengths()) {
     renewal.mChanges.push_back({ kLeadTable,
                                  kQueueLengthsKey,
                                  jobs::EncodeQueueLengths(*lengths),
                                  std::nullopt });
   }
-  mPorts.mStore->Commit(renewal,
-                        kClaimTimeout,
-                        [this, sentAt](base::Expected<CommitResult> aResult) {
-                          --mRenewalsInFlight;
-                          if (!mLead) {
-                            return;
-                          }
-                          if (aResult && !aResult->mApplied) {
-                            mElection.OnLost();
-                            EndLead();
-                            return;
-                          }
-                          const auto& timing = mSettings.mElection;
-                          base::Duration wait = timing.mRenewRetry;
-                          if (aResult) {
-                            mStoreDelay = mPorts.mLoop->Now() - sentAt;
-                            mElection.OnRenewed(sentAt);
-                            wait = timing.mRenewEvery;
-                          }
-                          mPorts.mLoop->After(wait, [this] { Renew(); });
-                        });
+  mPorts.mStore->Commit(
+    renewal,
+    kClaimTimeout,
+    [this, sentAt](base::Expected<CommitResult> aResult) {
+      --mRenewalsInFlight;
+      if (!mLead) {
+        return;
+      }
+      if (aResult && !mElection.OnRenewed(sentAt, *aResult)) {
+        EndLead();
+        return;
+      }
+      const auto& timing = mSettings.mElection;
+      base::Duration wait = timing.mRenewRetry;
+      if (aResult) {
+        mStoreDelay = mPorts.mLoop->Now() - sentAt;
+        wait = aResult->mApplied ? timing.mRenewEvery : base::Duration(0);
+      }
+      mPorts.mLoop->After(wait, [this] { Renew(); });
+    });
 }
 
 void Instance::EndLead()
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -46,6 +46,7 @@
       if (first) {
         // Changes after the first page are followed from here.
         self->mVersion = aPage->mVersion;
+        self->mStoreNowMs = aPage->mStoreNowMs;
       }
       rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
       if (aPage->mMore && !aPage->mRows.empty()) {
@@ -119,6 +120,7 @@
         changes.push_back(row);
       }
       self->mVersion = std::max(self->mVersion, aRows->mVersion);
+      self->mStoreNowMs = aRows->mStoreNowMs;
       if (!changes.empty()) {
         self->mOnChange(changes);
       }
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -48,6 +48,8 @@
   // When the store last answered.
   base::Time LastContact() const { return mLastContact; }
   bool IsConnected() const { return mConnected; }
+  // The store's clock in the answer that brought the last changes.
+  std::int64_t StoreNowMs() const { return mStoreNowMs; }
 
 private:
   void ReadPage(std::size_t aPart,
@@ -67,6 +69,7 @@
   std::map<std::string, std::int64_t> mVersions;
   std::int64_t mVersion = 0;
   base::Time mLastContact;
+  std::int64_t mStoreNowMs = 0;
   bool mConnected = false;
   bool mComplete = false;
   bool mStopped = false;
