An account that asks for more than its guarantee keeps the guarantee

Cause: guarantees held all or nothing. While an account's jobs of priority 0 needed more than its guarantee, none of them could make room, although the platform's pages give the guarantee at all times; bursts lost it when it counted. Its jobs are now covered in their order, up to the guarantee. Room is taken back only from accounts that hold more than theirs, no longer from those that merely ask for more. Test: 'An account that asks for more than its guarantee keeps it' fails before.

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -217,6 +217,8 @@
   void CreateDue(base::Time aNow, std::int64_t aUnixMs);
   void UpdateReady(base::Time aNow, Occurrence& aOccurrence);
   std::vector<Group> OrderedGroups(base::Time aNow);
+  // In accelerators; below 0 for an account without a guarantee.
+  std::int64_t GuaranteeOf(const base::AccountId& aAccount) const;
   void PlaceGroup(base::Time aNow, const Group& aGroup, Placement& aPlacement);
   void HoldPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
   void FollowPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
@@ -235,7 +237,7 @@
   Fleet mFleet;
   std::set<base::DataCentreId> mDataCentresOut;
   std::map<base::AccountId, std::int64_t> mGuarantees;
-  // Accounts whose jobs of priority 0 need more than their guarantee.
+  // Accounts whose jobs of priority 0 hold more than their guarantee.
   std::set<base::AccountId> mOverGuarantee;
 
   std::set<StepRun*> mDirtySteps;
--- a/flamingoloom/scheduler/scheduler_place.cpp
+++ b/flamingoloom/scheduler/scheduler_place.cpp
@@ -44,7 +44,8 @@
 
 std::vector<Scheduler::Group> Scheduler::OrderedGroups(Time aNow)
 {
-  std::map<base::AccountId, std::int64_t> demand;
+  // Accelerators that an account's jobs of priority 0 hold.
+  std::map<base::AccountId, std::int64_t> held;
   std::vector<Group> groups;
   for (auto& [id, job] : mJobs) {
     if (job->IsFinal()) {
@@ -56,8 +57,8 @@
           continue;
         }
         if (job->mSpec.mRules.mPriority == 0) {
-          demand[job->mSpec.mAccount] +=
-            step->Spec().mPerTask.mAccelerators * step->mUnfinished;
+          held[job->mSpec.mAccount] += step->Spec().mPerTask.mAccelerators *
+                                       (step->mUnfinished - step->mWaiting);
         }
         if (step->mWaiting > 0 && !step->mGangBreaking) {
           groups.push_back({ step.get(), false });
@@ -66,19 +67,11 @@
     }
   }
   mOverGuarantee.clear();
-  for (const auto& [account, needed] : demand) {
-    const auto guarantee = mGuarantees.find(account);
-    if (guarantee == mGuarantees.end() || needed > guarantee->second) {
+  for (const auto& [account, accelerators] : held) {
+    if (accelerators > GuaranteeOf(account)) {
       mOverGuarantee.insert(account);
     }
   }
-  for (Group& group : groups) {
-    const auto& spec = group.mStep->mJob->mSpec;
-    const auto guarantee = mGuarantees.find(spec.mAccount);
-    group.mGuaranteed = spec.mRules.mPriority == 0 &&
-                        guarantee != mGuarantees.end() &&
-                        demand[spec.mAccount] <= guarantee->second;
-  }
   const auto key = [aNow](const Group& aGroup) {
     const Job& job = *aGroup.mStep->mJob;
     // Jobs that can still be in time come first; after three times the
@@ -87,8 +80,7 @@
       job.mAcceptedAt + (job.mObjective - job.mAcceptedAt) * 3;
     const auto end = aNow + aGroup.mStep->Spec().mEstimate;
     const int lateness = end <= job.mObjective ? 0 : end <= worthless ? 1 : 2;
-    return std::make_tuple(!aGroup.mGuaranteed,
-                           job.mSpec.mRules.mPriority,
+    return std::make_tuple(job.mSpec.mRules.mPriority,
                            lateness,
                            job.mObjective,
                            aGroup.mStep->mOccurrence,
@@ -99,9 +91,33 @@
             [&key](const Group& aLeft, const Group& aRight) {
               return key(aLeft) < key(aRight);
             });
+  // An account that asks for more than its guarantee has the guarantee still:
+  // its jobs are covered in their order.
+  for (Group& group : groups) {
+    const auto& spec = group.mStep->mJob->mSpec;
+    if (spec.mRules.mPriority != 0) {
+      continue;
+    }
+    auto& covered = held[spec.mAccount];
+    const auto more = covered + group.mStep->Spec().mPerTask.mAccelerators *
+                                  group.mStep->mWaiting;
+    if (more <= GuaranteeOf(spec.mAccount)) {
+      covered = more;
+      group.mGuaranteed = true;
+    }
+  }
+  std::stable_partition(groups.begin(), groups.end(), [](const Group& aGroup) {
+    return aGroup.mGuaranteed;
+  });
   return groups;
 }
 
+std::int64_t Scheduler::GuaranteeOf(const base::AccountId& aAccount) const
+{
+  const auto guarantee = mGuarantees.find(aAccount);
+  return guarantee == mGuarantees.end() ? -1 : guarantee->second;
+}
+
 bool Scheduler::MayGoRemote(Time aNow, const StepRun& aStep) const
 {
   const Job& job = *aStep.mJob;
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -297,6 +297,25 @@
   CHECK(orders.mStops[0].mRun.mTask.mJob == "other");
 }
 
+// Guards against an account that loses its whole guarantee in the moment in
+// which its clients ask for more.
+TEST_CASE("An account that asks for more than its guarantee keeps it")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::Job("low", 2, 8));
+  f.StartAll();
+  f.mScheduler.SetGuarantees({ { base::AccountId("shop"), 8 } });
+  for (const char* id : { "high1", "high2" }) {
+    auto job = Fixture::Job(id, 1, 8);
+    job.mRules.mPriority = 0;
+    f.Add(job);
+  }
+  CHECK(f.Pass().mStops.size() == 1);
+  f.mNow += milliseconds(1000);
+  CHECK(f.Pass().mStops.empty());
+}
+
 // Guards against guaranteed jobs that take each other's room, so that a wide
 // one waits for as long as others come.
 TEST_CASE("Room that is being made for a job is not taken by a more urgent one")
