Gangs that do not fit reserve room that comes free soon

Cause: small tasks of low priority filled each gap, so gangs never found all of their room free at once. A gang that does not fit now reserves the place that comes free first, by the progress of what runs there, up to 4.5 s ahead. More urgent work may take it. Tests: two cases of scheduler_test, the first fails before.

--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -8,6 +8,18 @@
 
 namespace flamingoloom::scheduler {
 
+namespace {
+
+// When to look for room that running work leaves. Beyond the last the expected
+// ends are too uncertain to keep room idle for.
+constexpr base::Duration kHorizons[] = {
+  std::chrono::milliseconds(500),  std::chrono::milliseconds(1000),
+  std::chrono::milliseconds(2000), std::chrono::milliseconds(3000),
+  std::chrono::milliseconds(4500),
+};
+
+} // namespace
+
 Placement::Placement(Fleet& aFleet,
                      const std::set<base::DataCentreId>& aDataCentresOut,
                      base::Time aNow)
@@ -17,7 +29,7 @@
                         !server.mInfo.mDraining && server.mAvoidUntil <= aNow &&
                         aDataCentresOut.count(server.mInfo.mDataCentre) == 0;
     if (usable) {
-      mPlaces.emplace(id, Place{ &server, server.Free(), {} });
+      mPlaces.emplace(id, Place{ &server, server.Free(), {}, {} });
     }
   }
   for (auto& [id, place] : mPlaces) {
@@ -342,6 +354,49 @@
   return std::move(best->mAssignment);
 }
 
+std::optional<Assignment> Placement::PlaceSoon(
+  const StepRun& aStep,
+  const std::vector<int>& aIndices,
+  bool aAllowRemote,
+  const std::function<std::vector<ExpectedEnd>(const ServerState&)>& aEnds,
+  base::Duration& aWait)
+{
+  if (!mEndsKnown) {
+    mEndsKnown = true;
+    for (auto& [id, place] : mPlaces) {
+      place.mEnds = aEnds(*place.mServer);
+    }
+  }
+  // Room of the future does not bear on what fits now.
+  const auto unplaceable = std::exchange(mUnplaceable, {});
+  std::optional<Assignment> assignment;
+  base::Duration from = base::Duration::min();
+  for (const auto horizon : kHorizons) {
+    for (auto& [id, place] : mPlaces) {
+      for (const auto& end : place.mEnds) {
+        if (end.mAfter > from && end.mAfter <= horizon) {
+          place.mFree += end.mFrees;
+        }
+      }
+    }
+    from = aWait = horizon;
+    mUnplaceable.clear();
+    assignment = PlaceAll(aStep, aIndices, aAllowRemote);
+    if (assignment) {
+      break;
+    }
+  }
+  for (auto& [id, place] : mPlaces) {
+    for (const auto& end : place.mEnds) {
+      if (end.mAfter <= from) {
+        place.mFree -= end.mFrees;
+      }
+    }
+  }
+  mUnplaceable = unplaceable;
+  return assignment;
+}
+
 bool Placement::CouldStayLocal(const StepRun& aStep,
                                const std::vector<int>& aIndices)
 {
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -30,6 +30,13 @@
   double mCost = 0;
 };
 
+// Room that comes free when a run ends.
+struct ExpectedEnd
+{
+  base::Duration mAfter;
+  jobs::Resources mFrees;
+};
+
 class Placement
 {
 public:
@@ -59,6 +66,16 @@
     const std::function<std::vector<Victim>(const ServerState&)>& aVictims,
     std::vector<Victim>& aChosen);
 
+  // As PlaceAll, on room that is free within the horizon if running work ends
+  // as expected. aEnds tells what a server's work frees, and after what time.
+  // On success the room is taken at once, and aWait is when it should be free.
+  std::optional<Assignment> PlaceSoon(
+    const StepRun& aStep,
+    const std::vector<int>& aIndices,
+    bool aAllowRemote,
+    const std::function<std::vector<ExpectedEnd>(const ServerState&)>& aEnds,
+    base::Duration& aWait);
+
   // Whether an empty rack would hold all of aIndices, or one whole server its
   // task; false means that waiting for such a place is in vain.
   bool CouldStayLocal(const StepRun& aStep, const std::vector<int>& aIndices);
@@ -74,6 +91,8 @@
     ServerState* mServer;
     jobs::Resources mFree;
     std::vector<Victim> mVictims;
+    // Looked up when the pass first needs them.
+    std::vector<ExpectedEnd> mEnds;
   };
 
   // Places on room that is made by stopping others.
@@ -115,6 +134,7 @@
   std::map<std::pair<std::string, std::string>, std::vector<jobs::Resources>>
     mUnplaceable;
   std::map<std::string, std::vector<Place*>> mRacks;
+  bool mEndsKnown = false;
 };
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -324,9 +324,11 @@
   Placement placement(mFleet, mDataCentresOut, aNow);
   const auto groups = OrderedGroups(aNow);
   // Room that is being made for a step is not given to others, also not to
-  // more urgent ones: they make room of their own.
+  // more urgent ones: they make room of their own. What is only reserved may
+  // be taken by more urgent ones.
+  mReservationsSought = 0;
   for (const Group& group : groups) {
-    if (!group.mStep->mPlan.empty()) {
+    if (!group.mStep->mPlan.empty() && !group.mStep->mPlanIsReservation) {
       HoldPlan(aNow, *group.mStep, placement);
     }
   }
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -220,6 +220,14 @@
   // In accelerators; below 0 for an account without a guarantee.
   std::int64_t GuaranteeOf(const base::AccountId& aAccount) const;
   void PlaceGroup(base::Time aNow, const Group& aGroup, Placement& aPlacement);
+  // Reserves room for a gang that does not fit now.
+  void Reserve(base::Time aNow,
+               StepRun& aStep,
+               const std::vector<int>& aIndices,
+               bool aAllowRemote,
+               Placement& aPlacement);
+  std::vector<ExpectedEnd> ExpectedEnds(const ServerState& aServer,
+                                        base::Time aNow);
   void HoldPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
   void FollowPlan(base::Time aNow, StepRun& aStep, Placement& aPlacement);
   bool MayGoRemote(base::Time aNow, const StepRun& aStep) const;
@@ -239,6 +247,8 @@
   std::map<base::AccountId, std::int64_t> mGuarantees;
   // Accounts whose jobs of priority 0 hold more than their guarantee.
   std::set<base::AccountId> mOverGuarantee;
+  // In the current pass.
+  int mReservationsSought = 0;
 
   std::set<StepRun*> mDirtySteps;
   std::set<Job*> mDirtyJobs;
--- a/flamingoloom/scheduler/scheduler_place.cpp
+++ b/flamingoloom/scheduler/scheduler_place.cpp
@@ -12,6 +12,15 @@
 
 // A plan whose victims have not made room by then is made anew.
 constexpr base::Duration kPlanTimeout = std::chrono::milliseconds(2500);
+// A reservation whose room is not free this long after it was expected is
+// sought anew.
+constexpr base::Duration kReservationSlack = std::chrono::milliseconds(1500);
+constexpr base::Duration kSeekReservationEvery = std::chrono::milliseconds(250);
+// A search visits every rack for each horizon.
+constexpr int kReservationsPerPass = 3;
+// A stop and the report of its end; the platform bounds a stop by 200 to 900
+// ms.
+constexpr base::Duration kStopTime = std::chrono::milliseconds(400);
 // From then on a guaranteed job takes room on any rack, and from accounts that
 // use more than their guarantee: stopping work takes up to a second, and the
 // platform's bound for reclaiming is 2.7 s and more.
@@ -132,7 +141,7 @@
 
 void Scheduler::HoldPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
 {
-  bool usable = aNow - aStep.mPlannedAt < kPlanTimeout;
+  bool usable = aNow < aStep.mPlanUntil;
   for (const auto& [index, server] : aStep.mPlan) {
     const bool waiting = aStep.mTasks[static_cast<std::size_t>(index)].mPhase ==
                          TaskPhase::eWaiting;
@@ -149,6 +158,9 @@
 
 void Scheduler::FollowPlan(Time aNow, StepRun& aStep, Placement& aPlacement)
 {
+  if (aStep.mPlan.empty()) {
+    return;
+  }
   // The room is held already: it is there once no server is overdrawn.
   for (const auto& [index, server] : aStep.mPlan) {
     if (!aPlacement.Fits(server, jobs::Resources{})) {
@@ -168,7 +180,7 @@
                            Placement& aPlacement)
 {
   StepRun& step = *aGroup.mStep;
-  if (!step.mPlan.empty()) {
+  if (!step.mPlan.empty() && !step.mPlanIsReservation) {
     FollowPlan(aNow, step, aPlacement);
     return;
   }
@@ -194,8 +206,17 @@
     Intend(step, index, server, aNow);
   }
   indices = WaitingIndices(step);
-  if (indices.empty() || !aGroup.mGuaranteed ||
-      aNow - step.mVictimsSoughtAt < kSeekVictimsEvery) {
+  if (indices.empty()) {
+    step.mPlan.clear();
+    return;
+  }
+  if (!aGroup.mGuaranteed) {
+    if (step.Spec().mGang) {
+      Reserve(aNow, step, indices, remote, aPlacement);
+    }
+    return;
+  }
+  if (aNow - step.mVictimsSoughtAt < kSeekVictimsEvery) {
     return;
   }
   step.mVictimsSoughtAt = aNow;
@@ -212,7 +233,8 @@
     return;
   }
   step.mPlan = *over;
-  step.mPlannedAt = aNow;
+  step.mPlanIsReservation = false;
+  step.mPlanUntil = aNow + kPlanTimeout;
   Log("preempt",
       step.mJob->mSpec.mId,
       { { "tasks", std::to_string(indices.size()) },
@@ -222,6 +244,66 @@
   }
 }
 
+void Scheduler::Reserve(Time aNow,
+                        StepRun& aStep,
+                        const std::vector<int>& aIndices,
+                        bool aAllowRemote,
+                        Placement& aPlacement)
+{
+  if (!aStep.mPlan.empty()) {
+    HoldPlan(aNow, aStep, aPlacement);
+    FollowPlan(aNow, aStep, aPlacement);
+    return;
+  }
+  if (aNow - aStep.mReservationSoughtAt < kSeekReservationEvery ||
+      mReservationsSought >= kReservationsPerPass) {
+    return;
+  }
+  ++mReservationsSought;
+  aStep.mReservationSoughtAt = aNow;
+  base::Duration wait{ 0 };
+  const auto assignment = aPlacement.PlaceSoon(
+    aStep,
+    aIndices,
+    aAllowRemote,
+    [&](const ServerState& aServer) { return ExpectedEnds(aServer, aNow); },
+    wait);
+  if (!assignment) {
+    return;
+  }
+  aStep.mPlan = *assignment;
+  aStep.mPlanIsReservation = true;
+  aStep.mPlanUntil = aNow + wait + kReservationSlack;
+  Log("reserved",
+      aStep.mJob->mSpec.mId,
+      { { "tasks", std::to_string(aIndices.size()) },
+        { "wait_ms", std::to_string(base::ToMilliseconds(wait)) } });
+}
+
+std::vector<ExpectedEnd> Scheduler::ExpectedEnds(const ServerState& aServer,
+                                                 Time aNow)
+{
+  std::vector<ExpectedEnd> ends;
+  for (const auto& run : aServer.mRuns) {
+    StepRun* step = nullptr;
+    const Task* task = FindTask(run.mTask, &step);
+    if (task == nullptr || step->Spec().mLongRunning) {
+      continue;
+    }
+    base::Duration left = task->mPlacedAt + step->Spec().mEstimate - aNow;
+    if (task->mStopWanted) {
+      left = kStopTime;
+    } else if (task->Speed() > 0) {
+      const std::chrono::duration<double> more((100 - task->mPercent) /
+                                               task->Speed());
+      left = std::chrono::duration_cast<base::Duration>(more) -
+             (aNow - task->mReportedAt);
+    }
+    ends.push_back({ left, step->Spec().Footprint() });
+  }
+  return ends;
+}
+
 std::vector<Victim> Scheduler::VictimsOn(const ServerState& aServer,
                                          const StepRun& aFor,
                                          bool aFromOverGuarantee,
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -316,6 +316,54 @@
   CHECK(f.Pass().mStops.empty());
 }
 
+// Guards against small work that fills each gap, so that a gang never finds
+// all of its room free at once.
+TEST_CASE("A gang that does not fit reserves room that comes free soon")
+{
+  Fixture f;
+  f.AddServers(1);
+  auto small = Fixture::Job("small", 4, 1);
+  small.mRules.mPriority = 2;
+  f.Add(small);
+  const auto running = f.StartAll();
+  REQUIRE(running.size() == 4);
+  auto gang = Fixture::Job("gang", 2, 4);
+  gang.mSteps[0].mGang = true;
+  f.Add(gang);
+  small.mId = "more";
+  f.Add(small);
+  CHECK(f.StartAll().empty());
+  std::vector<EndedTask> ends;
+  for (const auto& start : running) {
+    ends.push_back({ static_cast<std::int64_t>(ends.size()) + 1,
+                     start.mRun,
+                     RunEnd::eDone,
+                     "" });
+  }
+  f.mNow += milliseconds(1000);
+  f.Report(running[0].mServer, {}, ends);
+  const auto starts = f.Pass().mStarts;
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].mRun.mTask.mJob == "gang");
+}
+
+// Guards against reserved room that a more urgent job has to wait for.
+TEST_CASE("More urgent work takes room that is only reserved")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::Job("first", 4, 1));
+  f.StartAll();
+  auto gang = Fixture::Job("gang", 2, 4);
+  gang.mSteps[0].mGang = true;
+  f.Add(gang);
+  CHECK(f.StartAll().empty());
+  auto urgent = Fixture::Job("urgent", 2, 1);
+  urgent.mRules.mPriority = 0;
+  f.Add(urgent);
+  CHECK(f.StartAll().size() == 2);
+}
+
 // Guards against guaranteed jobs that take each other's room, so that a wide
 // one waits for as long as others come.
 TEST_CASE("Room that is being made for a job is not taken by a more urgent one")
--- a/flamingoloom/scheduler/work.h
+++ b/flamingoloom/scheduler/work.h
@@ -78,9 +78,13 @@
   std::string mGangCheckpoint;
   int mGangFailures = 0;
   int mGangRun = 0;
-  // Servers chosen for the waiting tasks while what runs there is stopped.
+  // Servers chosen for the waiting tasks while what runs there is stopped, or,
+  // as a reservation, comes to its end.
   std::vector<std::pair<int, base::ServerId>> mPlan;
-  base::Time mPlannedAt;
+  bool mPlanIsReservation = false;
+  // The plan is given up then.
+  base::Time mPlanUntil;
+  base::Time mReservationSoughtAt;
   base::Time mVictimsSoughtAt;
   // Whether the fleet has a place near the data, as last looked up.
   bool mCouldStayLocal = true;
