--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -158,10 +158,14 @@
         { { "key", row.mKey }, { "error", job.error().ToString() } });
       continue;
     }
-    mPorts.mLog->Write("job_seen",
-                       { { "job", row.mKey },
-                         { "queue", job->mRules.mQueue },
-                         { "version", std::to_string(row.mVersion) } });
+    mPorts.mLog->Write(
+      "job_seen",
+      { { "job", row.mKey },
+        { "queue", job->mRules.mQueue },
+        { "priority", std::to_string(job->mRules.mPriority) },
+        { "estimate_ms",
+          std::to_string(base::ToMilliseconds(job->LongestChain())) },
+        { "version", std::to_string(row.mVersion) } });
     // A successor counts the job's time from its acceptance, not from the
     // take-over; clocks that jump must not make it absurd.
     const auto age =
