--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -42,6 +42,8 @@
 {
   // What a task takes longer on a rack away from its data.
   double mRemoteFactor = 3.0;
+  // The longest that a server takes to stop a task.
+  base::Duration mStopTime = std::chrono::milliseconds(200);
 };
 
 // A row to write, or to remove if it has no value.
--- a/flamingoloom/scheduler/scheduler_place.cpp
+++ b/flamingoloom/scheduler/scheduler_place.cpp
@@ -210,7 +210,9 @@
     step.mPlan.clear();
     return;
   }
-  if (!aGroup.mGuaranteed) {
+  // Room often comes free by itself; half of a stop's time is waited for that
+  // before a stop loses work.
+  if (!aGroup.mGuaranteed || aNow - step.mReadyAt < mSettings.mStopTime / 2) {
     if (step.Spec().mGang) {
       Reserve(aNow, step, indices, remote, aPlacement);
     }
@@ -292,7 +294,7 @@
     }
     base::Duration left = task->mPlacedAt + step->Spec().mEstimate - aNow;
     if (task->mStopWanted) {
-      left = kStopTime;
+      left = mSettings.mStopTime;
     } else if (task->Speed() > 0) {
       const std::chrono::duration<double> more((100 - task->mPercent) /
                                                task->Speed());
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -83,6 +83,9 @@
     }
   }
 
+  // A guaranteed job stops other work only after this.
+  void WaitToPreempt() { mNow += SchedulerSettings{}.mStopTime / 2; }
+
   std::vector<StartOrder> StartAll()
   {
     auto starts = Pass().mStarts;
@@ -265,6 +268,9 @@
   job.mRules.mPriority = 0;
   f.mScheduler.SetGuarantees({ { job.mAccount, 8 } });
   f.Add(job);
+  // Not before half of a stop's time, in which room may come free by itself.
+  CHECK(f.Pass().mStops.empty());
+  f.WaitToPreempt();
   const auto orders = f.Pass();
   REQUIRE(orders.mStops.size() == 1);
   CHECK(orders.mStops[0].mRun == low.mRun);
@@ -311,6 +317,8 @@
     job.mRules.mPriority = 0;
     f.Add(job);
   }
+  f.Pass();
+  f.WaitToPreempt();
   CHECK(f.Pass().mStops.size() == 1);
   f.mNow += milliseconds(1000);
   CHECK(f.Pass().mStops.empty());
@@ -376,6 +384,8 @@
   auto first = Fixture::Job("first", 1, 8);
   first.mRules.mPriority = 0;
   f.Add(first);
+  f.Pass();
+  f.WaitToPreempt();
   CHECK(f.Pass().mStops.size() == 1);
   auto second = Fixture::Job("second", 1, 8);
   second.mRules.mPriority = 0;
