flamingoloom trace: one job's story from the logs of all instances

Prints the job's lines in order of time, the changes for servers that held its runs, and what instances came to believe meanwhile.

--- a/flamingoloom/cli/command_line.cpp
+++ b/flamingoloom/cli/command_line.cpp
@@ -13,6 +13,7 @@
 #include "flamingoloom/cli/questionnaire_command.h"
 #include "flamingoloom/cli/report_error.h"
 #include "flamingoloom/cli/request_commands.h"
+#include "flamingoloom/cli/trace_command.h"
 #include "flamingoloom/cli/view_commands.h"
 #include "flamingoloom/config/duration_text.h"
 
@@ -36,7 +37,8 @@
                              RequestCommands(),
                              ViewCommands(),
                              DataCentreCommands(),
-                             CheckCommands() }) {
+                             CheckCommands(),
+                             TraceCommands() }) {
     all.insert(all.end(), group.begin(), group.end());
   }
   return all;
--- a/flamingoloom/cli/command_line_test.cpp
+++ b/flamingoloom/cli/command_line_test.cpp
@@ -29,6 +29,7 @@
   { "data-centre", "in" },
   { "data-centre", "status" },
   { "check" },
+  { "trace" },
 };
 
 constexpr char kSettings[] = R"({
--- /dev/null
+++ b/flamingoloom/cli/trace_command.cpp
@@ -0,0 +1,156 @@
+#include "flamingoloom/cli/trace_command.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <set>
+#include <sstream>
+#include <string_view>
+#include <tuple>
+
+#include <fmt/format.h>
+
+#include "flamingoloom/cli/files.h"
+
+namespace flamingoloom::cli {
+namespace {
+
+// A line "time=T event=E key=value ..." of one instance's log.
+struct LogLine
+{
+  std::string mTime;
+  std::string mInstance;
+  std::string mEvent;
+  std::string mText;
+
+  friend bool operator<(const LogLine& aLeft, const LogLine& aRight)
+  {
+    return std::tie(aLeft.mTime, aLeft.mInstance) <
+           std::tie(aRight.mTime, aRight.mInstance);
+  }
+};
+
+// Changes of what an instance believes, which bear on all jobs.
+constexpr std::string_view kBeliefs[] = {
+  "lead_taken",      "lead_lost",   "lead_superseded", "lead_released",
+  "store_lost",      "started",     "store_regained",  "leaving",
+  "config_in_force", "data_centre", "jobs_loaded",     "log_lines_dropped",
+};
+
+// The value of a key without spaces in it; empty if there is none.
+std::string Value(const std::string& aText, const std::string& aKey)
+{
+  const auto start = (" " + aText).find(" " + aKey + "=");
+  if (start == std::string::npos) {
+    return {};
+  }
+  const auto from = start + aKey.size() + 1;
+  return aText.substr(from, aText.find(' ', from) - from);
+}
+
+base::Expected<std::vector<LogLine>> ReadLogs(const std::string& aFolder)
+{
+  std::error_code error;
+  std::vector<LogLine> lines;
+  for (const auto& file : std::filesystem::directory_iterator(aFolder, error)) {
+    if (!file.is_regular_file()) {
+      continue;
+    }
+    const auto text = ReadFile(file.path().string());
+    if (!text) {
+      return tl::unexpected(text.error());
+    }
+    std::istringstream stream(*text);
+    for (std::string line; std::getline(stream, line);) {
+      // Other output of the process has neither.
+      auto time = Value(line, "time");
+      auto event = Value(line, "event");
+      if (!time.empty() && !event.empty()) {
+        lines.push_back({ std::move(time),
+                          file.path().stem().string(),
+                          std::move(event),
+                          std::move(line) });
+      }
+    }
+  }
+  if (error) {
+    return base::MakeError(
+      base::ErrorCode::eNotFound, "read logs", aFolder, error.message());
+  }
+  std::stable_sort(lines.begin(), lines.end());
+  return lines;
+}
+
+// The job's lines, and between its first and last what changed for its servers
+// and for the instances.
+std::vector<LogLine> StoryOf(const std::string& aJob,
+                             const std::vector<LogLine>& aLines)
+{
+  const auto isOfJob = [&aJob](const LogLine& aLine) {
+    return Value(aLine.mText, "job") == aJob ||
+           Value(aLine.mText, "key") == aJob;
+  };
+  const auto first = std::find_if(aLines.begin(), aLines.end(), isOfJob);
+  if (first == aLines.end()) {
+    return {};
+  }
+  const auto last = std::find_if(aLines.rbegin(), aLines.rend(), isOfJob);
+  std::set<std::string> servers;
+  for (auto line = first; line != last.base(); ++line) {
+    if (isOfJob(*line)) {
+      servers.insert(Value(line->mText, "server"));
+    }
+  }
+  servers.erase("");
+  std::vector<LogLine> story;
+  for (auto line = first; line != last.base(); ++line) {
+    const bool belief =
+      std::find(std::begin(kBeliefs), std::end(kBeliefs), line->mEvent) !=
+      std::end(kBeliefs);
+    const bool ofServer = Value(line->mText, "job").empty() &&
+                          servers.count(Value(line->mText, "server")) > 0;
+    if (isOfJob(*line) || belief || ofServer) {
+      story.push_back(*line);
+    }
+  }
+  return story;
+}
+
+base::Expected<ExitCode> Trace(Context& aContext, const Arguments& aArguments)
+{
+  const auto job = aArguments.Text("job");
+  const auto lines = ReadLogs(aArguments.Text("--logs"));
+  if (!lines) {
+    return tl::unexpected(lines.error());
+  }
+  const auto story = StoryOf(job, *lines);
+  if (story.empty()) {
+    return base::MakeError(base::ErrorCode::eNotFound,
+                           "trace job",
+                           aArguments.Text("--logs"),
+                           "no line names job " + job);
+  }
+  for (const auto& line : story) {
+    aContext.mConsole.mOut << fmt::format(
+      "{} {}\n", line.mInstance, line.mText);
+  }
+  return ExitCode::eDone;
+}
+
+} // namespace
+
+Commands TraceCommands()
+{
+  return { { { "trace" },
+             "Print what all instances logged about a job, in order, with the "
+             "changes between that bear on it",
+             "flamingoloom trace 5c0e7a21d94b36f8 --logs /tmp/logs",
+             { { "job", OptionType::eText, "job id", true },
+               { "--logs",
+                 OptionType::eText,
+                 "folder with one log file for each instance",
+                 true } },
+             false,
+             Trace } };
+}
+
+} // namespace flamingoloom::cli
