--- a/flamingoloom/cli/trace_command.cpp
+++ b/flamingoloom/cli/trace_command.cpp
@@ -29,12 +29,22 @@
   }
 };
 
-// Changes of what an instance believes, which bear on all jobs.
-constexpr std::string_view kBeliefs[] = {
-  "lead_taken",      "lead_lost",   "lead_superseded", "lead_released",
-  "store_lost",      "started",     "store_regained",  "leaving",
-  "config_in_force", "data_centre", "jobs_loaded",     "log_lines_dropped",
+// Changes that bear on all jobs.
+constexpr std::string_view kOfAll[] = {
+  "lead_taken", "lead_lost", "lead_superseded", "lead_released", "jobs_loaded",
 };
+// Changes that bear on what the same instance does with a job.
+constexpr std::string_view kOfInstance[] = {
+  "started",         "leaving",     "store_lost",        "store_regained",
+  "config_in_force", "data_centre", "log_lines_dropped",
+};
+
+template <std::size_t Size>
+bool IsOneOf(const std::string& aEvent, const std::string_view (&aList)[Size])
+{
+  return std::find(std::begin(aList), std::end(aList), aEvent) !=
+         std::end(aList);
+}
 
 // The value of a key without spaces in it; empty if there is none.
 std::string Value(const std::string& aText, const std::string& aKey)
@@ -81,7 +91,7 @@
 }
 
 // The job's lines, and between its first and last what changed for its servers
-// and for the instances.
+// and for the instances that have to do with it.
 std::vector<LogLine> StoryOf(const std::string& aJob,
                              const std::vector<LogLine>& aLines)
 {
@@ -95,17 +105,19 @@
   }
   const auto last = std::find_if(aLines.rbegin(), aLines.rend(), isOfJob);
   std::set<std::string> servers;
+  std::set<std::string> instances;
   for (auto line = first; line != last.base(); ++line) {
     if (isOfJob(*line)) {
       servers.insert(Value(line->mText, "server"));
+      instances.insert(line->mInstance);
     }
   }
   servers.erase("");
   std::vector<LogLine> story;
   for (auto line = first; line != last.base(); ++line) {
     const bool belief =
-      std::find(std::begin(kBeliefs), std::end(kBeliefs), line->mEvent) !=
-      std::end(kBeliefs);
+      IsOneOf(line->mEvent, kOfAll) || (IsOneOf(line->mEvent, kOfInstance) &&
+                                        instances.count(line->mInstance) > 0);
     const bool ofServer = Value(line->mText, "job").empty() &&
                           servers.count(Value(line->mText, "server")) > 0;
     if (isOfJob(*line) || belief || ofServer) {
--- a/flamingoloom/cli/trace_command_test.cpp
+++ b/flamingoloom/cli/trace_command_test.cpp
@@ -12,6 +12,7 @@
   folder.Write("front-1.log",
                "time=10.100 event=job_submitted job=aa outcome=accepted\n"
                "time=10.900 event=store_lost table=op\n"
+               "time=10.950 event=job_refused job=cc reason=store_away\n"
                "time=99.000 event=store_regained table=op\n");
   folder.Write("front-2.log",
                "not a log line\n"
@@ -21,6 +22,9 @@
                "time=10.500 event=server_silent server=s2\n"
                "time=10.600 event=server_silent server=s1\n"
                "time=11.000 event=job_state job=aa to=completed\n");
+  folder.Write("front-3.log",
+               "time=10.910 event=store_lost table=op\n"
+               "time=10.920 event=lead_taken epoch=2\n");
   const auto result = RunLine({ "trace", "aa", "--logs", folder.Path("") });
   CHECK(result.mCode == ExitCode::eDone);
   CHECK(result.mOut ==
@@ -29,6 +33,7 @@
         "front-2 time=10.300 event=start_answered job=aa server=s1\n"
         "front-2 time=10.600 event=server_silent server=s1\n"
         "front-1 time=10.900 event=store_lost table=op\n"
+        "front-3 time=10.920 event=lead_taken epoch=2\n"
         "front-2 time=11.000 event=job_state job=aa to=completed\n");
 }
 
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -180,7 +180,8 @@
   mPorts.mStore->Commit(
     mElection.Claim(),
     kClaimTimeout,
-    [this, sentAt](base::Expected<CommitResult> aResult) {
+    [this, sentAt, before = mElection.Holder()](
+      base::Expected<CommitResult> aResult) {
       mClaiming = false;
       if (aResult && aResult->mApplied) {
         mElection.OnClaimed(sentAt, *aResult);
@@ -195,6 +196,9 @@
         });
         return;
       }
+      mPorts.mLog->Write("lead_taken",
+                         { { "epoch", std::to_string(mElection.Epoch()) },
+                           { "before", before.Value() } });
       mLead = std::make_shared<Lead>(
         mPorts,
         mSettings.mLead,
--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -60,7 +60,6 @@
 
 void Lead::Start()
 {
-  mPorts.mLog->Write("lead_taken", { { "epoch", std::to_string(mEpoch) } });
   Load(0, "");
 }
 
