The lead's lease is 1.5 s instead of 2 s

Cause: while the lead is lost nothing starts, and bookings have 1.7 s of slack. Known cost: a renewal on a connection that went silent is noticed after 1 s, so then the lead may be lost although its holder lives; nothing but the take-over is lost with it.

--- a/flamingoloom/node/election.h
+++ b/flamingoloom/node/election.h
@@ -33,9 +33,9 @@
 
 struct ElectionTiming
 {
-  // Without a renewal for this long, others may claim. Several renewals fit
-  // in, also while the store is slow.
-  base::Duration mLease = std::chrono::milliseconds(2000);
+  // Without a renewal for this long, others may claim. Two renewals fit in,
+  // and one while the store is slow, when a renewal takes 0.7 s.
+  base::Duration mLease = std::chrono::milliseconds(1500);
   base::Duration mRenewEvery = std::chrono::milliseconds(500);
   // A renewal that was not answered is tried again after this.
   base::Duration mRenewRetry = std::chrono::milliseconds(150);
