--- a/flamingoloom/node/lead.cpp
+++ b/flamingoloom/node/lead.cpp
@@ -10,16 +10,6 @@
 using base::Time;
 using std::chrono::milliseconds;
 
-namespace {
-
-constexpr const char* kLoadedTables[] = { jobs::kStateTable, jobs::kRunTable };
-constexpr auto kReadTimeout = milliseconds(1000);
-// Far beyond any objective.
-constexpr base::Duration kLongestAge = std::chrono::minutes(10);
-constexpr auto kReadRetry = milliseconds(150);
-
-} // namespace
-
 Lead::Lead(Ports aPorts,
            LeadTiming aTiming,
            scheduler::SchedulerSettings aSettings,
@@ -86,139 +76,6 @@
   mOnLost();
 }
 
-// Taking over -----------------------------------------------------------------
-
-void Lead::Load(std::size_t aTable, const std::string& aFrom)
-{
-  mPorts.mStore->Read(
-    kLoadedTables[aTable],
-    jobs::kSchedulerPart,
-    aFrom,
-    "",
-    kReadTimeout,
-    [self = shared_from_this(), aTable, aFrom](base::Expected<Rows> aPage) {
-      if (self->mPhase != Phase::eLoading) {
-        return;
-      }
-      if (!aPage) {
-        self->mPorts.mLoop->After(kReadRetry, [self, aTable, aFrom] {
-          if (self->mPhase == Phase::eLoading) {
-            self->Load(aTable, aFrom);
-          }
-        });
-        return;
-      }
-      self->mStoreMs = aPage->mStoreNowMs;
-      self->mStoreMsReadAt = self->mPorts.mLoop->Now();
-      auto& rows = aTable == 0 ? self->mLoadedStates : self->mLoadedSteps;
-      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
-      if (aPage->mMore && !aPage->mRows.empty()) {
-        self->Load(aTable, aPage->mRows.back().mKey + '\0');
-      } else if (aTable + 1 < std::size(kLoadedTables)) {
-        self->Load(aTable + 1, "");
-      } else {
-        self->FinishLoading();
-      }
-    });
-}
-
-void Lead::FinishLoading()
-{
-  // Jobs are read last, so that each state that was read has its job; only a
-  // cleaning that was cut short leaves states alone.
-  std::weak_ptr<Lead> weak = shared_from_this();
-  mJobWatch =
-    std::make_shared<TableWatch>(mPorts,
-                                 jobs::kJobTable,
-                                 jobs::JobParts(),
-                                 TableWatchTiming{},
-                                 [weak](const std::vector<Row>& aRows) {
-                                   if (const auto self = weak.lock()) {
-                                     self->OnJobRows(aRows);
-                                   }
-                                 });
-  mJobWatch->Start();
-}
-
-void Lead::OnJobRows(const std::vector<Row>& aRows)
-{
-  if (mPhase == Phase::eStopped) {
-    return;
-  }
-  const Time now = mPorts.mLoop->Now();
-  for (const auto& row : aRows) {
-    if (!row.mValue || jobs::IsCancelKey(row.mKey)) {
-      continue;
-    }
-    auto job = jobs::DecodeJob(row.mKey, *row.mValue);
-    if (!job) {
-      mPorts.mLog->Write(
-        "row_unreadable",
-        { { "key", row.mKey }, { "error", job.error().ToString() } });
-      continue;
-    }
-    mPorts.mLog->Write(
-      "job_seen",
-      { { "job", row.mKey },
-        { "queue", job->mRules.mQueue },
-        { "priority", std::to_string(job->mRules.mPriority) },
-        { "estimate_ms",
-          std::to_string(base::ToMilliseconds(job->LongestChain())) },
-        { "version", std::to_string(row.mVersion) } });
-    // A successor counts the job's time from its acceptance, not from the
-    // take-over; clocks that jump must not make it absurd.
-    const auto age =
-      std::clamp<std::int64_t>(mPorts.mLoop->UnixMs() - job->mAcceptedMs,
-                               0,
-                               base::ToMilliseconds(kLongestAge));
-    mScheduler.AddJob(now - milliseconds(age), std::move(*job));
-  }
-  if (mPhase == Phase::eLoading) {
-    for (const auto& row : mLoadedStates) {
-      const auto state = jobs::DecodeState(row.mValue.value_or(""));
-      if (state && !mScheduler.RestoreState(row.mKey, *state, row.mVersion)) {
-        mLeftovers.push_back(
-          { jobs::kStateTable, row.mKey, std::nullopt, std::nullopt });
-      }
-    }
-    for (const auto& row : mLoadedSteps) {
-      const auto step = jobs::DecodeStep(row.mValue.value_or(""));
-      if (step) {
-        if (!mScheduler.RestoreStep(jobs::JobOfKey(row.mKey),
-                                    *step,
-                                    row.mVersion,
-                                    EarlierLeasesEndBy())) {
-          mLeftovers.push_back(
-            { jobs::kRunTable, row.mKey, std::nullopt, std::nullopt });
-        }
-      } else {
-        mPorts.mLog->Write(
-          "row_unreadable",
-          { { "key", row.mKey }, { "error", step.error().ToString() } });
-      }
-    }
-    mScheduler.Resume(now);
-    mPorts.mLog->Write(
-      "jobs_loaded",
-      { { "jobs", std::to_string(mScheduler.Jobs().size()) },
-        { "steps", std::to_string(mLoadedSteps.size()) },
-        { "after_ms",
-          std::to_string(base::ToMilliseconds(now - mStartedAt)) } });
-    mLoadedStates.clear();
-    mLoadedSteps.clear();
-    mPhase = Phase::eScheduling;
-    PollServerList("", {});
-    Clean();
-  }
-  for (const auto& row : aRows) {
-    if (row.mValue && jobs::IsCancelKey(row.mKey) &&
-        !mScheduler.Cancel(jobs::JobOfKey(row.mKey))) {
-      mLoneCancels.emplace(jobs::JobOfKey(row.mKey), now);
-    }
-  }
-  Poke();
-}
-
 void Lead::SetConfiguration(const Configuration& aConfiguration)
 {
   std::map<base::AccountId, std::int64_t> guarantees;
@@ -246,7 +103,7 @@
     "",
     aFrom,
     "",
-    kReadTimeout,
+    mTiming.mReadTimeout,
     [self = shared_from_this(),
      servers = std::move(aSoFar)](base::Expected<Rows> aPage) mutable {
       if (self->mPhase != Phase::eScheduling) {
@@ -547,90 +404,4 @@
   return mScheduler.QueueLengths();
 }
 
-void Lead::Clean()
-{
-  if (mPhase != Phase::eScheduling) {
-    return;
-  }
-  if (!mUncleaned.empty()) {
-    CleanNext(std::exchange(mUncleaned, {}), 0);
-    return;
-  }
-  std::map<std::string, std::vector<scheduler::RowChange>> jobRows;
-  auto rows = std::move(mLeftovers);
-  mLeftovers.clear();
-  const auto remove = [](std::vector<scheduler::RowChange>& aRows,
-                         const char* aTable,
-                         const std::string& aKey) {
-    aRows.push_back({ aTable, aKey, std::nullopt, std::nullopt });
-  };
-  for (const auto& expired : mScheduler.TakeExpired(
-         StoreNowMs() - base::ToMilliseconds(mTiming.mKeepFinal))) {
-    auto& ofPart = jobRows[jobs::PartOfJob(expired.mJob)];
-    remove(ofPart, jobs::kJobTable, expired.mJob);
-    if (expired.mCancelled) {
-      remove(ofPart, jobs::kJobTable, jobs::CancelKey(expired.mJob));
-    }
-    for (const auto& key : expired.mRunKeys) {
-      remove(rows, jobs::kRunTable, key);
-    }
-    remove(rows, jobs::kStateTable, expired.mJob);
-  }
-  for (auto cancel = mLoneCancels.begin(); cancel != mLoneCancels.end();) {
-    if (mPorts.mLoop->Now() - cancel->second < mTiming.mKeepFinal) {
-      ++cancel;
-      continue;
-    }
-    remove(jobRows[jobs::PartOfJob(cancel->first)],
-           jobs::kJobTable,
-           jobs::CancelKey(cancel->first));
-    cancel = mLoneCancels.erase(cancel);
-  }
-  // The jobs go first: one that outlived its state would be taken for queued
-  // and run again.
-  std::vector<Transaction> transactions;
-  for (auto& [part, changes] : jobRows) {
-    transactions.push_back({ part, {}, std::move(changes) });
-  }
-  constexpr std::ptrdiff_t kRowsAtOnce = 90;
-  for (auto from = rows.begin(); from != rows.end();) {
-    const auto to = from + std::min(kRowsAtOnce, rows.end() - from);
-    transactions.push_back(
-      { jobs::kSchedulerPart, { mEpochCondition }, { from, to } });
-    from = to;
-  }
-  CleanNext(std::move(transactions), 0);
-}
-
-void Lead::CleanNext(std::vector<Transaction> aTransactions, std::size_t aNext)
-{
-  if (aNext == aTransactions.size()) {
-    mPorts.mLoop->After(mTiming.mCleanEvery,
-                        [self = shared_from_this()] { self->Clean(); });
-    return;
-  }
-  const Transaction transaction = aTransactions[aNext];
-  mPorts.mStore->Commit(
-    transaction,
-    mTiming.mCommitTimeout,
-    [self = shared_from_this(), transactions = std::move(aTransactions), aNext](
-      const base::Expected<CommitResult>& aResult) mutable {
-      if (self->mPhase != Phase::eScheduling) {
-        return;
-      }
-      if (!aResult) {
-        self->mPorts.mLog->Write("clean_failed",
-                                 { { "error", aResult.error().ToString() } });
-        self->mUncleaned.assign(transactions.begin() +
-                                  static_cast<std::ptrdiff_t>(aNext),
-                                transactions.end());
-        transactions.clear();
-        aNext = 0;
-      } else {
-        ++aNext;
-      }
-      self->CleanNext(std::move(transactions), aNext);
-    });
-}
-
 } // namespace flamingoloom::node
--- a/flamingoloom/node/lead.h
+++ b/flamingoloom/node/lead.h
@@ -40,6 +40,8 @@
   // How long final jobs are kept for callers.
   base::Duration mKeepFinal = std::chrono::seconds(150);
   base::Duration mCleanEvery = std::chrono::seconds(5);
+  // A store that is slow by a factor of 92 takes 0.7 s for an answer.
+  base::Duration mReadTimeout = std::chrono::milliseconds(1000);
   base::Duration mCommitTimeout = std::chrono::milliseconds(1000);
   // Pause after a commit that failed; it doubles up to mMaxCommitRetry, since
   // refused calls are priced too.
--- /dev/null
+++ b/flamingoloom/node/lead_clean.cpp
@@ -0,0 +1,100 @@
+// Removing the rows of jobs that ended.
+#include "flamingoloom/node/lead.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "flamingoloom/jobs/records.h"
+
+namespace flamingoloom::node {
+
+using base::Time;
+using std::chrono::milliseconds;
+
+void Lead::Clean()
+{
+  if (mPhase != Phase::eScheduling) {
+    return;
+  }
+  if (!mUncleaned.empty()) {
+    CleanNext(std::exchange(mUncleaned, {}), 0);
+    return;
+  }
+  std::map<std::string, std::vector<scheduler::RowChange>> jobRows;
+  auto rows = std::move(mLeftovers);
+  mLeftovers.clear();
+  const auto remove = [](std::vector<scheduler::RowChange>& aRows,
+                         const char* aTable,
+                         const std::string& aKey) {
+    aRows.push_back({ aTable, aKey, std::nullopt, std::nullopt });
+  };
+  for (const auto& expired : mScheduler.TakeExpired(
+         StoreNowMs() - base::ToMilliseconds(mTiming.mKeepFinal))) {
+    auto& ofPart = jobRows[jobs::PartOfJob(expired.mJob)];
+    remove(ofPart, jobs::kJobTable, expired.mJob);
+    if (expired.mCancelled) {
+      remove(ofPart, jobs::kJobTable, jobs::CancelKey(expired.mJob));
+    }
+    for (const auto& key : expired.mRunKeys) {
+      remove(rows, jobs::kRunTable, key);
+    }
+    remove(rows, jobs::kStateTable, expired.mJob);
+  }
+  for (auto cancel = mLoneCancels.begin(); cancel != mLoneCancels.end();) {
+    if (mPorts.mLoop->Now() - cancel->second < mTiming.mKeepFinal) {
+      ++cancel;
+      continue;
+    }
+    remove(jobRows[jobs::PartOfJob(cancel->first)],
+           jobs::kJobTable,
+           jobs::CancelKey(cancel->first));
+    cancel = mLoneCancels.erase(cancel);
+  }
+  // The jobs go first: one that outlived its state would be taken for queued
+  // and run again.
+  std::vector<Transaction> transactions;
+  for (auto& [part, changes] : jobRows) {
+    transactions.push_back({ part, {}, std::move(changes) });
+  }
+  constexpr std::ptrdiff_t kRowsAtOnce = 90;
+  for (auto from = rows.begin(); from != rows.end();) {
+    const auto to = from + std::min(kRowsAtOnce, rows.end() - from);
+    transactions.push_back(
+      { jobs::kSchedulerPart, { mEpochCondition }, { from, to } });
+    from = to;
+  }
+  CleanNext(std::move(transactions), 0);
+}
+
+void Lead::CleanNext(std::vector<Transaction> aTransactions, std::size_t aNext)
+{
+  if (aNext == aTransactions.size()) {
+    mPorts.mLoop->After(mTiming.mCleanEvery,
+                        [self = shared_from_this()] { self->Clean(); });
+    return;
+  }
+  const Transaction transaction = aTransactions[aNext];
+  mPorts.mStore->Commit(
+    transaction,
+    mTiming.mCommitTimeout,
+    [self = shared_from_this(), transactions = std::move(aTransactions), aNext](
+      const base::Expected<CommitResult>& aResult) mutable {
+      if (self->mPhase != Phase::eScheduling) {
+        return;
+      }
+      if (!aResult) {
+        self->mPorts.mLog->Write("clean_failed",
+                                 { { "error", aResult.error().ToString() } });
+        self->mUncleaned.assign(transactions.begin() +
+                                  static_cast<std::ptrdiff_t>(aNext),
+                                transactions.end());
+        transactions.clear();
+        aNext = 0;
+      } else {
+        ++aNext;
+      }
+      self->CleanNext(std::move(transactions), aNext);
+    });
+}
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/lead_takeover.cpp
@@ -0,0 +1,153 @@
+// Taking over: the stored jobs, then those that come.
+#include "flamingoloom/node/lead.h"
+
+#include <algorithm>
+
+#include "flamingoloom/jobs/records.h"
+
+namespace flamingoloom::node {
+
+using base::Time;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kLoadedTables[] = { jobs::kStateTable, jobs::kRunTable };
+constexpr auto kReadRetry = milliseconds(150);
+// Far beyond any objective.
+constexpr base::Duration kLongestAge = std::chrono::minutes(10);
+
+} // namespace
+
+void Lead::Load(std::size_t aTable, const std::string& aFrom)
+{
+  mPorts.mStore->Read(
+    kLoadedTables[aTable],
+    jobs::kSchedulerPart,
+    aFrom,
+    "",
+    mTiming.mReadTimeout,
+    [self = shared_from_this(), aTable, aFrom](base::Expected<Rows> aPage) {
+      if (self->mPhase != Phase::eLoading) {
+        return;
+      }
+      if (!aPage) {
+        self->mPorts.mLoop->After(kReadRetry, [self, aTable, aFrom] {
+          if (self->mPhase == Phase::eLoading) {
+            self->Load(aTable, aFrom);
+          }
+        });
+        return;
+      }
+      self->mStoreMs = aPage->mStoreNowMs;
+      self->mStoreMsReadAt = self->mPorts.mLoop->Now();
+      auto& rows = aTable == 0 ? self->mLoadedStates : self->mLoadedSteps;
+      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      if (aPage->mMore && !aPage->mRows.empty()) {
+        self->Load(aTable, aPage->mRows.back().mKey + '\0');
+      } else if (aTable + 1 < std::size(kLoadedTables)) {
+        self->Load(aTable + 1, "");
+      } else {
+        self->FinishLoading();
+      }
+    });
+}
+
+void Lead::FinishLoading()
+{
+  // Jobs are read last, so that each state that was read has its job; only a
+  // cleaning that was cut short leaves states alone.
+  std::weak_ptr<Lead> weak = shared_from_this();
+  mJobWatch =
+    std::make_shared<TableWatch>(mPorts,
+                                 jobs::kJobTable,
+                                 jobs::JobParts(),
+                                 TableWatchTiming{},
+                                 [weak](const std::vector<Row>& aRows) {
+                                   if (const auto self = weak.lock()) {
+                                     self->OnJobRows(aRows);
+                                   }
+                                 });
+  mJobWatch->Start();
+}
+
+void Lead::OnJobRows(const std::vector<Row>& aRows)
+{
+  if (mPhase == Phase::eStopped) {
+    return;
+  }
+  const Time now = mPorts.mLoop->Now();
+  for (const auto& row : aRows) {
+    if (!row.mValue || jobs::IsCancelKey(row.mKey)) {
+      continue;
+    }
+    auto job = jobs::DecodeJob(row.mKey, *row.mValue);
+    if (!job) {
+      mPorts.mLog->Write(
+        "row_unreadable",
+        { { "key", row.mKey }, { "error", job.error().ToString() } });
+      continue;
+    }
+    mPorts.mLog->Write(
+      "job_seen",
+      { { "job", row.mKey },
+        { "queue", job->mRules.mQueue },
+        { "priority", std::to_string(job->mRules.mPriority) },
+        { "estimate_ms",
+          std::to_string(base::ToMilliseconds(job->LongestChain())) },
+        { "version", std::to_string(row.mVersion) } });
+    // A successor counts the job's time from its acceptance, not from the
+    // take-over; clocks that jump must not make it absurd.
+    const auto age =
+      std::clamp<std::int64_t>(mPorts.mLoop->UnixMs() - job->mAcceptedMs,
+                               0,
+                               base::ToMilliseconds(kLongestAge));
+    mScheduler.AddJob(now - milliseconds(age), std::move(*job));
+  }
+  if (mPhase == Phase::eLoading) {
+    for (const auto& row : mLoadedStates) {
+      const auto state = jobs::DecodeState(row.mValue.value_or(""));
+      if (state && !mScheduler.RestoreState(row.mKey, *state, row.mVersion)) {
+        mLeftovers.push_back(
+          { jobs::kStateTable, row.mKey, std::nullopt, std::nullopt });
+      }
+    }
+    for (const auto& row : mLoadedSteps) {
+      const auto step = jobs::DecodeStep(row.mValue.value_or(""));
+      if (step) {
+        if (!mScheduler.RestoreStep(jobs::JobOfKey(row.mKey),
+                                    *step,
+                                    row.mVersion,
+                                    EarlierLeasesEndBy())) {
+          mLeftovers.push_back(
+            { jobs::kRunTable, row.mKey, std::nullopt, std::nullopt });
+        }
+      } else {
+        mPorts.mLog->Write(
+          "row_unreadable",
+          { { "key", row.mKey }, { "error", step.error().ToString() } });
+      }
+    }
+    mScheduler.Resume(now);
+    mPorts.mLog->Write(
+      "jobs_loaded",
+      { { "jobs", std::to_string(mScheduler.Jobs().size()) },
+        { "steps", std::to_string(mLoadedSteps.size()) },
+        { "after_ms",
+          std::to_string(base::ToMilliseconds(now - mStartedAt)) } });
+    mLoadedStates.clear();
+    mLoadedSteps.clear();
+    mPhase = Phase::eScheduling;
+    PollServerList("", {});
+    Clean();
+  }
+  for (const auto& row : aRows) {
+    if (row.mValue && jobs::IsCancelKey(row.mKey) &&
+        !mScheduler.Cancel(jobs::JobOfKey(row.mKey))) {
+      mLoneCancels.emplace(jobs::JobOfKey(row.mKey), now);
+    }
+  }
+  Poke();
+}
+
+} // namespace flamingoloom::node
