--- a/flamingoloom/node/lead_clean.cpp
+++ b/flamingoloom/node/lead_clean.cpp
@@ -53,6 +53,7 @@
   // The jobs go first: one that outlived its state would be taken for queued
   // and run again.
   std::vector<Transaction> transactions;
+  transactions.reserve(jobRows.size() + 1);
   for (auto& [part, changes] : jobRows) {
     transactions.push_back({ part, {}, std::move(changes) });
   }
--- a/flamingoloom/scheduler/scheduler_place.cpp
+++ b/flamingoloom/scheduler/scheduler_place.cpp
@@ -18,9 +18,6 @@
 constexpr base::Duration kSeekReservationEvery = std::chrono::milliseconds(250);
 // A search visits every rack for each horizon.
 constexpr int kReservationsPerPass = 3;
-// A stop and the report of its end; the platform bounds a stop by 200 to 900
-// ms.
-constexpr base::Duration kStopTime = std::chrono::milliseconds(400);
 // From then on a guaranteed job takes room on any rack, and from accounts that
 // use more than their guarantee: stopping work takes up to a second, and the
 // platform's bound for reclaiming is 2.7 s and more.
--- a/flamingoloom/scheduler/scheduler_place_test.cpp
+++ b/flamingoloom/scheduler/scheduler_place_test.cpp
@@ -90,6 +90,7 @@
   f.Add(small);
   CHECK(f.StartAll().empty());
   std::vector<EndedTask> ends;
+  ends.reserve(running.size());
   for (const auto& start : running) {
     ends.push_back({ static_cast<std::int64_t>(ends.size()) + 1,
                      start.mRun,
