Reservations end when their server changes its kind; unreadable jobs keep their rows

A server may come back under its id with another label or service while room on it is reserved; the gang was then started on it, which the platform counts as a start without the required label. Plans now check that the server still suits the step. And a successor took the state of a job that it could not read for a leftover of a cleaning and removed it. Tests: 'A reservation ends when its server has another label' and 'The state of a job that cannot be read is kept' fail without the changes.

--- a/flamingoloom/node/lead.h
+++ b/flamingoloom/node/lead.h
@@ -124,7 +124,7 @@
   // Rows of jobs that an interrupted cleaning has removed.
   std::vector<scheduler::RowChange> mLeftovers;
   // Cancels of jobs that are not known, and since when.
-  std::map<std::string, base::Time> mLoneCancels;
+  std::map<std::string, base::Time> mUnmatchedCancels;
   // What a cleaning did not get done.
   std::vector<Transaction> mUncleaned;
   std::int64_t mStoreMs = 0;
--- a/flamingoloom/node/lead_clean.cpp
+++ b/flamingoloom/node/lead_clean.cpp
@@ -8,9 +8,6 @@
 
 namespace flamingoloom::node {
 
-using base::Time;
-using std::chrono::milliseconds;
-
 void Lead::Clean()
 {
   if (mPhase != Phase::eScheduling) {
@@ -40,7 +37,8 @@
     }
     remove(rows, jobs::kStateTable, expired.mJob);
   }
-  for (auto cancel = mLoneCancels.begin(); cancel != mLoneCancels.end();) {
+  for (auto cancel = mUnmatchedCancels.begin();
+       cancel != mUnmatchedCancels.end();) {
     if (mPorts.mLoop->Now() - cancel->second < mTiming.mKeepFinal) {
       ++cancel;
       continue;
@@ -48,7 +46,7 @@
     remove(jobRows[jobs::PartOfJob(cancel->first)],
            jobs::kJobTable,
            jobs::CancelKey(cancel->first));
-    cancel = mLoneCancels.erase(cancel);
+    cancel = mUnmatchedCancels.erase(cancel);
   }
   // The jobs go first: one that outlived its state would be taken for queued
   // and run again.
--- a/flamingoloom/node/lead_takeover.cpp
+++ b/flamingoloom/node/lead_takeover.cpp
@@ -2,6 +2,7 @@
 #include "flamingoloom/node/lead.h"
 
 #include <algorithm>
+#include <set>
 
 #include "flamingoloom/jobs/records.h"
 
@@ -105,9 +106,15 @@
     mScheduler.AddJob(now - milliseconds(age), std::move(*job));
   }
   if (mPhase == Phase::eLoading) {
+    // A job that cannot be read keeps its other rows.
+    std::set<std::string> stored;
+    for (const auto& row : aRows) {
+      stored.insert(row.mKey);
+    }
     for (const auto& row : mLoadedStates) {
       const auto state = jobs::DecodeState(row.mValue.value_or(""));
-      if (state && !mScheduler.RestoreState(row.mKey, *state, row.mVersion)) {
+      if (state && !mScheduler.RestoreState(row.mKey, *state, row.mVersion) &&
+          stored.count(row.mKey) == 0) {
         mLeftovers.push_back(
           { jobs::kStateTable, row.mKey, std::nullopt, std::nullopt });
       }
@@ -118,7 +125,8 @@
         if (!mScheduler.RestoreStep(jobs::JobOfKey(row.mKey),
                                     *step,
                                     row.mVersion,
-                                    EarlierLeasesEndBy())) {
+                                    EarlierLeasesEndBy()) &&
+            stored.count(jobs::JobOfKey(row.mKey)) == 0) {
           mLeftovers.push_back(
             { jobs::kRunTable, row.mKey, std::nullopt, std::nullopt });
         }
@@ -144,7 +152,7 @@
   for (const auto& row : aRows) {
     if (row.mValue && jobs::IsCancelKey(row.mKey) &&
         !mScheduler.Cancel(jobs::JobOfKey(row.mKey))) {
-      mLoneCancels.emplace(jobs::JobOfKey(row.mKey), now);
+      mUnmatchedCancels.emplace(jobs::JobOfKey(row.mKey), now);
     }
   }
   Poke();
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -434,9 +434,11 @@
   return place != mPlaces.end() && aNeed.FitsIn(place->second.mFree);
 }
 
-bool Placement::IsUsable(const base::ServerId& aServer) const
+bool Placement::IsUsableFor(const StepRun& aStep,
+                            const base::ServerId& aServer) const
 {
-  return mPlaces.count(aServer) > 0;
+  const auto place = mPlaces.find(aServer);
+  return place != mPlaces.end() && Suits(aStep, place->second);
 }
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -83,7 +83,8 @@
   // Takes aNeed from a server's room for this pass; it may fall below zero.
   void Take(const base::ServerId& aServer, const jobs::Resources& aNeed);
   bool Fits(const base::ServerId& aServer, const jobs::Resources& aNeed) const;
-  bool IsUsable(const base::ServerId& aServer) const;
+  // Whether the server takes starts, and the step's tasks may run there.
+  bool IsUsableFor(const StepRun& aStep, const base::ServerId& aServer) const;
 
 private:
   struct Place
--- a/flamingoloom/scheduler/scheduler_fixture.h
+++ b/flamingoloom/scheduler/scheduler_fixture.h
@@ -35,12 +35,18 @@
       info.mStartedMs = 1;
       mInfos.push_back(info);
     }
-    mScheduler.UpdateServers(mNow, mInfos, mNow + seconds(12));
+    UpdateServers();
     for (const auto& info : mInfos) {
       Report(info.mId, {}, {});
     }
   }
 
+  // Lists mInfos as they are now.
+  void UpdateServers()
+  {
+    mScheduler.UpdateServers(mNow, mInfos, mNow + seconds(12));
+  }
+
   static jobs::JobSpec Job(const std::string& aId,
                            int aTasks,
                            int aAccelerators)
@@ -67,6 +73,20 @@
     mScheduler.OnReport(mNow, aServer, { aLife, aRunning, aEnded }, mNow);
   }
 
+  // Ends the first runs of one server's life as done.
+  void ReportDone(const std::vector<StartOrder>& aRuns)
+  {
+    std::vector<EndedTask> ends;
+    ends.reserve(aRuns.size());
+    for (const auto& start : aRuns) {
+      ends.push_back({ static_cast<std::int64_t>(ends.size()) + 1,
+                       start.mRun,
+                       RunEnd::eDone,
+                       "" });
+    }
+    Report(aRuns[0].mServer, {}, ends);
+  }
+
   // One pass; stores what it changes and returns the orders.
   Orders Pass()
   {
--- a/flamingoloom/scheduler/scheduler_place.cpp
+++ b/flamingoloom/scheduler/scheduler_place.cpp
@@ -142,7 +142,7 @@
   for (const auto& [index, server] : aStep.mPlan) {
     const bool waiting = aStep.mTasks[static_cast<std::size_t>(index)].mPhase ==
                          TaskPhase::eWaiting;
-    usable = usable && waiting && aPlacement.IsUsable(server);
+    usable = usable && waiting && aPlacement.IsUsableFor(aStep, server);
   }
   if (!usable) {
     aStep.mPlan.clear();
--- a/flamingoloom/scheduler/scheduler_place_test.cpp
+++ b/flamingoloom/scheduler/scheduler_place_test.cpp
@@ -89,21 +89,37 @@
   small.mId = "more";
   f.Add(small);
   CHECK(f.StartAll().empty());
-  std::vector<EndedTask> ends;
-  ends.reserve(running.size());
-  for (const auto& start : running) {
-    ends.push_back({ static_cast<std::int64_t>(ends.size()) + 1,
-                     start.mRun,
-                     RunEnd::eDone,
-                     "" });
-  }
   f.mNow += milliseconds(1000);
-  f.Report(running[0].mServer, {}, ends);
+  f.ReportDone(running);
   const auto starts = f.Pass().mStarts;
   REQUIRE(starts.size() == 2);
   CHECK(starts[0].mRun.mTask.mJob == "gang");
 }
 
+// Guards against a start on a server that came back as one of another kind
+// while its room was reserved.
+TEST_CASE("A reservation ends when its server has another label")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.mInfos[0].mLabels = { "fast" };
+  f.UpdateServers();
+  f.Add(Fixture::Job("first", 4, 1));
+  const auto running = f.StartAll();
+  auto gang = Fixture::Job("gang", 2, 4);
+  gang.mSteps[0].mGang = true;
+  gang.mSteps[0].mRequiredLabel = "fast";
+  f.Add(gang);
+  CHECK(f.StartAll().empty());
+  f.mNow += milliseconds(100);
+  f.ReportDone(running);
+  f.mInfos[0].mLabels = { "slow" };
+  f.mInfos[0].mStartedMs = 2;
+  f.UpdateServers();
+  f.Report(running[0].mServer, {}, {}, 2);
+  CHECK(f.Pass().mStarts.empty());
+}
+
 // Guards against reserved room that a more urgent job has to wait for.
 TEST_CASE("More urgent work takes room that is only reserved")
 {
--- a/testing/platform_world/world.cpp
+++ b/testing/platform_world/world.cpp
@@ -129,6 +129,9 @@
   }
   ListServers();
   mStore.Put("operators", "configuration", "1");
+  for (const auto& transaction : mOptions.mStored) {
+    mStore.Apply(transaction);
+  }
   for (int i = 0; i < mOptions.mInstances; ++i) {
     auto member = std::make_unique<Member>();
     member->mName = "i" + std::to_string(i);
--- a/testing/platform_world/world.h
+++ b/testing/platform_world/world.h
@@ -26,6 +26,8 @@
   // Tasks take from 0.3 s to this.
   base::Duration mLongestTask = std::chrono::seconds(4);
   bool mFaults = true;
+  // Rows that are in the store before the first instance starts.
+  std::vector<node::Transaction> mStored;
   // Changes a mechanism of the leads, to show that the checks see it.
   std::function<void(node::InstanceSettings&)> mChange;
 };
--- a/testing/platform_world/world_test.cpp
+++ b/testing/platform_world/world_test.cpp
@@ -83,6 +83,31 @@
   }
 }
 
+// Guards against a state that is removed, so that its caller is told of no such
+// job, because the job itself was written by another build and cannot be read.
+TEST_CASE("The state of a job that cannot be read is kept")
+{
+  const std::string id = "00000000000000aa";
+  WorldOptions options;
+  options.mFaults = false;
+  options.mStored = {
+    { jobs::PartOfJob(id),
+      {},
+      { { jobs::kJobTable, id, "unreadable", std::nullopt } } },
+    { jobs::kSchedulerPart,
+      {},
+      { { jobs::kStateTable,
+          id,
+          jobs::EncodeState({ jobs::JobState::eRunning, {}, 0 }),
+          std::nullopt } } }
+  };
+  World world(options);
+  world.Run();
+  CHECK(world.Store()
+          .Read(jobs::kStateTable, jobs::kSchedulerPart, id, id + '\0')
+          .mRows.size() == 1);
+}
+
 // Shows that the check for two runs sees them: a scheduler that takes leases
 // for ended before they are starts tasks again that still run.
 TEST_CASE("Leases that outlive what the scheduler believes are noticed")
