One computation of a run's time left

Reservations wrote again what leaving draining servers already computed: the time that is left by a run's progress. Both call Task::TimeLeftAtReport.

--- a/flamingoloom/scheduler/scheduler_place.cpp
+++ b/flamingoloom/scheduler/scheduler_place.cpp
@@ -292,11 +292,8 @@
     base::Duration left = task->mPlacedAt + step->Spec().mEstimate - aNow;
     if (task->mStopWanted) {
       left = mSettings.mStopTime;
-    } else if (task->Speed() > 0) {
-      const std::chrono::duration<double> more((100 - task->mPercent) /
-                                               task->Speed());
-      left = std::chrono::duration_cast<base::Duration>(more) -
-             (aNow - task->mReportedAt);
+    } else if (const auto reported = task->TimeLeftAtReport()) {
+      left = *reported - (aNow - task->mReportedAt);
     }
     ends.push_back({ left, step->Spec().Footprint() });
   }
--- a/flamingoloom/scheduler/scheduler_watch.cpp
+++ b/flamingoloom/scheduler/scheduler_watch.cpp
@@ -122,12 +122,9 @@
           task->mPhase != TaskPhase::eRunning || step->Spec().mLongRunning) {
         continue;
       }
-      const double speed = task->Speed();
-      const std::chrono::duration<double> left =
-        speed > 0
-          ? std::chrono::duration<double>((100 - task->mPercent) / speed)
-          : std::chrono::duration<double>(step->Spec().mEstimate);
-      const std::chrono::duration<double> stays = *server.mLeavesAt - aNow;
+      const base::Duration left =
+        task->TimeLeftAtReport().value_or(step->Spec().mEstimate);
+      const base::Duration stays = *server.mLeavesAt - aNow;
       if (left > stays) {
         // It would be lost with the server; elsewhere it starts sooner, and
         // from its checkpoint if it has one.
--- a/flamingoloom/scheduler/work.cpp
+++ b/flamingoloom/scheduler/work.cpp
@@ -12,6 +12,16 @@
   return run.count() > 0 ? (mPercent - mFirstPercent) / run.count() : 0.0;
 }
 
+std::optional<base::Duration> Task::TimeLeftAtReport() const
+{
+  const double speed = Speed();
+  if (speed <= 0) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<base::Duration>(
+    std::chrono::duration<double>((100 - mPercent) / speed));
+}
+
 const jobs::StepSpec& StepRun::Spec() const
 {
   return mJob->mSpec.mSteps[static_cast<std::size_t>(mStep)];
--- a/flamingoloom/scheduler/work.h
+++ b/flamingoloom/scheduler/work.h
@@ -58,6 +58,9 @@
 
   // Percent per second in this run, by its last report.
   double Speed() const;
+  // What was left of this run at its last report, at that speed; none without
+  // progress.
+  std::optional<base::Duration> TimeLeftAtReport() const;
 };
 
 struct Job;
