--- a/testing/scenario/generator.cpp
+++ b/testing/scenario/generator.cpp
@@ -47,8 +47,8 @@
     }
     AddLoad();
     for (int i = RandomBelow(3); i >= 0; --i) {
-      Add(3000 + RandomBelow(kHealMs),
-          "put-config --at " + PickRandom(StandardInstances()));
+      const std::string instance = PickRandom(StandardInstances());
+      Add(3000 + RandomBelow(kHealMs), "put-config --at " + instance);
     }
     LetDrainingServersAccept();
     Add(kHealMs, "heal");
@@ -213,11 +213,11 @@
     if (RandomBelow(3) == 0) {
       // A second operator requests the same or the opposite change at almost
       // the same time.
+      const std::string instance = PickRandom(mInstances);
+      const std::string action = PickRandom({ "take-out", "bring-back" });
       Add(aTimeMs + RandomBelow(3),
-          fmt::format("{} {} --operator o2 --at {}",
-                      PickRandom({ "take-out", "bring-back" }),
-                      dataCentre,
-                      PickRandom(mInstances)));
+          fmt::format(
+            "{} {} --operator o2 --at {}", action, dataCentre, instance));
     }
     if (RandomBelow(2) == 0) {
       Add(aTimeMs + 3000 + RandomBelow(8000), "bring-back " + dataCentre);
@@ -262,13 +262,16 @@
                                       "booking",
                                       "booking",
                                       "match" });
+      const std::string instance = PickRandom(mInstances);
+      const std::string payload =
+        RandomBelow(40) == 0 ? "impossible" : std::to_string(i);
       std::string line =
         fmt::format("submit {} --account {} --key k{} --payload p{} --at {}",
                     kind,
                     account,
                     i,
-                    RandomBelow(40) == 0 ? "impossible" : std::to_string(i),
-                    PickRandom(mInstances));
+                    payload,
+                    instance);
       if (kind != "quote" && RandomBelow(4) == 0) {
         line += " --again-at " + PickRandom(mInstances);
       }
