A timed-out call says how much of its response had arrived

A call fails with "timed out" both when the peer is silent and when its response is still arriving. The hypotheses of the incident differ in exactly this, and our own logs could not tell them apart.

--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -244,10 +244,19 @@
                                  : base::ErrorCode::eUnavailable,
                            mSent ? "await response" : "connect",
                            mPeer,
-                           "timed out"));
+                           TimeoutText()));
     Close();
   }
 
+  // Tells a silent peer from one whose response is still arriving.
+  std::string TimeoutText() const
+  {
+    const auto received = mParser.get().body().size();
+    return received == 0 ? "timed out"
+                         : "timed out with " + std::to_string(received) +
+                             " bytes of the response received";
+  }
+
   void Fail(const char* aStep, const boost::system::error_code& aError)
   {
     Finish(base::MakeError(mSent ? base::ErrorCode::eOutcomeUnknown
