--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -14,6 +14,19 @@
 constexpr std::size_t kMaxHistory = 2000;
 constexpr double kLostResponseShare = 0.4;
 constexpr std::size_t kMaxEntries = 100;
+// Bytes of a response's headers, and of a row beside its value.
+constexpr std::size_t kResponseOverheadBytes = 200;
+constexpr std::size_t kRowOverheadBytes = 100;
+
+// Size of the response with aRows, whose values are sent in base64.
+std::size_t ResponseBytes(const node::Rows& aRows)
+{
+  std::size_t bytes = kResponseOverheadBytes;
+  for (const auto& row : aRows.mRows) {
+    bytes += kRowOverheadBytes + row.mValue.value_or("").size() * 4 / 3;
+  }
+  return bytes;
+}
 
 } // namespace
 
@@ -139,6 +152,25 @@
                });
 }
 
+void StoreConnection::Deliver(node::Rows aRows,
+                              std::function<void(Expected<node::Rows>)> aThen)
+{
+  if (mLink == nullptr) {
+    aThen(std::move(aRows));
+    return;
+  }
+  const auto bytes = ResponseBytes(aRows);
+  mLink->Transfer(bytes,
+                  [this,
+                   incarnation = mIncarnation,
+                   rows = std::move(aRows),
+                   then = std::move(aThen)] {
+                    if (incarnation == mIncarnation) {
+                      then(rows);
+                    }
+                  });
+}
+
 void StoreConnection::Commit(
   const node::Transaction& aTransaction,
   base::Duration aTimeout,
@@ -208,8 +240,9 @@
   CallLater(kNetworkDelay,
             [this, aTable, aPartition, aFrom, aTo, then = std::move(aThen)] {
               CallLater(kNetworkDelay,
-                        [rows = mStore.Read(aTable, aPartition, aFrom, aTo),
-                         then] { then(rows); });
+                        [this,
+                         rows = mStore.Read(aTable, aPartition, aFrom, aTo),
+                         then] { Deliver(rows, then); });
             });
 }
 
@@ -237,7 +270,7 @@
       if (!mStore.ReadChanges(aTable, aVersion, rows)) {
         then(MakeError(ErrorCode::eNotFound, "follow", "store", "forgotten"));
       } else if (!rows.mRows.empty() || mClock.Now() >= aUntil) {
-        then(rows);
+        Deliver(rows, then);
       } else {
         Poll(aTable, aVersion, aUntil, then);
       }
--- a/testing/platform_world/fake_store.h
+++ b/testing/platform_world/fake_store.h
@@ -16,6 +16,7 @@
 
 #include "flamingoloom/node/ports.h"
 #include "testing/fakes/virtual_clock.h"
+#include "testing/platform_world/shared_link.h"
 
 namespace flamingoloom::testing::platform_world {
 
@@ -89,6 +90,9 @@
   }
 
   void SetFault(StoreFault aFault) { mFault = aFault; }
+  // Rows that are read pass aLink; by default they take no time. aLink must
+  // outlive the connection.
+  void SetLink(SharedLink& aLink) { mLink = &aLink; }
   // Drops responses in flight, since the instance was killed.
   void Disconnect() { ++mIncarnation; }
 
@@ -109,6 +113,9 @@
 
 private:
   void CallLater(base::Duration aDelay, std::function<void()> aThen);
+  // Passes aRows to aThen once they have passed the link.
+  void Deliver(node::Rows aRows,
+               std::function<void(base::Expected<node::Rows>)> aThen);
   void Poll(const std::string& aTable,
             std::int64_t aVersion,
             base::Time aUntil,
@@ -116,6 +123,7 @@
 
   FakeStore& mStore;
   fakes::VirtualClock& mClock;
+  SharedLink* mLink = nullptr;
   StoreFault mFault = StoreFault::eNone;
   int mIncarnation = 0;
 };
--- /dev/null
+++ b/testing/platform_world/instance_group.cpp
@@ -0,0 +1,175 @@
+#include "testing/platform_world/instance_group.h"
+
+#include <cstdio>
+#include <optional>
+
+namespace flamingoloom::testing::platform_world {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char* kOperatorTable = "operators";
+constexpr const char* kConfigurationKey = "configuration";
+// What one queue takes in a configuration of the platform.
+constexpr std::size_t kBytesPerQueue = 240;
+constexpr int kMaxClaimDelayMs = 250;
+
+} // namespace
+
+std::string EncodeTestConfiguration(std::int64_t aVersion, int aQueues)
+{
+  auto value = std::to_string(aVersion) + " " + std::to_string(aQueues) + " ";
+  value.resize(
+    value.size() + static_cast<std::size_t>(aQueues) * kBytesPerQueue, '.');
+  return value;
+}
+
+class InstanceGroup::RowDecoder : public node::PlatformRowDecoder
+{
+public:
+  std::string OperatorTable() const override { return kOperatorTable; }
+  std::string ServerTable() const override { return "members"; }
+  std::string ConfigurationKey() const override { return kConfigurationKey; }
+
+  base::Expected<node::Configuration> ReadConfiguration(
+    const std::string& aValue) const override
+  {
+    long long version = 0;
+    int queues = 0;
+    if (std::sscanf(aValue.c_str(), "%lld %d", &version, &queues) != 2) {
+      return base::MakeError(
+        base::ErrorCode::eInvalid, "read configuration", "store", "no numbers");
+    }
+    node::Configuration configuration;
+    configuration.mVersion = version;
+    for (int i = 0; i < queues; ++i) {
+      const auto number = std::to_string(i);
+      node::Queue queue;
+      queue.mRules = { "queue" + number, "service", 1, 50, 3.0,
+                       milliseconds(500) };
+      queue.mHost = "host" + number;
+      queue.mPathPrefix = "/q/";
+      configuration.mQueues.push_back(std::move(queue));
+    }
+    configuration.mAccounts = { { base::AccountId("shop"), { "key" }, 8 } };
+    return configuration;
+  }
+
+  std::optional<base::DataCentreId> OutOfServiceDataCentre(
+    const std::string& aKey) const override
+  {
+    if (aKey == kConfigurationKey) {
+      return std::nullopt;
+    }
+    return base::DataCentreId(aKey);
+  }
+
+  base::Expected<scheduler::ServerInfo> ReadServer(
+    const std::string& aKey,
+    const std::string&) const override
+  {
+    return base::MakeError(
+      base::ErrorCode::eNotFound, "read server entry", aKey, "unknown");
+  }
+};
+
+struct InstanceGroup::Member
+{
+  Member(fakes::VirtualClock& aClock, FakeStore& aStore)
+    : mLoop(aClock)
+    , mConnection(aStore, aClock)
+  {
+  }
+
+  std::string mId;
+  ClockLoop mLoop;
+  StoreConnection mConnection;
+  std::unique_ptr<node::Instance> mInstance;
+  bool mAlive = true;
+};
+
+InstanceGroup::InstanceGroup(int aNear, int aRemote, double aLinkBytesPerSecond)
+  : mLink(mClock, aLinkBytesPerSecond)
+  , mRowDecoder(std::make_unique<RowDecoder>())
+{
+  mClock.RunUntil(base::Time(seconds(1000)));
+  for (int i = 0; i < aNear + aRemote; ++i) {
+    auto member = std::make_unique<Member>(mClock, mStore);
+    member->mId = "i" + std::to_string(i);
+    if (i >= aNear) {
+      member->mConnection.SetLink(mLink);
+    }
+    node::InstanceSettings settings;
+    settings.mId = base::InstanceId(member->mId);
+    settings.mClaimDelay =
+      mClock.Between(milliseconds(0), milliseconds(kMaxClaimDelayMs));
+    member->mInstance =
+      std::make_unique<node::Instance>(node::Ports{ &member->mLoop,
+                                                    &member->mConnection,
+                                                    nullptr,
+                                                    mRowDecoder.get(),
+                                                    &mLog },
+                                       settings);
+    member->mInstance->Start();
+    mMembers.push_back(std::move(member));
+  }
+}
+
+InstanceGroup::~InstanceGroup() = default;
+
+void InstanceGroup::Configure(std::int64_t aVersion, int aQueues)
+{
+  mStore.Put(kOperatorTable,
+             kConfigurationKey,
+             EncodeTestConfiguration(aVersion, aQueues));
+}
+
+void InstanceGroup::SetFault(std::size_t aInstance, StoreFault aFault)
+{
+  mMembers.at(aInstance)->mConnection.SetFault(aFault);
+}
+
+int InstanceGroup::CountWithVersion(std::int64_t aVersion) const
+{
+  int count = 0;
+  for (const auto& member : mMembers) {
+    const auto& configuration = member->mInstance->ActiveConfiguration();
+    count +=
+      member->mAlive && configuration && configuration->mVersion == aVersion;
+  }
+  return count;
+}
+
+node::CallerResponse InstanceGroup::QueryLength(std::size_t aInstance,
+                                                const std::string& aHost,
+                                                const std::string& aKey)
+{
+  std::optional<node::CallerResponse> response;
+  mMembers.at(aInstance)->mInstance->Api().Query(
+    { aHost, "/q/", aKey, seconds(3) },
+    [&response](const node::CallerResponse& aResponse) {
+      response = aResponse;
+    });
+  // The length of a queue is answered without a call to the store.
+  return response.value();
+}
+
+void InstanceGroup::KillLeader()
+{
+  const auto rows = mStore.Read(node::kLeaderTable,
+                                jobs::kSchedulerPartition,
+                                node::kEpochKey,
+                                std::string(node::kEpochKey) + '\0');
+  const auto holder = rows.mRows.at(0).mValue.value();
+  for (auto& member : mMembers) {
+    if (holder.substr(holder.find(' ') + 1) == member->mId) {
+      member->mLoop.Kill();
+      member->mConnection.Disconnect();
+      member->mAlive = false;
+    }
+  }
+}
+
+} // namespace flamingoloom::testing::platform_world
--- /dev/null
+++ b/testing/platform_world/instance_group.h
@@ -0,0 +1,57 @@
+// Instances with a common store and configuration, without servers or jobs,
+// under virtual time.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/node/instance.h"
+#include "testing/fakes/virtual_clock.h"
+#include "testing/platform_world/clock_loop.h"
+#include "testing/platform_world/fake_store.h"
+#include "testing/platform_world/shared_link.h"
+#include "testing/platform_world/silent_log.h"
+
+namespace flamingoloom::testing::platform_world {
+
+// The value of a configuration row with queues 0 to aQueues - 1, as large as
+// the platform's rows. Queue N has the host "hostN" and the prefix "/q/"; all
+// accept the key "key".
+std::string EncodeTestConfiguration(std::int64_t aVersion, int aQueues);
+
+class InstanceGroup
+{
+public:
+  // Starts aNear instances and aRemote ones, of which the latter share a link
+  // to the store with aLinkBytesPerSecond.
+  InstanceGroup(int aNear, int aRemote, double aLinkBytesPerSecond);
+  ~InstanceGroup();
+
+  // Writes a configuration as an operator does.
+  void Configure(std::int64_t aVersion, int aQueues);
+  void RunFor(base::Duration aDuration) { mClock.RunFor(aDuration); }
+  void SetFault(std::size_t aInstance, StoreFault aFault);
+  // Number of instances whose active configuration has the version aVersion.
+  int CountWithVersion(std::int64_t aVersion) const;
+  // The response to a question for the length of the queue of aHost.
+  node::CallerResponse QueryLength(std::size_t aInstance,
+                                   const std::string& aHost,
+                                   const std::string& aKey);
+  std::size_t LinkBytes() const { return mLink.BytesPassed(); }
+  // Ends the leader at once, without releasing its lease. There must be one.
+  void KillLeader();
+
+private:
+  class RowDecoder;
+  struct Member;
+
+  fakes::VirtualClock mClock{ 1 };
+  FakeStore mStore{ mClock };
+  SharedLink mLink;
+  SilentLog mLog;
+  std::unique_ptr<RowDecoder> mRowDecoder;
+  std::vector<std::unique_ptr<Member>> mMembers;
+};
+
+} // namespace flamingoloom::testing::platform_world
