A response that keeps arriving is not given up

Callers saw 404 for a queue that had been added more than 4 s before.

Cause: the time limit of a call covered its whole response. 22 instances of a region read the same 0.46 MB over one link of 60 Mbit/s, which takes 1.9 s, and each gave up 0.7 s after its wait and began anew. None got the row, and their attempts kept the link full for 20 s.

Change: once a response has begun, the time limit is the one between two of its parts, with 10 s for all of them.

--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -151,12 +151,8 @@
     mRequest.body() = std::move(aRequest.mBody);
     mRequest.prepare_payload();
     auto self = this->shared_from_this();
-    mTimer.expires_after(aTimeout);
-    mTimer.async_wait([self](auto aError) {
-      if (!aError) {
-        self->OnTimeout();
-      }
-    });
+    mTimeout = aTimeout;
+    RestartTimer();
     mConnection = mPool->TakeIdle(mPeer);
     if (mConnection) {
       Send();
@@ -200,20 +196,50 @@
       });
   }
 
-  void Receive()
+  void RestartTimer()
   {
     auto self = this->shared_from_this();
+    const auto limit = mStartedAt + mTimeout + mPool->mOptions.mMaxTransferTime;
+    mTimer.expires_at(
+      std::min(asio::steady_timer::clock_type::now() + mTimeout, limit));
+    mTimer.async_wait([self](auto aError) {
+      if (!aError) {
+        self->OnTimeout();
+      }
+    });
+  }
+
+  void Receive()
+  {
     mParser.body_limit(mPool->mOptions.mMaxBodyBytes);
-    beast::http::async_read(mConnection->mStream,
-                            mConnection->mBuffer,
-                            mParser,
-                            [self](auto aError, std::size_t) {
-                              if (aError) {
-                                self->Fail("read response", aError);
-                                return;
-                              }
-                              self->Complete();
-                            });
+    // Reads the header and what has arrived of the body in one operation.
+    mParser.eager(true);
+    ReceivePart();
+  }
+
+  void ReceivePart()
+  {
+    auto self = this->shared_from_this();
+    beast::http::async_read_some(
+      mConnection->mStream,
+      mConnection->mBuffer,
+      mParser,
+      [self](auto aError, std::size_t) { self->OnPart(aError); });
+  }
+
+  void OnPart(const boost::system::error_code& aError)
+  {
+    if (mDone) {
+      return;
+    }
+    if (aError) {
+      Fail("read response", aError);
+    } else if (mParser.is_done()) {
+      Complete();
+    } else {
+      RestartTimer();
+      ReceivePart();
+    }
   }
 
   void Complete()
@@ -296,6 +322,7 @@
   std::string mPeer;
   Client::Callback mCallback;
   asio::steady_timer mTimer;
+  base::Duration mTimeout{ 0 };
   SteadyTime mStartedAt;
   ConnectionPtr mConnection;
   beast::http::request<beast::http::string_body> mRequest;
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -33,6 +33,9 @@
   // below the idle timeout of common servers (5 s or more), which close the
   // connection and would fail the next request.
   base::Duration mMaxIdleTime = std::chrono::milliseconds(4500);
+  // Longest time that a response may take once it has begun. A peer that sends
+  // a few bytes at a time thus cannot hold a call for ever.
+  base::Duration mMaxTransferTime = std::chrono::seconds(10);
   // A response with a larger body fails the call. The platform sends rows in
   // pages of 1 MB.
   std::size_t mMaxBodyBytes = std::size_t{ 4 } * 1024 * 1024;
@@ -61,9 +64,11 @@
   Client& operator=(const Client&) = delete;
 
   // Sends aRequest to aPeer ("IP:PORT"). aTimeout covers the time to connect,
-  // to send the request and to read the whole response. aCallback is called
-  // exactly once, never from within Call, with the response or an error:
-  // eInvalid for a malformed aPeer, eUnavailable, or eOutcomeUnknown.
+  // to send the request and until the response begins; after that, the time
+  // between two parts of the response, up to ClientOptions::mMaxTransferTime
+  // for all of it. aCallback is called exactly once, never from within Call,
+  // with the response or an error: eInvalid for a malformed aPeer,
+  // eUnavailable, or eOutcomeUnknown.
   void Call(const std::string& aPeer,
             Request aRequest,
             base::Duration aTimeout,
--- a/flamingoloom/http/slow_response_test.cpp
+++ b/flamingoloom/http/slow_response_test.cpp
@@ -80,9 +80,10 @@
 };
 
 base::Expected<Response> Call(asio::io_context& aLoop,
-                              const SlowServer& aServer)
+                              const SlowServer& aServer,
+                              ClientOptions aOptions = {})
 {
-  Client client(aLoop, {});
+  Client client(aLoop, aOptions);
   std::optional<base::Expected<Response>> result;
   client.Call(aServer.Address(),
               { "GET", "/", {}, "" },
@@ -114,5 +115,17 @@
   CHECK(response.error().mCode == base::ErrorCode::eOutcomeUnknown);
 }
 
+TEST_CASE("A response that arrives for longer than the limit fails the call")
+{
+  asio::io_context loop;
+  constexpr int kPieces = 20;
+  const SlowServer server(loop, kPieces, kPieces);
+  ClientOptions options;
+  options.mMaxTransferTime = 5 * kPieceInterval;
+  const auto response = Call(loop, server, options);
+  REQUIRE(!response);
+  CHECK(response.error().mCode == base::ErrorCode::eOutcomeUnknown);
+}
+
 } // namespace
 } // namespace flamingoloom::http
