Callers are not denied by a configuration that the store has not confirmed

Callers saw 404 for a queue of version 6 from instances that had lost the operators' table 4 s before, knew it, and were not ready.

Cause: the API looked up queue and key before it looked at the store's availability, so 404 and 401 were final answers by a configuration of any age.

--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -67,7 +67,7 @@
 void Instance::CheckReadiness()
 {
   const bool ready = IsReady();
-  mApi.SetStoreReachable(IsStoreReachable());
+  UpdateApi();
   if (ready != mWasReady) {
     mWasReady = ready;
     mPorts.mLog->Write("readiness", { { "ready", ready ? "1" : "0" } });
@@ -75,6 +75,13 @@
   mPorts.mLoop->After(kReadinessCheckInterval, [this] { CheckReadiness(); });
 }
 
+void Instance::UpdateApi()
+{
+  mApi.SetStoreReachable(IsStoreReachable());
+  mApi.SetConfigurationValidUntil(mOperatorWatch->LastContact() +
+                                  mSettings.mStoreContactTimeout);
+}
+
 void Instance::OnOperatorRows(const std::vector<Row>& aRows)
 {
   bool outOfServiceChanged = false;
@@ -122,7 +129,7 @@
   if (outOfServiceChanged && mLeader) {
     mLeader->SetOutOfServiceDataCentres(mOutOfServiceDataCentres);
   }
-  mApi.SetStoreReachable(IsStoreReachable());
+  UpdateApi();
 }
 
 // Leadership
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -27,8 +27,10 @@
   // so that instances nearer to the store claim first.
   base::Duration mFarStoreLatency = std::chrono::milliseconds(20);
   base::Duration mFarStorePenalty = std::chrono::milliseconds(400);
-  // The instance is not ready if the store has not responded for this long: one
-  // wait of the watch, the response, and some slack.
+  // The instance is not ready, and does not use its configuration, if the store
+  // has not responded for this long: one wait of the watch, the response, and
+  // some slack. Must be shorter than the time in which a new configuration has
+  // to take effect.
   base::Duration mStoreContactTimeout = std::chrono::milliseconds(2400);
   LeaderTiming mLeader;
   scheduler::SchedulerSettings mScheduler;
@@ -62,6 +64,8 @@
   void Renew();
   void EndLeadership();
   void CheckReadiness();
+  // Passes what is known of the store's availability to the API.
+  void UpdateApi();
   bool IsStoreReachable() const;
 
   const Ports mPorts;
--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -71,7 +71,7 @@
   const CallerTarget& aTarget,
   const Callback& aThen)
 {
-  if (!mConfiguration) {
+  if (!mConfiguration || mPorts.mLoop->Now() >= mConfigurationValidUntil) {
     aThen(RetryLater());
     return std::nullopt;
   }
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -103,6 +103,13 @@
 
   // Ignores versions that are not newer than the active one.
   void SetConfiguration(const Configuration& aConfiguration);
+  // Until when the active configuration may be used. After that time callers
+  // are asked to come back: a version that this instance has missed may have
+  // added the queue or key that they use, or removed it.
+  void SetConfigurationValidUntil(base::Time aUntil)
+  {
+    mConfigurationValidUntil = aUntil;
+  }
   // Whether the store has responded recently; if not, callers are rejected at
   // once instead of being kept waiting.
   void SetStoreReachable(bool aReachable) { mStoreReachable = aReachable; }
@@ -163,6 +170,7 @@
   const Ports mPorts;
   const JobApiTiming mTiming;
   std::optional<Configuration> mConfiguration;
+  base::Time mConfigurationValidUntil;
   bool mStoreReachable = false;
   StoreCircuitBreaker mStoreBreaker;
   jobs::QueueLengths mQueueLengths;
--- a/testing/platform_world/job_api_test.cpp
+++ b/testing/platform_world/job_api_test.cpp
@@ -38,6 +38,7 @@
   Fixture()
   {
     mApi.SetConfiguration(OneQueue());
+    mApi.SetConfigurationValidUntil(base::Time::max());
     mApi.SetStoreReachable(true);
   }
 
