The leader publishes the configuration; instances no longer all read the operators' table

Cause: each instance read the whole operators' row, 320 bytes a queue in base64, for each version. The 22 instances of a region share one link of 60 Mbit/s with all reports of backend servers. At 3,000 queues more that link is full for as long as versions come, and the leader's calls to servers behind it time out.

Change: only the leader watches that table. Without a confirmation for 1.5 s an instance watches the table itself, from the version that was confirmed last, so that a leader that is dead, cut off or slow delays nothing by more than that. A leader's wait for changes is 300 ms, so that its confirmations are recent.

--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -31,13 +31,13 @@
 
 void Instance::Start()
 {
-  mOperatorWatch = std::make_shared<TableWatch>(
+  mStartedAt = mPorts.mLoop->Now();
+  mReplica = std::make_shared<SnapshotReplica>(
     mPorts,
-    mPorts.mRowDecoder->OperatorTable(),
-    std::vector<std::string>{ "" },
-    TableWatchTiming{},
-    [this](const std::vector<Row>& aRows) { OnOperatorRows(aRows); });
-  mOperatorWatch->Start();
+    SnapshotReplicaTiming{},
+    [this](const std::string& aId, const OperatorSnapshot& aSnapshot) {
+      OnSnapshot(aId, aSnapshot);
+    });
   mLeaderWatch = std::make_shared<TableWatch>(
     mPorts,
     kLeaderTable,
@@ -52,25 +52,29 @@
 {
   // A failed call is detected at once, a stalled connection only by the missing
   // response.
-  return mOperatorWatch && mOperatorWatch->IsComplete() &&
-         mOperatorWatch->IsConnected() &&
-         mPorts.mLoop->Now() - mOperatorWatch->LastContact() <
-           mSettings.mStoreContactTimeout;
+  const auto& watch = mOperatorWatch ? mOperatorWatch : mLeaderWatch;
+  return watch && watch->IsConnected() &&
+         ConfigurationAge() < mSettings.mStoreContactTimeout;
 }
 
 bool Instance::IsReady() const
 {
-  return !mSteppingDown && mActiveConfiguration.has_value() &&
+  return !mSteppingDown && mOperators.mConfiguration != nullptr &&
          IsStoreReachable();
 }
 
 void Instance::CheckReadiness()
 {
-  const bool ready = IsReady();
+  ChooseOperatorSource();
   UpdateApi();
+  const bool ready = IsReady();
   if (ready != mWasReady) {
     mWasReady = ready;
-    mPorts.mLog->Write("readiness", { { "ready", ready ? "1" : "0" } });
+    mPorts.mLog->Write(
+      "readiness",
+      { { "ready", ready ? "1" : "0" },
+        { "config_age_ms",
+          std::to_string(base::ToMilliseconds(ConfigurationAge())) } });
   }
   mPorts.mLoop->After(kReadinessCheckInterval, [this] { CheckReadiness(); });
 }
@@ -78,57 +82,239 @@
 void Instance::UpdateApi()
 {
   mApi.SetStoreReachable(IsStoreReachable());
-  mApi.SetConfigurationValidUntil(mOperatorWatch->LastContact() +
+  mApi.SetConfigurationValidUntil(ConfirmedAt() +
                                   mSettings.mStoreContactTimeout);
 }
 
+// The operators' table
+// ---------------------------------------------------------------
+
+base::Time Instance::ConfirmedAt() const
+{
+  return mOperatorWatch && mOperatorWatch->IsComplete()
+           ? std::max(mOperatorsConfirmedAt, mOperatorWatch->LastContact())
+           : mOperatorsConfirmedAt;
+}
+
+base::Duration Instance::ConfigurationAge() const
+{
+  return mPorts.mLoop->Now() - ConfirmedAt();
+}
+
+void Instance::ChooseOperatorSource()
+{
+  const auto now = mPorts.mLoop->Now();
+  if (mLeader) {
+    if (!mOperatorWatchIsLeaders) {
+      WatchOperators(mSettings.mLeaderWatchWait);
+      mOperatorWatchIsLeaders = true;
+    }
+    return;
+  }
+  mOperatorWatchIsLeaders = false;
+  // The first read of the leader's table shows whether there is a snapshot.
+  const bool starting = !mLeaderWatch->IsComplete() &&
+                        now - mStartedAt < mSettings.mConfirmationTimeout;
+  const bool confirmed = mLeaderWatch->IsConnected() && mConfirmation &&
+                         !mReplica->HasFailed() &&
+                         now - mConfirmationAt < mSettings.mConfirmationTimeout;
+  if (!starting && !confirmed && !mOperatorWatch) {
+    WatchOperators(TableWatchTiming{}.mWait);
+  } else if (confirmed && mOperatorWatch) {
+    DropOperatorWatch();
+    mPorts.mLog->Write("operators_source", { { "source", "leader" } });
+  }
+}
+
+void Instance::DropOperatorWatch()
+{
+  if (!mOperatorWatch) {
+    return;
+  }
+  mOperatorsConfirmedAt = ConfirmedAt();
+  if (mOperatorWatch->IsComplete()) {
+    mOperatorVersion = std::max(mOperatorVersion, mOperatorWatch->Version());
+  }
+  mOperatorWatch->Stop();
+  mOperatorWatch.reset();
+}
+
+void Instance::WatchOperators(base::Duration aWait)
+{
+  DropOperatorWatch();
+  TableWatchTiming timing;
+  timing.mWait = aWait;
+  mOperatorWatch = std::make_shared<TableWatch>(
+    mPorts,
+    mPorts.mRowDecoder->OperatorTable(),
+    std::vector<std::string>{ "" },
+    timing,
+    [this](const std::vector<Row>& aRows) { OnOperatorRows(aRows); });
+  mPorts.mLog->Write(
+    "operators_source",
+    { { "source", "table" }, { "after", std::to_string(mOperatorVersion) } });
+  if (mOperatorVersion > 0) {
+    mOperatorWatch->Resume(mOperatorVersion, mOperators.mRowVersions);
+  } else {
+    mOperatorWatch->Start();
+  }
+}
+
 void Instance::OnOperatorRows(const std::vector<Row>& aRows)
 {
-  bool outOfServiceChanged = false;
+  if (mOperatorWatch->Version() < mOperatorVersion) {
+    // A snapshot of the leader has brought a newer state.
+    return;
+  }
+  const auto outOfService = OutOfServiceDataCentres();
   for (const auto& row : aRows) {
-    if (row.mKey == mPorts.mRowDecoder->ConfigurationKey()) {
-      auto read = row.mValue
-                    ? mPorts.mRowDecoder->ReadConfiguration(*row.mValue)
-                    : base::MakeError(base::ErrorCode::eNotFound,
-                                      "read configuration",
-                                      "store",
-                                      "the row was removed");
-      if (!read) {
-        mPorts.mLog->Write("config_unreadable",
-                           { { "error", read.error().ToString() } });
-        continue;
-      }
-      if (mActiveConfiguration &&
-          read->mVersion <= mActiveConfiguration->mVersion) {
-        continue;
-      }
-      mActiveConfiguration = std::move(*read);
-      mPorts.mLog->Write(
-        "config_in_force",
-        { { "version", std::to_string(mActiveConfiguration->mVersion) },
-          { "queues", std::to_string(mActiveConfiguration->mQueues.size()) } });
-      mApi.SetConfiguration(*mActiveConfiguration);
-      if (mLeader) {
-        mLeader->SetConfiguration(*mActiveConfiguration);
-      }
+    if (row.mValue) {
+      mOperators.mRowVersions[row.mKey] = row.mVersion;
+    } else {
+      mOperators.mRowVersions.erase(row.mKey);
+    }
+    if (row.mKey != mPorts.mRowDecoder->ConfigurationKey()) {
+      continue;
+    }
+    auto read = row.mValue ? mPorts.mRowDecoder->ReadConfiguration(*row.mValue)
+                           : base::MakeError(base::ErrorCode::eNotFound,
+                                             "read configuration",
+                                             "store",
+                                             "the row was removed");
+    if (!read) {
+      mPorts.mLog->Write("config_unreadable",
+                         { { "error", read.error().ToString() } });
       continue;
     }
+    Activate(std::make_shared<const Configuration>(std::move(*read)), "table");
+  }
+  mOperatorVersion = mOperatorWatch->Version();
+  OnOutOfServiceChanged(outOfService);
+  mPublicationDue = true;
+  PublishOperators();
+  UpdateApi();
+}
+
+void Instance::Activate(std::shared_ptr<const Configuration> aConfiguration,
+                        const char* aSource)
+{
+  auto& active = mOperators.mConfiguration;
+  if (active && aConfiguration->mVersion <= active->mVersion) {
+    return;
+  }
+  active = std::move(aConfiguration);
+  mPorts.mLog->Write("config_in_force",
+                     { { "version", std::to_string(active->mVersion) },
+                       { "queues", std::to_string(active->mQueues.size()) },
+                       { "source", aSource } });
+  mApi.SetConfiguration(active);
+  if (mLeader) {
+    mLeader->SetConfiguration(*active);
+  }
+}
+
+std::set<base::DataCentreId> Instance::OutOfServiceDataCentres() const
+{
+  std::set<base::DataCentreId> dataCentres;
+  for (const auto& [key, version] : mOperators.mRowVersions) {
     if (const auto dataCentre =
-          mPorts.mRowDecoder->OutOfServiceDataCentre(row.mKey)) {
-      outOfServiceChanged = true;
-      if (row.mValue) {
-        mOutOfServiceDataCentres.insert(*dataCentre);
-      } else {
-        mOutOfServiceDataCentres.erase(*dataCentre);
-      }
-      mPorts.mLog->Write(
-        "data_centre",
-        { { "name", dataCentre->Value() }, { "out", row.mValue ? "1" : "0" } });
+          mPorts.mRowDecoder->OutOfServiceDataCentre(key)) {
+      dataCentres.insert(*dataCentre);
     }
   }
-  if (outOfServiceChanged && mLeader) {
-    mLeader->SetOutOfServiceDataCentres(mOutOfServiceDataCentres);
+  return dataCentres;
+}
+
+void Instance::OnOutOfServiceChanged(
+  const std::set<base::DataCentreId>& aBefore)
+{
+  const auto outOfService = OutOfServiceDataCentres();
+  if (outOfService == aBefore) {
+    return;
+  }
+  const auto logDifference =
+    [this](const auto& aFrom, const auto& aOther, const char* aOut) {
+      for (const auto& dataCentre : aFrom) {
+        if (aOther.count(dataCentre) == 0) {
+          mPorts.mLog->Write(
+            "data_centre", { { "name", dataCentre.Value() }, { "out", aOut } });
+        }
+      }
+    };
+  logDifference(outOfService, aBefore, "1");
+  logDifference(aBefore, outOfService, "0");
+  if (mLeader) {
+    mLeader->SetOutOfServiceDataCentres(outOfService);
+  }
+}
+
+void Instance::PublishOperators()
+{
+  if (!mPublicationDue || !HasLeaderRead() || !mOperators.mConfiguration) {
+    return;
+  }
+  mPublicationDue = false;
+  mReplica->Publish(
+    mOperators, mElection.EpochCondition(), [this](std::string aId) {
+      return MakeConfirmation(std::move(aId));
+    });
+}
+
+bool Instance::HasLeaderRead() const
+{
+  return mLeader && mOperatorWatchIsLeaders && mOperatorWatch->IsComplete() &&
+         mOperatorWatch->LastContact() != base::Time();
+}
+
+SnapshotConfirmation Instance::MakeConfirmation(std::string aSnapshotId) const
+{
+  return { std::move(aSnapshotId),
+           mOperatorWatch->Version(),
+           mOperatorWatch->StoreNowMs() };
+}
+
+void Instance::OnConfirmation(const std::string& aValue)
+{
+  auto confirmation = DecodeConfirmation(aValue);
+  if (!confirmation) {
+    mPorts.mLog->Write("row_unreadable",
+                       { { "key", kConfirmationKey },
+                         { "error", confirmation.error().ToString() } });
+    return;
   }
+  mConfirmation = std::move(*confirmation);
+  const std::chrono::milliseconds age(std::max<std::int64_t>(
+    0, mLeaderWatch->StoreNowMs() - mConfirmation->mStoreMs));
+  mConfirmationAt = mLeaderWatch->LastContact() - age;
+  if (mLeader) {
+    return;
+  }
+  if (mReplica->HeldId() == mConfirmation->mSnapshotId) {
+    ApplyConfirmation();
+  } else {
+    mReplica->Fetch(mConfirmation->mSnapshotId);
+  }
+}
+
+void Instance::OnSnapshot(const std::string& aId,
+                          const OperatorSnapshot& aSnapshot)
+{
+  if (mLeader || !mConfirmation || mConfirmation->mSnapshotId != aId ||
+      mConfirmation->mTableVersion < mOperatorVersion) {
+    return;
+  }
+  const auto outOfService = OutOfServiceDataCentres();
+  mOperators.mRowVersions = aSnapshot.mRowVersions;
+  Activate(aSnapshot.mConfiguration, "leader");
+  mOperatorVersion = mConfirmation->mTableVersion;
+  OnOutOfServiceChanged(outOfService);
+  ApplyConfirmation();
+}
+
+void Instance::ApplyConfirmation()
+{
+  mOperatorVersion = std::max(mOperatorVersion, mConfirmation->mTableVersion);
+  mOperatorsConfirmedAt = std::max(mOperatorsConfirmedAt, mConfirmationAt);
   UpdateApi();
 }
 
@@ -139,6 +325,9 @@
 {
   mElection.Observe(mPorts.mLoop->Now(), aRows, mLeaderWatch->StoreNowMs());
   for (const auto& row : aRows) {
+    if (row.mKey == kConfirmationKey) {
+      OnConfirmation(row.mValue.value_or(""));
+    }
     if (row.mKey != kQueueLengthsKey) {
       continue;
     }
@@ -225,11 +414,13 @@
           // return before the object is destroyed.
           mPorts.mLoop->After(base::Duration(0), [this] { EndLeadership(); });
         });
-      if (mActiveConfiguration) {
-        mLeader->SetConfiguration(*mActiveConfiguration);
+      if (mOperators.mConfiguration) {
+        mLeader->SetConfiguration(*mOperators.mConfiguration);
       }
-      mLeader->SetOutOfServiceDataCentres(mOutOfServiceDataCentres);
+      mLeader->SetOutOfServiceDataCentres(OutOfServiceDataCentres());
       mLeader->Start();
+      mPublicationDue = true;
+      ChooseOperatorSource();
       mPorts.mLoop->After(mSettings.mElection.mRenewInterval,
                           [this] { Renew(); });
     });
@@ -249,6 +440,15 @@
                                  jobs::EncodeQueueLengths(*lengths),
                                  std::nullopt });
   }
+  PublishOperators();
+  const auto snapshot = mReplica->PublishedId();
+  if (snapshot && HasLeaderRead()) {
+    renewal.mChanges.push_back(
+      { kLeaderTable,
+        kConfirmationKey,
+        EncodeConfirmation(MakeConfirmation(*snapshot)),
+        std::nullopt });
+  }
   mPorts.mStore->Commit(
     renewal,
     kClaimTimeout,
@@ -276,6 +476,7 @@
   if (mLeader) {
     mLeader->Stop();
     mLeader.reset();
+    mReplica->StopPublishing();
     ScheduleClaim();
   }
 }
@@ -289,6 +490,7 @@
   mPorts.mLog->Write("lead_released", {});
   mLeader->Stop();
   mLeader.reset();
+  mReplica->StopPublishing();
   mElection.OnLost();
   mPorts.mStore->Commit(
     mElection.Release(),
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -11,6 +11,7 @@
 #include "flamingoloom/node/job_api.h"
 #include "flamingoloom/node/leader.h"
 #include "flamingoloom/node/ports.h"
+#include "flamingoloom/node/snapshot_replica.h"
 #include "flamingoloom/node/table_watch.h"
 
 namespace flamingoloom::node {
@@ -27,11 +28,18 @@
   // so that instances nearer to the store claim first.
   base::Duration mFarStoreLatency = std::chrono::milliseconds(20);
   base::Duration mFarStorePenalty = std::chrono::milliseconds(400);
-  // The instance is not ready, and does not use its configuration, if the store
-  // has not responded for this long: one wait of the watch, the response, and
-  // some slack. Must be shorter than the time in which a new configuration has
-  // to take effect.
+  // The instance is not ready, and does not use its configuration, if that was
+  // not confirmed for this long: one wait of the watch, the response, and some
+  // slack. Must be shorter than the time in which a new configuration has to
+  // take effect.
   base::Duration mStoreContactTimeout = std::chrono::milliseconds(2400);
+  // An instance watches the operators' table itself if the leader has not
+  // confirmed a snapshot of it for this long. Longer than the leader's wait,
+  // the interval of its renewals and their transit.
+  base::Duration mConfirmationTimeout = std::chrono::milliseconds(1500);
+  // How long the store may hold the response to the leader's watch of that
+  // table. It bounds the age of the leader's confirmations.
+  base::Duration mLeaderWatchWait = std::chrono::milliseconds(300);
   LeaderTiming mLeader;
   scheduler::SchedulerSettings mScheduler;
   JobApiTiming mApi;
@@ -51,13 +59,39 @@
   // Whether callers should be routed to this instance.
   bool IsReady() const;
   JobApi& Api() { return mApi; }
-  const std::optional<Configuration>& ActiveConfiguration() const
+  // nullptr until there is one.
+  const std::shared_ptr<const Configuration>& ActiveConfiguration() const
   {
-    return mActiveConfiguration;
+    return mOperators.mConfiguration;
   }
+  // How long ago the active configuration was certainly the newest one.
+  base::Duration ConfigurationAge() const;
 
 private:
   void OnOperatorRows(const std::vector<Row>& aRows);
+  void OnSnapshot(const std::string& aId, const OperatorSnapshot& aSnapshot);
+  void OnConfirmation(const std::string& aValue);
+  // Takes over the state of the last confirmation if its snapshot is held.
+  void ApplyConfirmation();
+  // Uses aConfiguration if it is newer than the active one.
+  void Activate(std::shared_ptr<const Configuration> aConfiguration,
+                const char* aSource);
+  // Watches the operators' table while this instance is the leader or the
+  // leader confirms no snapshot of it.
+  void ChooseOperatorSource();
+  void WatchOperators(base::Duration aWait);
+  // Keeps the state that the watch has read.
+  void DropOperatorWatch();
+  // Publishes the state if it may differ from what is published, and this
+  // instance has read it as the leader.
+  void PublishOperators();
+  bool HasLeaderRead() const;
+  SnapshotConfirmation MakeConfirmation(std::string aSnapshotId) const;
+  std::set<base::DataCentreId> OutOfServiceDataCentres() const;
+  // aBefore is their set before the operators' table changed.
+  void OnOutOfServiceChanged(const std::set<base::DataCentreId>& aBefore);
+  // When the state of the operators' table was certainly the newest one.
+  base::Time ConfirmedAt() const;
   void OnLeaderRows(const std::vector<Row>& aRows);
   void ScheduleClaim();
   void TryClaim();
@@ -72,11 +106,22 @@
   const InstanceSettings mSettings;
   JobApi mApi;
   Election mElection;
+  // Set while the instance watches the operators' table itself.
   std::shared_ptr<TableWatch> mOperatorWatch;
+  bool mOperatorWatchIsLeaders = false;
+  bool mPublicationDue = false;
   std::shared_ptr<TableWatch> mLeaderWatch;
+  std::shared_ptr<SnapshotReplica> mReplica;
   std::shared_ptr<Leader> mLeader;
-  std::optional<Configuration> mActiveConfiguration;
-  std::set<base::DataCentreId> mOutOfServiceDataCentres;
+  // The state of the operators' table, and the version of that table.
+  OperatorSnapshot mOperators;
+  std::int64_t mOperatorVersion = 0;
+  // The last confirmation, and its time by this instance's clock.
+  std::optional<SnapshotConfirmation> mConfirmation;
+  base::Time mConfirmationAt;
+  // As ConfirmedAt, without the contact of mOperatorWatch.
+  base::Time mOperatorsConfirmedAt;
+  base::Time mStartedAt;
   base::Duration mStoreLatency{ 0 };
   bool mClaiming = false;
   bool mSteppingDown = false;
--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -53,10 +53,11 @@
 {
 }
 
-void JobApi::SetConfiguration(const Configuration& aConfiguration)
+void JobApi::SetConfiguration(
+  std::shared_ptr<const Configuration> aConfiguration)
 {
-  if (!mConfiguration || aConfiguration.mVersion > mConfiguration->mVersion) {
-    mConfiguration = aConfiguration;
+  if (!mConfiguration || aConfiguration->mVersion > mConfiguration->mVersion) {
+    mConfiguration = std::move(aConfiguration);
   }
 }
 
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -102,7 +103,7 @@
   JobApi(Ports aPorts, JobApiTiming aTiming);
 
   // Ignores versions that are not newer than the active one.
-  void SetConfiguration(const Configuration& aConfiguration);
+  void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
   // Until when the active configuration may be used. After that time callers
   // are asked to come back: a version that this instance has missed may have
   // added the queue or key that they use, or removed it.
@@ -169,7 +170,7 @@
 
   const Ports mPorts;
   const JobApiTiming mTiming;
-  std::optional<Configuration> mConfiguration;
+  std::shared_ptr<const Configuration> mConfiguration;
   base::Time mConfigurationValidUntil;
   bool mStoreReachable = false;
   StoreCircuitBreaker mStoreBreaker;
--- /dev/null
+++ b/flamingoloom/node/operator_snapshot.cpp
@@ -0,0 +1,260 @@
+#include "flamingoloom/node/operator_snapshot.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+#include <zlib.h>
+
+#include "flamingoloom/base/digest.h"
+
+namespace flamingoloom::node {
+
+using base::ErrorCode;
+using base::Expected;
+using base::MakeError;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char* kDecodeStep = "read operator snapshot";
+constexpr std::size_t kQueuesPerPart = 64;
+constexpr std::size_t kMaxParts = 256;
+// Limit of the memory that a decompressed part may take.
+constexpr std::size_t kMaxPartBytes = std::size_t{ 1024 } * 1024;
+// Hexadecimal digits of a part's digest; enough to tell its versions apart.
+constexpr std::size_t kPartDigestLength = 16;
+
+std::string PartDigest(const std::string& aPart)
+{
+  return base::Sha256Hex(aPart).substr(0, kPartDigestLength);
+}
+
+// A power of two, so that the number changes seldom as queues are added.
+std::size_t PartCount(std::size_t aQueues)
+{
+  std::size_t count = 1;
+  while (count < kMaxParts && count * kQueuesPerPart < aQueues) {
+    count *= 2;
+  }
+  return count;
+}
+
+// FNV-1a, because all builds must divide the queues in the same way.
+std::size_t HashOf(const std::string& aText)
+{
+  std::uint32_t hash = 2166136261U;
+  for (const char c : aText) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
+  }
+  return hash;
+}
+
+std::string Dump(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Json EncodeQueue(const Queue& aQueue)
+{
+  const auto& rules = aQueue.mRules;
+  return Json::array({ rules.mQueue,
+                       aQueue.mHost,
+                       aQueue.mPathPrefix,
+                       aQueue.mPublic,
+                       rules.mService,
+                       rules.mPriority,
+                       rules.mMaxAttempts,
+                       rules.mStretch,
+                       rules.mTargetLatency.count(),
+                       rules.mNeedsAdvice });
+}
+
+Queue DecodeQueue(const Json& aJson)
+{
+  Queue queue;
+  auto& rules = queue.mRules;
+  rules.mQueue = aJson.at(0);
+  queue.mHost = aJson.at(1);
+  queue.mPathPrefix = aJson.at(2);
+  queue.mPublic = aJson.at(3);
+  rules.mService = aJson.at(4);
+  rules.mPriority = aJson.at(5);
+  rules.mMaxAttempts = aJson.at(6);
+  rules.mStretch = aJson.at(7);
+  rules.mTargetLatency = base::Duration(aJson.at(8).get<std::int64_t>());
+  rules.mNeedsAdvice = aJson.at(9);
+  return queue;
+}
+
+Json EncodeAccount(const Account& aAccount)
+{
+  return Json::array(
+    { aAccount.mId.Value(), aAccount.mKeys, aAccount.mGuaranteedAccelerators });
+}
+
+Account DecodeAccount(const Json& aJson)
+{
+  Account account;
+  account.mId = base::AccountId(aJson.at(0).get<std::string>());
+  account.mKeys = aJson.at(1).get<std::set<std::string>>();
+  account.mGuaranteedAccelerators = aJson.at(2);
+  return account;
+}
+
+Json EncodeLimits(const RequestLimits& aLimits)
+{
+  return Json::array({ aLimits.mMaxHeaderBytes,
+                       aLimits.mMaxBodyBytes,
+                       aLimits.mRequestTimeout.count(),
+                       aLimits.mIdleTimeout.count() });
+}
+
+RequestLimits DecodeLimits(const Json& aJson)
+{
+  RequestLimits limits;
+  limits.mMaxHeaderBytes = aJson.at(0);
+  limits.mMaxBodyBytes = aJson.at(1);
+  limits.mRequestTimeout = base::Duration(aJson.at(2).get<std::int64_t>());
+  limits.mIdleTimeout = base::Duration(aJson.at(3).get<std::int64_t>());
+  return limits;
+}
+
+Expected<std::string> Decompress(const std::string& aCompressed)
+{
+  constexpr std::size_t kTypicalRatio = 8;
+  int status = Z_BUF_ERROR;
+  std::string text;
+  for (std::size_t capacity =
+         std::min(kMaxPartBytes, aCompressed.size() * kTypicalRatio + 1);
+       status == Z_BUF_ERROR && text.size() < kMaxPartBytes;
+       capacity = std::min(kMaxPartBytes, capacity * 2)) {
+    text.resize(capacity);
+    uLongf size = text.size();
+    status = uncompress(reinterpret_cast<Bytef*>(text.data()),
+                        &size,
+                        reinterpret_cast<const Bytef*>(aCompressed.data()),
+                        aCompressed.size());
+    if (status == Z_OK) {
+      text.resize(size);
+      return text;
+    }
+  }
+  return MakeError(ErrorCode::eInvalid,
+                   kDecodeStep,
+                   "store",
+                   status == Z_BUF_ERROR ? "a part is truncated or too large"
+                                         : "a part is not compressed data");
+}
+
+// Runs aDecode, with exceptions of the JSON library as errors.
+template <class T, class Decode>
+Expected<T> Guarded(Decode aDecode)
+{
+  try {
+    return aDecode();
+  } catch (const Json::exception& error) {
+    return MakeError(ErrorCode::eInvalid, kDecodeStep, "store", error.what());
+  }
+}
+
+} // namespace
+
+EncodedSnapshot EncodeSnapshot(const OperatorSnapshot& aSnapshot)
+{
+  const auto& configuration = *aSnapshot.mConfiguration;
+  EncodedSnapshot encoded;
+  std::vector<Json> parts(PartCount(configuration.mQueues.size()),
+                          Json::array());
+  for (const auto& queue : configuration.mQueues) {
+    parts[HashOf(queue.mRules.mQueue) % parts.size()].push_back(
+      EncodeQueue(queue));
+  }
+  for (const auto& part : parts) {
+    encoded.mParts.push_back(Dump(part));
+    encoded.mPartDigests.push_back(PartDigest(encoded.mParts.back()));
+  }
+  Json accounts = Json::array();
+  for (const auto& account : configuration.mAccounts) {
+    accounts.push_back(EncodeAccount(account));
+  }
+  encoded.mHead = Dump({ { "version", configuration.mVersion },
+                         { "rows", aSnapshot.mRowVersions },
+                         { "accounts", std::move(accounts) },
+                         { "limits", EncodeLimits(configuration.mLimits) },
+                         { "parts", encoded.mPartDigests } });
+  encoded.mId = SnapshotId(encoded.mHead);
+  return encoded;
+}
+
+std::string CompressPart(const std::string& aPart)
+{
+  uLongf size = compressBound(aPart.size());
+  std::string compressed(size, '\0');
+  // Cannot fail with a buffer of this size, but for want of memory.
+  compress(reinterpret_cast<Bytef*>(compressed.data()),
+           &size,
+           reinterpret_cast<const Bytef*>(aPart.data()),
+           aPart.size());
+  compressed.resize(size);
+  return compressed;
+}
+
+Expected<std::string> DigestOfCompressedPart(const std::string& aCompressedPart)
+{
+  return Decompress(aCompressedPart).map(PartDigest);
+}
+
+std::string SnapshotId(const std::string& aHead)
+{
+  return base::Sha256Hex(aHead);
+}
+
+Expected<std::vector<std::string>> DecodePartDigests(const std::string& aHead)
+{
+  return Guarded<std::vector<std::string>>([&] {
+    return Json::parse(aHead).at("parts").get<std::vector<std::string>>();
+  });
+}
+
+Expected<OperatorSnapshot> DecodeSnapshot(
+  const std::string& aHead,
+  const std::vector<std::string>& aCompressedParts)
+{
+  using Result = Expected<OperatorSnapshot>;
+  return Guarded<OperatorSnapshot>([&]() -> Result {
+    const Json head = Json::parse(aHead);
+    const auto digests = head.at("parts").get<std::vector<std::string>>();
+    if (digests.size() != aCompressedParts.size()) {
+      return MakeError(
+        ErrorCode::eNotFound, kDecodeStep, "store", "parts are missing");
+    }
+    auto configuration = std::make_shared<Configuration>();
+    configuration->mVersion = head.at("version");
+    configuration->mLimits = DecodeLimits(head.at("limits"));
+    for (const auto& account : head.at("accounts")) {
+      configuration->mAccounts.push_back(DecodeAccount(account));
+    }
+    for (std::size_t i = 0; i < digests.size(); ++i) {
+      const auto part = Decompress(aCompressedParts[i]);
+      if (!part) {
+        return tl::unexpected(part.error());
+      }
+      if (PartDigest(*part) != digests[i]) {
+        return MakeError(ErrorCode::eNotFound,
+                         kDecodeStep,
+                         "store",
+                         "a part belongs to another snapshot");
+      }
+      for (const auto& queue : Json::parse(*part)) {
+        configuration->mQueues.push_back(DecodeQueue(queue));
+      }
+    }
+    OperatorSnapshot snapshot;
+    snapshot.mRowVersions =
+      head.at("rows").get<std::map<std::string, std::int64_t>>();
+    snapshot.mConfiguration = std::move(configuration);
+    return snapshot;
+  });
+}
+
+} // namespace flamingoloom::node
--- /dev/null
+++ b/flamingoloom/node/snapshot_replica.cpp
@@ -0,0 +1,370 @@
+#include "flamingoloom/node/snapshot_replica.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "flamingoloom/jobs/records.h"
+#include "flamingoloom/node/election.h"
+
+namespace flamingoloom::node {
+
+using base::ErrorCode;
+using base::Expected;
+
+namespace {
+
+constexpr const char* kHeadKey = "head";
+constexpr const char* kPartKeyPrefix = "part/";
+// Bounds of a row and of a transaction of the platform's store. The latter has
+// a limit of 1 MB, with values in base64.
+constexpr std::size_t kMaxRowBytes = std::size_t{ 64 } * 1024;
+constexpr std::size_t kMaxTransactionBytes = std::size_t{ 500 } * 1024;
+constexpr std::size_t kMaxTransactionRows = 90;
+
+std::string PartKey(std::size_t aIndex)
+{
+  return kPartKeyPrefix + std::to_string(aIndex);
+}
+
+bool IsPartKey(const std::string& aKey)
+{
+  return aKey.compare(0,
+                      std::char_traits<char>::length(kPartKeyPrefix),
+                      kPartKeyPrefix) == 0;
+}
+
+} // namespace
+
+std::string EncodeConfirmation(const SnapshotConfirmation& aConfirmation)
+{
+  return aConfirmation.mSnapshotId + " " +
+         std::to_string(aConfirmation.mTableVersion) + " " +
+         std::to_string(aConfirmation.mStoreMs);
+}
+
+Expected<SnapshotConfirmation> DecodeConfirmation(const std::string& aValue)
+{
+  std::istringstream text(aValue);
+  SnapshotConfirmation confirmation;
+  text >> confirmation.mSnapshotId >> confirmation.mTableVersion >>
+    confirmation.mStoreMs;
+  if (text.fail()) {
+    return base::MakeError(ErrorCode::eInvalid,
+                           "read snapshot confirmation",
+                           "store",
+                           "not numbers");
+  }
+  return confirmation;
+}
+
+SnapshotReplica::SnapshotReplica(Ports aPorts,
+                                 SnapshotReplicaTiming aTiming,
+                                 OnSnapshot aOnSnapshot)
+  : mPorts(aPorts)
+  , mTiming(aTiming)
+  , mOnSnapshot(std::move(aOnSnapshot))
+{
+}
+
+// Reading
+// ----------------------------------------------------------------------
+
+void SnapshotReplica::Fetch(const std::string& aId)
+{
+  mWantedId = aId;
+  if (mWantedId != mHeldId) {
+    ReadChanges();
+  }
+}
+
+void SnapshotReplica::ReadChanges()
+{
+  if (mReading || mStopped) {
+    return;
+  }
+  mReading = true;
+  mReadingForPublication = mPublication != nullptr;
+  if (mVersion == 0) {
+    ReadPage("", {}, 0);
+    return;
+  }
+  mPorts.mStore->Watch(kSnapshotTable,
+                       mVersion,
+                       base::Duration(0),
+                       [self = shared_from_this()](Expected<Rows> aRows) {
+                         if (self->mStopped) {
+                           return;
+                         }
+                         if (aRows) {
+                           self->OnRead(aRows->mRows, aRows->mVersion);
+                         } else {
+                           self->OnReadFailed(aRows.error());
+                         }
+                       });
+}
+
+void SnapshotReplica::ReadPage(const std::string& aFrom,
+                               std::vector<Row> aEarlierPages,
+                               std::int64_t aFirstPageVersion)
+{
+  mPorts.mStore->Read(
+    kSnapshotTable,
+    jobs::kSchedulerPartition,
+    aFrom,
+    "",
+    mTiming.mReadTimeout,
+    [self = shared_from_this(),
+     first = aFrom.empty(),
+     aFirstPageVersion,
+     rows = std::move(aEarlierPages)](Expected<Rows> aPage) mutable {
+      if (self->mStopped) {
+        return;
+      }
+      if (!aPage) {
+        self->OnReadFailed(aPage.error());
+        return;
+      }
+      // Changes after the first page was read are read by the next call.
+      const auto version = first ? aPage->mVersion : aFirstPageVersion;
+      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      if (aPage->mMore && !aPage->mRows.empty()) {
+        self->ReadPage(
+          aPage->mRows.back().mKey + '\0', std::move(rows), version);
+        return;
+      }
+      self->OnRead(rows, version);
+    });
+}
+
+void SnapshotReplica::OnReadFailed(const base::Error& aError)
+{
+  mReading = false;
+  if (aError.mCode == ErrorCode::eNotFound) {
+    mVersion = 0;
+  }
+  mPorts.mLog->Write("snapshot_unread", { { "error", aError.ToString() } });
+  mPorts.mLoop->After(mTiming.mRetryDelay, [self = shared_from_this()] {
+    if (self->mWantedId != self->mHeldId || self->mPublication) {
+      self->ReadChanges();
+    }
+  });
+}
+
+void SnapshotReplica::OnRead(const std::vector<Row>& aRows,
+                             std::int64_t aVersion)
+{
+  mReading = false;
+  mVersion = std::max(mVersion, aVersion);
+  for (const auto& row : aRows) {
+    const auto value = row.mValue.value_or("");
+    mRows[row.mKey] = value;
+    if (IsPartKey(row.mKey)) {
+      mPartDigests[row.mKey] = DigestOfCompressedPart(value).value_or("");
+    }
+  }
+  if (mPublication && !mRowsKnown) {
+    if (!mReadingForPublication) {
+      // An earlier epoch may have written rows after this read.
+      ReadChanges();
+      return;
+    }
+    mRowsKnown = true;
+    AddTransactions(*mPublication);
+    CommitNext();
+  }
+  if (mWantedId != mHeldId) {
+    Assemble();
+  }
+}
+
+void SnapshotReplica::Assemble()
+{
+  const auto head = mRows.find(kHeadKey);
+  if (head == mRows.end() || SnapshotId(head->second) != mWantedId) {
+    return;
+  }
+  const auto read = DecodePartDigests(head->second)
+                      .and_then([&](const std::vector<std::string>& aDigests) {
+                        std::vector<std::string> parts;
+                        for (std::size_t i = 0; i < aDigests.size(); ++i) {
+                          parts.push_back(mRows[PartKey(i)]);
+                        }
+                        return DecodeSnapshot(head->second, parts);
+                      });
+  if (!read) {
+    mPorts.mLog->Write(
+      "snapshot_unreadable",
+      { { "snapshot", mWantedId }, { "error", read.error().ToString() } });
+    mBadId = mWantedId;
+    return;
+  }
+  mHeldId = mWantedId;
+  mOnSnapshot(mHeldId, *read);
+}
+
+// Publishing
+// -------------------------------------------------------------------
+
+void SnapshotReplica::Publish(
+  OperatorSnapshot aSnapshot,
+  RowCondition aEpoch,
+  std::function<SnapshotConfirmation(std::string)> aConfirm)
+{
+  auto encoded = EncodeSnapshot(aSnapshot);
+  const auto& newest = mNextPublication ? mNextPublication : mPublication;
+  if (encoded.mId == (newest ? newest->mSnapshot.mId : mPublishedId)) {
+    return;
+  }
+  mNextPublication = std::make_shared<Publication>();
+  mNextPublication->mSnapshot = std::move(encoded);
+  mNextPublication->mEpoch = std::move(aEpoch);
+  mNextPublication->mConfirm = std::move(aConfirm);
+  if (!mPublication) {
+    BeginNextPublication();
+  }
+}
+
+void SnapshotReplica::StopPublishing()
+{
+  mPublication.reset();
+  mNextPublication.reset();
+  mPublishedId.clear();
+  mRowsKnown = false;
+}
+
+std::optional<std::string> SnapshotReplica::PublishedId() const
+{
+  if (mPublication || mPublishedId.empty()) {
+    return std::nullopt;
+  }
+  return mPublishedId;
+}
+
+void SnapshotReplica::BeginNextPublication()
+{
+  mPublication = std::move(mNextPublication);
+  mNextPublication.reset();
+  if (!mPublication) {
+    return;
+  }
+  if (!mRowsKnown) {
+    ReadChanges();
+    return;
+  }
+  AddTransactions(*mPublication);
+  CommitNext();
+}
+
+void SnapshotReplica::AddTransactions(Publication& aPublication)
+{
+  const auto& snapshot = aPublication.mSnapshot;
+  std::vector<scheduler::RowChange> changes;
+  for (std::size_t i = 0; i < snapshot.mParts.size(); ++i) {
+    const auto key = PartKey(i);
+    if (mPartDigests[key] != snapshot.mPartDigests[i]) {
+      changes.push_back({ kSnapshotTable,
+                          key,
+                          CompressPart(snapshot.mParts[i]),
+                          std::nullopt });
+    }
+  }
+  const auto head = mRows.find(kHeadKey);
+  if (head == mRows.end() || head->second != snapshot.mHead) {
+    changes.push_back(
+      { kSnapshotTable, kHeadKey, snapshot.mHead, std::nullopt });
+  }
+  std::size_t bytes = 0;
+  for (auto& change : changes) {
+    const auto size = change.mValue->size();
+    if (size > kMaxRowBytes) {
+      mPorts.mLog->Write(
+        "snapshot_too_large",
+        { { "key", change.mKey }, { "bytes", std::to_string(size) } });
+      aPublication.mTransactions.clear();
+      mPublication.reset();
+      mPublishedId.clear();
+      return;
+    }
+    auto& transactions = aPublication.mTransactions;
+    if (transactions.empty() || bytes + size > kMaxTransactionBytes ||
+        transactions.back().mChanges.size() >= kMaxTransactionRows) {
+      transactions.push_back(
+        { jobs::kSchedulerPartition, { aPublication.mEpoch }, {} });
+      bytes = 0;
+    }
+    bytes += size;
+    transactions.back().mChanges.push_back(std::move(change));
+  }
+}
+
+void SnapshotReplica::CommitNext()
+{
+  if (!mPublication) {
+    return;
+  }
+  auto& publication = *mPublication;
+  if (publication.mNext == publication.mTransactions.size()) {
+    OnPublished();
+    return;
+  }
+  auto transaction = publication.mTransactions[publication.mNext];
+  if (publication.mNext + 1 == publication.mTransactions.size()) {
+    transaction.mChanges.push_back(
+      { kLeaderTable,
+        kConfirmationKey,
+        EncodeConfirmation(publication.mConfirm(publication.mSnapshot.mId)),
+        std::nullopt });
+  }
+  mPorts.mStore->Commit(
+    transaction,
+    mTiming.mCommitTimeout,
+    [self = shared_from_this(),
+     expected = mPublication](Expected<CommitResult> aResult) {
+      if (self->mStopped || self->mPublication != expected) {
+        return;
+      }
+      if (!aResult) {
+        self->mPorts.mLog->Write("snapshot_unstored",
+                                 { { "error", aResult.error().ToString() } });
+        if (aResult.error().mCode == ErrorCode::eDenied) {
+          // It would be rejected again. The other instances follow the
+          // operators' table themselves.
+          self->mPublication.reset();
+          self->mPublishedId.clear();
+          self->BeginNextPublication();
+          return;
+        }
+        // The same rows again: a late transaction has no other effect.
+        self->mPorts.mLoop->After(self->mTiming.mRetryDelay, [self, expected] {
+          if (self->mPublication == expected) {
+            self->CommitNext();
+          }
+        });
+        return;
+      }
+      if (!aResult->mApplied) {
+        // The epoch has changed, which the owner learns by itself.
+        return;
+      }
+      ++expected->mNext;
+      self->CommitNext();
+    });
+}
+
+void SnapshotReplica::OnPublished()
+{
+  const auto& snapshot = mPublication->mSnapshot;
+  mRows[kHeadKey] = snapshot.mHead;
+  for (std::size_t i = 0; i < snapshot.mPartDigests.size(); ++i) {
+    mPartDigests[PartKey(i)] = snapshot.mPartDigests[i];
+  }
+  mPublishedId = mHeldId = mWantedId = snapshot.mId;
+  mPorts.mLog->Write(
+    "snapshot_stored",
+    { { "snapshot", snapshot.mId },
+      { "parts", std::to_string(snapshot.mParts.size()) },
+      { "transactions", std::to_string(mPublication->mTransactions.size()) } });
+  BeginNextPublication();
+}
+
+} // namespace flamingoloom::node
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -20,6 +20,17 @@
   ReadPage(0, "", {});
 }
 
+void TableWatch::Resume(std::int64_t aVersion,
+                        std::map<std::string, std::int64_t> aRowVersions)
+{
+  mVersion = aVersion;
+  mVersions = std::move(aRowVersions);
+  mSnapshotNeeded = false;
+  mComplete = true;
+  mConnected = true;
+  WaitForChanges();
+}
+
 void TableWatch::ReadPage(std::size_t aPartitionIndex,
                           const std::string& aFrom,
                           std::vector<Row> aEarlierPages)
@@ -42,11 +53,10 @@
         self->Retry();
         return;
       }
-      self->RecordContact();
+      self->RecordContact(aPage->mStoreNowMs);
       if (first) {
         // Changes after this version, that of the first page, are watched.
         self->mVersion = aPage->mVersion;
-        self->mStoreNowMs = aPage->mStoreNowMs;
       }
       rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
       if (aPage->mMore && !aPage->mRows.empty()) {
@@ -88,12 +98,13 @@
 
 void TableWatch::WaitForChanges()
 {
-  // After a failure, learning that the store responds again matters more than a
-  // change, so the store is not asked to wait for one.
+  // Before the first response and after a failure, learning that the store
+  // responds matters more than a change, so it is not asked to wait for one.
+  const bool responds = mConnected && mLastContact != base::Time();
   mPorts.mStore->Watch(
     mTable,
     mVersion,
-    mConnected ? mTiming.mWait : base::Duration(0),
+    responds ? mTiming.mWait : base::Duration(0),
     [self = shared_from_this()](base::Expected<Rows> aRows) {
       if (self->mStopped) {
         return;
@@ -106,7 +117,7 @@
         self->Retry();
         return;
       }
-      self->RecordContact();
+      self->RecordContact(aRows->mStoreNowMs);
       std::vector<Row> changes;
       for (const auto& row : aRows->mRows) {
         auto& version = self->mVersions[row.mKey];
@@ -120,7 +131,6 @@
         changes.push_back(row);
       }
       self->mVersion = std::max(self->mVersion, aRows->mVersion);
-      self->mStoreNowMs = aRows->mStoreNowMs;
       if (!changes.empty()) {
         self->mOnChange(changes);
       }
@@ -144,9 +154,19 @@
   });
 }
 
-void TableWatch::RecordContact()
+void TableWatch::RecordContact(std::int64_t aStoreNowMs)
 {
-  mLastContact = mPorts.mLoop->Now();
+  const auto now = mPorts.mLoop->Now();
+  const std::chrono::milliseconds storeElapsed(aStoreNowMs - mStoreNowMs);
+  const auto sentAt =
+    mLastContact + std::chrono::duration_cast<base::Duration>(
+                     storeElapsed * TableWatchTiming::kMaxClockRatio);
+  // The time between two responses by the store's clock does not include their
+  // transit.
+  mLastContact = mLastContact == base::Time() || aStoreNowMs < mStoreNowMs
+                   ? now
+                   : std::min(now, sentAt);
+  mStoreNowMs = aStoreNowMs;
   if (!mConnected) {
     mConnected = true;
     mPorts.mLog->Write("store_regained", { { "table", mTable } });
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -17,6 +17,8 @@
 
 struct TableWatchTiming
 {
+  // Bound of the ratio of the rates of two machines' clocks.
+  static constexpr double kMaxClockRatio = 1.02;
   // How long the store may hold the response to one call back. A stalled
   // connection is detected after this time, which must be well below the
   // platform's time limit for a change of configuration to take effect.
@@ -40,18 +42,26 @@
              TableWatchTiming aTiming,
              OnChange aOnChange);
 
+  // Reads a full snapshot first.
   void Start();
+  // Continues from a state of the table that is known: aRowVersions are the
+  // versions of its rows at the version aVersion.
+  void Resume(std::int64_t aVersion,
+              std::map<std::string, std::int64_t> aRowVersions);
   // No callback runs after this call.
   void Stop() { mStopped = true; }
 
-  // Whether a full snapshot was read at least once.
+  // Whether the state of the table is known.
   bool IsComplete() const { return mComplete; }
-  // When the store last responded.
+  // When the store last responded. The state is that of this time or newer; a
+  // response that was long in transit counts from when the store sent it.
   base::Time LastContact() const { return mLastContact; }
+  // False from a failed call until the next response.
   bool IsConnected() const { return mConnected; }
-  // The store's clock in milliseconds, from the response that brought the last
-  // changes.
+  // The store's clock in milliseconds in its last response.
   std::int64_t StoreNowMs() const { return mStoreNowMs; }
+  // The version of the table's state.
+  std::int64_t Version() const { return mVersion; }
 
 private:
   void ReadPage(std::size_t aPartitionIndex,
@@ -60,7 +70,8 @@
   void ApplySnapshot(const std::vector<Row>& aRows);
   void WaitForChanges();
   void Retry();
-  void RecordContact();
+  // aStoreNowMs is the store's clock in the response.
+  void RecordContact(std::int64_t aStoreNowMs);
   void RecordFailure(const base::Error& aError);
 
   const Ports mPorts;
--- a/testing/platform_world/job_api_test.cpp
+++ b/testing/platform_world/job_api_test.cpp
@@ -37,7 +37,8 @@
 {
   Fixture()
   {
-    mApi.SetConfiguration(OneQueue());
+    mApi.SetConfiguration(
+      std::make_shared<const node::Configuration>(OneQueue()));
     mApi.SetConfigurationValidUntil(base::Time::max());
     mApi.SetStoreReachable(true);
   }
