Odd rows of other writers are left out, logged and counted

Other operators reported that one odd entry among the workers', deeply nested, with a number too large or with a port out of range, ended the machines that read the list again and again. It can happen here in part: odd_rows_test, written first, failed on the code before this change as follows.

- The process ended (segmentation fault) on a deeply nested configuration, whose copy is recursive.
- One row of the store without a readable value hid all rows beside it.
- A job of a caller with 4,294,967,297 tasks was taken as one with a single task, and one with 2,000,000,000 occurrences was accepted.

Change: one decoder for JSON that others wrote (flamingoloom/json) with bounds for depth and numbers before a value is used; ranges for each integer and duration; addresses must be IPv4:PORT. It reads the lists of servers, the operators' rows, callers' jobs, servers' reports, responses of the store and our own rows. A row that cannot be read is left out and logged once a version (server_unreadable, rows_unreadable, report_unreadable).

--- a/flamingoloom/jobs/records.cpp
+++ b/flamingoloom/jobs/records.cpp
@@ -1,10 +1,10 @@
 #include "flamingoloom/jobs/records.h"
 
-#include <nlohmann/json.hpp>
+#include "flamingoloom/json/decode.h"
 
 namespace flamingoloom::jobs {
 
-using Json = nlohmann::json;
+using json::Json;
 
 namespace {
 
@@ -49,7 +49,7 @@
 StepSpec DecodeStepSpec(const Json& aValue)
 {
   StepSpec step;
-  step.mTaskCount = aValue.at("count");
+  step.mTaskCount = json::Integer<int>(aValue.at("count"), "count", 1);
   step.mPerTask = DecodeResources(aValue.at("needs"));
   step.mEstimate = DecodeDuration(aValue.at("estimateUs"));
   step.mDependsOn = aValue.at("after").get<std::vector<int>>();
@@ -92,19 +92,20 @@
   return rules;
 }
 
-// Parses aValue and returns the result of aDecode on it. Exceptions of the JSON
-// library become an error that names aWhat.
-template <class T, class Decode>
+// Throws if aValue is not the number of an enumerator up to aLast.
+template <class T>
+T DecodeEnum(const Json& aValue, const char* aName, T aLast)
+{
+  return static_cast<T>(
+    json::Integer<int>(aValue, aName, 0, static_cast<int>(aLast)));
+}
+
+template <class T, class Decoder>
 base::Expected<T> ParseAndDecode(const char* aWhat,
                                  const std::string& aValue,
-                                 Decode aDecode)
+                                 Decoder aDecode)
 {
-  try {
-    return aDecode(Json::parse(aValue));
-  } catch (const Json::exception& error) {
-    return base::MakeError(
-      base::ErrorCode::eInvalid, aWhat, "store", error.what());
-  }
+  return json::Decode<T>(aWhat, "store", aValue, aDecode);
 }
 
 } // namespace
@@ -199,7 +200,7 @@
   return ParseAndDecode<StateRecord>(
     "read job state", aValue, [](const Json& aJson) {
       StateRecord state;
-      state.mState = static_cast<JobState>(aJson.at(0).get<int>());
+      state.mState = DecodeEnum(aJson.at(0), "state", JobState::eCancelled);
       state.mAccount = base::AccountId(aJson.at(1).get<std::string>());
       state.mEndedAtStoreMs = aJson.at(2);
       return state;
@@ -230,7 +231,7 @@
     for (const auto& value : aJson.at(2)) {
       TaskRecord task;
       task.mIndex = value.at(0);
-      task.mOutcome = static_cast<TaskOutcome>(value.at(1).get<int>());
+      task.mOutcome = DecodeEnum(value.at(1), "outcome", TaskOutcome::eFailed);
       task.mAttemptNumber = value.at(2);
       task.mServer = base::ServerId(value.at(3).get<std::string>());
       task.mFailures = value.at(4);
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -114,13 +114,20 @@
       if (aPage) {
         self->mStoreMs = aPage->mStoreNowMs;
         self->mStoreMsReadAt = self->mPorts.mLoop->Now();
+        if (aPage->mUnreadable != self->mUnreadableRows) {
+          self->mUnreadableRows = aPage->mUnreadable;
+          self->mPorts.mLog->Write(
+            "rows_unreadable",
+            { { "table", self->mPorts.mRowDecoder->ServerTable() },
+              { "rows", std::to_string(aPage->mUnreadable) } });
+        }
         for (const auto& row : aPage->mRows) {
           auto server = self->mPorts.mRowDecoder->ReadServer(
             row.mKey, row.mValue.value_or(""));
-          // Entries of other writers that describe no usable server are
-          // skipped.
           if (server) {
             servers.push_back(std::move(*server));
+          } else {
+            self->LogUnreadableServer(row, server.error());
           }
         }
         if (aPage->mMore && !aPage->mRows.empty()) {
@@ -138,6 +145,23 @@
     });
 }
 
+void Leader::LogUnreadableServer(const Row& aRow, const base::Error& aError)
+{
+  // Entries of other writers may stay for good. Their number is bounded, since
+  // keys of past entries are not kept.
+  constexpr std::size_t kMaxEntries = 1000;
+  if (mUnreadableServers.size() >= kMaxEntries) {
+    mUnreadableServers.clear();
+  }
+  auto& version = mUnreadableServers[aRow.mKey];
+  if (version != aRow.mVersion) {
+    version = aRow.mVersion;
+    mPorts.mLog->Write(
+      "server_unreadable",
+      { { "server", aRow.mKey }, { "error", aError.ToString() } });
+  }
+}
+
 void Leader::ApplyServerList(const std::vector<scheduler::ServerInfo>& aServers)
 {
   const auto added = mScheduler.UpdateServers(
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -88,6 +88,8 @@
   void OnJobRows(const std::vector<Row>& aRows);
   void PollServerList(const std::string& aFrom,
                       std::vector<scheduler::ServerInfo> aEarlierPages);
+  // Logs an entry of the server list that cannot be decoded, once a version.
+  void LogUnreadableServer(const Row& aRow, const base::Error& aError);
   void ApplyServerList(const std::vector<scheduler::ServerInfo>& aServers);
   ServerSession* SessionFor(const base::ServerId& aServer);
   ServerSession::Events SessionEvents(const base::ServerId& aServer);
@@ -127,6 +129,10 @@
   base::Duration mCommitBackoff;
   scheduler::Scheduler mScheduler;
   std::map<base::ServerId, std::shared_ptr<ServerSession>> mSessions;
+  // Entries that were logged as unreadable, with their versions, and the number
+  // of rows without a readable key.
+  std::map<std::string, std::int64_t> mUnreadableServers;
+  int mUnreadableRows = 0;
   std::shared_ptr<TableWatch> mJobWatch;
   // Rows that were read while loading.
   std::vector<Row> mLoadedStates;
--- a/flamingoloom/node/operator_snapshot.cpp
+++ b/flamingoloom/node/operator_snapshot.cpp
@@ -2,17 +2,17 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
 #include <zlib.h>
 
 #include "flamingoloom/base/digest.h"
+#include "flamingoloom/json/decode.h"
 
 namespace flamingoloom::node {
 
 using base::ErrorCode;
 using base::Expected;
 using base::MakeError;
-using Json = nlohmann::json;
+using json::Json;
 
 namespace {
 
@@ -78,8 +78,8 @@
   queue.mPathPrefix = aJson.at(2);
   queue.mPublic = aJson.at(3);
   rules.mService = aJson.at(4);
-  rules.mPriority = aJson.at(5);
-  rules.mMaxAttempts = aJson.at(6);
+  rules.mPriority = json::Integer<int>(aJson.at(5), "priority");
+  rules.mMaxAttempts = json::Integer<int>(aJson.at(6), "attempts");
   rules.mStretch = aJson.at(7);
   rules.mTargetLatency = base::Duration(aJson.at(8).get<std::int64_t>());
   rules.mNeedsAdvice = aJson.at(9);
@@ -146,15 +146,26 @@
                                          : "a part is not compressed data");
 }
 
-// Runs aDecode, with exceptions of the JSON library as errors.
-template <class T, class Decode>
-Expected<T> Guarded(Decode aDecode)
+Expected<std::vector<Queue>> DecodePart(const std::string& aCompressedPart,
+                                        const std::string& aDigest)
 {
-  try {
-    return aDecode();
-  } catch (const Json::exception& error) {
-    return MakeError(ErrorCode::eInvalid, kDecodeStep, "store", error.what());
-  }
+  return Decompress(aCompressedPart)
+    .and_then([&](const std::string& aPart) -> Expected<std::vector<Queue>> {
+      if (PartDigest(aPart) != aDigest) {
+        return MakeError(ErrorCode::eNotFound,
+                         kDecodeStep,
+                         "store",
+                         "a part belongs to another snapshot");
+      }
+      return json::Decode<std::vector<Queue>>(
+        kDecodeStep, "store", aPart, [](const Json& aJson) {
+          std::vector<Queue> queues;
+          for (const auto& queue : aJson) {
+            queues.push_back(DecodeQueue(queue));
+          }
+          return queues;
+        });
+    });
 }
 
 } // namespace
@@ -211,50 +222,48 @@
 
 Expected<std::vector<std::string>> DecodePartDigests(const std::string& aHead)
 {
-  return Guarded<std::vector<std::string>>([&] {
-    return Json::parse(aHead).at("parts").get<std::vector<std::string>>();
-  });
+  return json::Decode<std::vector<std::string>>(
+    kDecodeStep, "store", aHead, [](const Json& aJson) {
+      return aJson.at("parts").get<std::vector<std::string>>();
+    });
 }
 
 Expected<OperatorSnapshot> DecodeSnapshot(
   const std::string& aHead,
   const std::vector<std::string>& aCompressedParts)
 {
-  using Result = Expected<OperatorSnapshot>;
-  return Guarded<OperatorSnapshot>([&]() -> Result {
-    const Json head = Json::parse(aHead);
-    const auto digests = head.at("parts").get<std::vector<std::string>>();
-    if (digests.size() != aCompressedParts.size()) {
-      return MakeError(
-        ErrorCode::eNotFound, kDecodeStep, "store", "parts are missing");
-    }
-    auto configuration = std::make_shared<Configuration>();
-    configuration->mVersion = head.at("version");
-    configuration->mLimits = DecodeLimits(head.at("limits"));
-    for (const auto& account : head.at("accounts")) {
-      configuration->mAccounts.push_back(DecodeAccount(account));
-    }
-    for (std::size_t i = 0; i < digests.size(); ++i) {
-      const auto part = Decompress(aCompressedParts[i]);
-      if (!part) {
-        return tl::unexpected(part.error());
+  std::vector<std::string> digests;
+  auto configuration = std::make_shared<Configuration>();
+  auto snapshot = json::Decode<OperatorSnapshot>(
+    kDecodeStep, "store", aHead, [&](const Json& aJson) {
+      configuration->mVersion = json::Integer(aJson.at("version"), "version");
+      configuration->mLimits = DecodeLimits(aJson.at("limits"));
+      for (const auto& account : aJson.at("accounts")) {
+        configuration->mAccounts.push_back(DecodeAccount(account));
       }
-      if (PartDigest(*part) != digests[i]) {
-        return MakeError(ErrorCode::eNotFound,
-                         kDecodeStep,
-                         "store",
-                         "a part belongs to another snapshot");
-      }
-      for (const auto& queue : Json::parse(*part)) {
-        configuration->mQueues.push_back(DecodeQueue(queue));
-      }
-    }
-    OperatorSnapshot snapshot;
-    snapshot.mRowVersions =
-      head.at("rows").get<std::map<std::string, std::int64_t>>();
-    snapshot.mConfiguration = std::move(configuration);
+      digests = aJson.at("parts").get<std::vector<std::string>>();
+      OperatorSnapshot head;
+      head.mRowVersions =
+        aJson.at("rows").get<std::map<std::string, std::int64_t>>();
+      return head;
+    });
+  if (!snapshot) {
     return snapshot;
-  });
+  }
+  if (digests.size() != aCompressedParts.size()) {
+    return MakeError(
+      ErrorCode::eNotFound, kDecodeStep, "store", "parts are missing");
+  }
+  for (std::size_t i = 0; i < digests.size(); ++i) {
+    const auto queues = DecodePart(aCompressedParts[i], digests[i]);
+    if (!queues) {
+      return tl::unexpected(queues.error());
+    }
+    configuration->mQueues.insert(
+      configuration->mQueues.end(), queues->begin(), queues->end());
+  }
+  snapshot->mConfiguration = std::move(configuration);
+  return snapshot;
 }
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/ports.h
+++ b/flamingoloom/node/ports.h
@@ -46,6 +46,8 @@
 {
   std::vector<Row> mRows;
   bool mMore = false;
+  // Number of rows of the response that could not be read and are left out.
+  int mUnreadable = 0;
   // Version of the store when it responded.
   std::int64_t mVersion = 0;
   // The store's monotonic clock in milliseconds.
--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -120,6 +120,12 @@
     return;
   }
   if (!aResponse) {
+    if (mFailures == 0 &&
+        aResponse.error().mCode == base::ErrorCode::eInvalid) {
+      mPorts.mLog->Write("report_unreadable",
+                         { { "server", mServer.mId.Value() },
+                           { "error", aResponse.error().ToString() } });
+    }
     ++mFailures;
     if (aResponse.error().mCode == base::ErrorCode::eStaleEpoch) {
       mEvents.mOnFenced();
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -53,7 +53,7 @@
         self->Retry();
         return;
       }
-      self->RecordContact(aPage->mStoreNowMs);
+      self->RecordContact(*aPage);
       if (first) {
         // Changes after this version, that of the first page, are watched.
         self->mVersion = aPage->mVersion;
@@ -117,7 +117,7 @@
         self->Retry();
         return;
       }
-      self->RecordContact(aRows->mStoreNowMs);
+      self->RecordContact(*aRows);
       std::vector<Row> changes;
       for (const auto& row : aRows->mRows) {
         auto& version = self->mVersions[row.mKey];
@@ -154,19 +154,25 @@
   });
 }
 
-void TableWatch::RecordContact(std::int64_t aStoreNowMs)
+void TableWatch::RecordContact(const Rows& aResponse)
 {
+  if (aResponse.mUnreadable > 0) {
+    mPorts.mLog->Write("rows_unreadable",
+                       { { "table", mTable },
+                         { "rows", std::to_string(aResponse.mUnreadable) } });
+  }
   const auto now = mPorts.mLoop->Now();
-  const std::chrono::milliseconds storeElapsed(aStoreNowMs - mStoreNowMs);
+  const auto storeNowMs = aResponse.mStoreNowMs;
+  const std::chrono::milliseconds storeElapsed(storeNowMs - mStoreNowMs);
   const auto sentAt =
     mLastContact + std::chrono::duration_cast<base::Duration>(
                      storeElapsed * TableWatchTiming::kMaxClockRatio);
   // The time between two responses by the store's clock does not include their
   // transit.
-  mLastContact = mLastContact == base::Time() || aStoreNowMs < mStoreNowMs
+  mLastContact = mLastContact == base::Time() || storeNowMs < mStoreNowMs
                    ? now
                    : std::min(now, sentAt);
-  mStoreNowMs = aStoreNowMs;
+  mStoreNowMs = storeNowMs;
   if (!mConnected) {
     mConnected = true;
     mPorts.mLog->Write("store_regained", { { "table", mTable } });
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -70,8 +70,7 @@
   void ApplySnapshot(const std::vector<Row>& aRows);
   void WaitForChanges();
   void Retry();
-  // aStoreNowMs is the store's clock in the response.
-  void RecordContact(std::int64_t aStoreNowMs);
+  void RecordContact(const Rows& aResponse);
   void RecordFailure(const base::Error& aError);
 
   const Ports mPorts;
