Reports of servers that arrive after their timeout are used

The leader gave up a report 0.7 s after its wait and asked again on another connection. Over a full link each response took longer, so it read none for the length of a lease, and started tasks again whose servers had listed them as done.

Change: after 0.7 s the server counts as unresponsive and is asked again, as before, but the response may still arrive for 5 s, and is used unless a newer report has overtaken it. Such a report does not show that the server still has that incarnation, so nothing is acknowledged on its word alone.

--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -68,6 +68,7 @@
   // incarnation; otherwise a report without a wait is requested first, which
   // shows the incarnation.
   const bool incarnationIsFresh =
+    mIncarnationSeen &&
     mPorts.mLoop->Now() - mClockReadAt < mTiming.mIncarnationValidity;
   const auto ack =
     ackThrough > mConfirmedAck && incarnationIsFresh ? ackThrough : 0;
@@ -79,13 +80,18 @@
   }
   mRequestInFlight = true;
   const Time sentAt = mPorts.mLoop->Now();
+  const auto number = ++mLastRequest;
+  const auto timeout = request.mWait + mTiming.mResponseTimeout;
+  mPorts.mLoop->After(timeout, [self = shared_from_this(), number] {
+    self->OnReportOverdue(number);
+  });
   mPorts.mServers->Report(mServer,
                           request,
-                          request.mWait + mTiming.mResponseTimeout,
-                          [self = shared_from_this(), sentAt, ack](
+                          timeout + mTiming.mLateResponseTime,
+                          [self = shared_from_this(), number, sentAt, ack](
                             base::Expected<ReportResponse> aResponse) {
                             self->OnReportResponse(
-                              sentAt, ack, std::move(aResponse));
+                              number, sentAt, ack, std::move(aResponse));
                           });
 }
 
@@ -111,37 +117,70 @@
   });
 }
 
-void ServerSession::OnReportResponse(Time aSentAt,
+void ServerSession::OnReportOverdue(std::uint64_t aRequest)
+{
+  if (mClosed || !mRequestInFlight || aRequest != mLastRequest) {
+    return;
+  }
+  mRequestInFlight = false;
+  RecordFailure();
+}
+
+void ServerSession::RecordFailure()
+{
+  ++mFailures;
+  mEvents.mOnUnresponsive();
+  RequestReportAfter(mTiming.mRetryDelay);
+}
+
+void ServerSession::OnReportError(const base::Error& aError)
+{
+  if (aError.mCode == base::ErrorCode::eStaleEpoch) {
+    mEvents.mOnFenced();
+    return;
+  }
+  if (mFailures == 0 && aError.mCode == base::ErrorCode::eInvalid) {
+    mPorts.mLog->Write(
+      "report_unreadable",
+      { { "server", mServer.mId.Value() }, { "error", aError.ToString() } });
+  }
+  if (aError.mCode == base::ErrorCode::eNotFound) {
+    ++mFailures;
+    mEvents.mOnReplaced();
+    RequestReportAfter(mTiming.mRetryDelay);
+    return;
+  }
+  RecordFailure();
+}
+
+void ServerSession::OnReportResponse(std::uint64_t aRequest,
+                                     Time aSentAt,
                                      std::int64_t aAckSent,
                                      base::Expected<ReportResponse> aResponse)
 {
-  mRequestInFlight = false;
+  const bool late = !mRequestInFlight || aRequest != mLastRequest;
+  if (!late) {
+    mRequestInFlight = false;
+  }
   if (mClosed) {
     return;
   }
   if (!aResponse) {
-    if (mFailures == 0 &&
-        aResponse.error().mCode == base::ErrorCode::eInvalid) {
-      mPorts.mLog->Write("report_unreadable",
-                         { { "server", mServer.mId.Value() },
-                           { "error", aResponse.error().ToString() } });
+    // The request that is late has been counted as a failure.
+    if (!late || aResponse.error().mCode == base::ErrorCode::eStaleEpoch) {
+      OnReportError(aResponse.error());
     }
-    ++mFailures;
-    if (aResponse.error().mCode == base::ErrorCode::eStaleEpoch) {
-      mEvents.mOnFenced();
-      return;
-    }
-    if (aResponse.error().mCode == base::ErrorCode::eNotFound) {
-      mEvents.mOnReplaced();
-    } else {
-      mEvents.mOnUnresponsive();
-    }
-    RequestReportAfter(mTiming.mRetryDelay);
     return;
   }
+  if (aSentAt < mReportSentAt) {
+    // A newer report has overtaken this one.
+    return;
+  }
+  mReportSentAt = aSentAt;
   mFailures = 0;
   const bool sameIncarnation = mIncarnation == aResponse->mReport.mStartedMs;
   mIncarnation = aResponse->mReport.mStartedMs;
+  mIncarnationSeen = !late;
   mConfirmedAck = sameIncarnation ? std::max(mConfirmedAck, aAckSent) : 0;
   mClockMs = aResponse->mClockMs;
   mClockReadAt = mPorts.mLoop->Now();
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -20,9 +20,13 @@
   // How long a server may hold a report back until a task completes. 2 s is the
   // longest wait that the platform accepts, and it charges for each report.
   base::Duration mReportWait = std::chrono::milliseconds(2000);
-  // Timeout for the response beyond mReportWait; a response from another region
-  // takes 40 ms.
+  // After this time beyond mReportWait without a response the server counts as
+  // unresponsive and is asked again; a response from another region takes 40
+  // ms.
   base::Duration mResponseTimeout = std::chrono::milliseconds(700);
+  // How much longer the response may still arrive. It shows completions whose
+  // tasks would be started again when their leases have expired.
+  base::Duration mLateResponseTime = std::chrono::milliseconds(5000);
   base::Duration mCommandTimeout = std::chrono::milliseconds(600);
   // Delay after a failed call.
   base::Duration mRetryDelay = std::chrono::milliseconds(300);
@@ -83,9 +87,13 @@
 private:
   void RequestReportAfter(base::Duration aDelay);
   void SendReportRequest(base::Duration aWait, bool aGrantLease);
-  void OnReportResponse(base::Time aSentAt,
+  void OnReportOverdue(std::uint64_t aRequest);
+  void OnReportResponse(std::uint64_t aRequest,
+                        base::Time aSentAt,
                         std::int64_t aAckSent,
                         base::Expected<ReportResponse> aResponse);
+  void OnReportError(const base::Error& aError);
+  void RecordFailure();
   void SendStart(const scheduler::StartCommand& aCommand,
                  int aCallAttempt,
                  bool aEarlierUnknown);
@@ -106,6 +114,13 @@
   // anew, would apply it to its own completions.
   std::int64_t mConfirmedAck = 0;
   std::int64_t mIncarnation = 0;
+  // Whether the incarnation was seen at mClockReadAt, rather than when the
+  // request for a late response was sent.
+  bool mIncarnationSeen = false;
+  // Number of the last request, and when the request of the last report that
+  // was used was sent.
+  std::uint64_t mLastRequest = 0;
+  base::Time mReportSentAt;
   bool mRequestInFlight = false;
   bool mRequestScheduled = false;
   int mFailures = 0;
