--- a/flamingoloom/json/decode.h
+++ b/flamingoloom/json/decode.h
@@ -44,13 +44,10 @@
   using std::runtime_error::runtime_error;
 };
 
-namespace internal {
-
-// Callback of the parser. Throws BoundError for a document that is too deep or
-// has a number that is too large.
-bool CheckBounds(int aDepth, Json::parse_event_t aEvent, Json& aValue);
-
-} // namespace internal
+// Parses aText. Throws BoundError for a document that is too deep or has a
+// number that is too large, and an exception of the JSON library if it is
+// malformed.
+Json ParseBounded(const std::string& aText);
 
 // Parses aText and runs aDecode on it. Exceptions of the JSON library and
 // BoundError become errors with the code eInvalid; aDecode may also return an
@@ -66,7 +63,7 @@
       base::ErrorCode::eInvalid, aStep, aPeer, aError.what());
   };
   try {
-    return aDecode(Json::parse(aText, internal::CheckBounds));
+    return aDecode(ParseBounded(aText));
   } catch (const Json::exception& error) {
     return invalid(error);
   } catch (const BoundError& error) {
@@ -108,6 +105,10 @@
                                 : Integer<T>(*field, aName, aMin, aMax);
 }
 
+// aMilliseconds as a duration. Throws BoundError if it is negative or above
+// kMaxMilliseconds.
+base::Duration Milliseconds(double aMilliseconds, const char* aName);
+
 // The field aName of aObject, a number of milliseconds, or aDefault if there is
 // no such field. Throws like Integer if it is negative or above
 // kMaxMilliseconds.
