--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -115,9 +115,13 @@
   // The first read of the leader's table shows whether there is a snapshot.
   const bool starting = !mLeaderWatch->IsComplete() &&
                         now - mStartedAt < mSettings.mConfirmationTimeout;
+  // Reading the whole table beside a snapshot would only delay both.
+  const auto timeout = mReplica->IsReading()
+                         ? 2 * mSettings.mConfirmationTimeout
+                         : mSettings.mConfirmationTimeout;
   const bool confirmed = mLeaderWatch->IsConnected() && mConfirmation &&
                          !mReplica->HasFailed() &&
-                         now - mConfirmationAt < mSettings.mConfirmationTimeout;
+                         now - mConfirmationAt < timeout;
   if (!starting && !confirmed && !mOperatorWatch) {
     WatchOperators(TableWatchTiming{}.mWait);
   } else if (confirmed && mOperatorWatch) {
--- a/flamingoloom/node/snapshot_replica.h
+++ b/flamingoloom/node/snapshot_replica.h
@@ -69,6 +69,8 @@
   void Fetch(const std::string& aId);
   // The id of the snapshot that was read or published last.
   const std::string& HeldId() const { return mHeldId; }
+  // Whether rows are being read.
+  bool IsReading() const { return mReading; }
   // Whether the snapshot that was requested last cannot be decoded.
   bool HasFailed() const { return !mWantedId.empty() && mWantedId == mBadId; }
 
