Metrics of the configuration's version and age, and log lines for refusals by it

A request that is refused since the configuration is unconfirmed has a line of its own (request_refused).

--- a/flamingoloom/event_loop/metrics.cpp
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -23,6 +23,17 @@
              .Name("flamingoloom_call_seconds")
              .Help("Time of calls, by peer and whether they were answered")
              .Register(*mRegistry))
+  , mConfigurationVersion(prometheus::BuildGauge()
+                            .Name("flamingoloom_configuration_version")
+                            .Help("Version of the active configuration")
+                            .Register(*mRegistry)
+                            .Add({}))
+  , mConfigurationAge(
+      prometheus::BuildGauge()
+        .Name("flamingoloom_configuration_age_seconds")
+        .Help("Time since the active configuration was certainly the newest")
+        .Register(*mRegistry)
+        .Add({}))
 {
 }
 
@@ -48,6 +59,12 @@
   histogram->Observe(std::chrono::duration<double>(aDuration).count());
 }
 
+void Metrics::SetConfiguration(std::int64_t aVersion, base::Duration aAge)
+{
+  mConfigurationVersion.Set(static_cast<double>(aVersion));
+  mConfigurationAge.Set(std::chrono::duration<double>(aAge).count());
+}
+
 std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/flamingoloom/event_loop/metrics.h
+++ b/flamingoloom/event_loop/metrics.h
@@ -8,12 +8,14 @@
 // Not thread-safe.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -34,6 +36,10 @@
                    base::Duration aDuration,
                    bool aAnswered);
 
+  // Sets the version of the active configuration and its age: how long ago it
+  // was certainly the newest one.
+  void SetConfiguration(std::int64_t aVersion, base::Duration aAge);
+
   // Returns all metrics in the Prometheus text exposition format.
   std::string Text() const;
 
@@ -41,6 +47,8 @@
   std::shared_ptr<prometheus::Registry> mRegistry;
   prometheus::Family<prometheus::Counter>& mEvents;
   prometheus::Family<prometheus::Histogram>& mCalls;
+  prometheus::Gauge& mConfigurationVersion;
+  prometheus::Gauge& mConfigurationAge;
   std::map<std::string, prometheus::Counter*> mEventCounters;
   std::map<std::string, prometheus::Histogram*> mCallHistograms;
 };
--- a/flamingoloom/event_loop/metrics_test.cpp
+++ b/flamingoloom/event_loop/metrics_test.cpp
@@ -20,5 +20,15 @@
   CHECK(text.find("le=\"0.005\"} 1") != std::string::npos);
 }
 
+TEST_CASE("The configuration is shown with its version and age")
+{
+  Metrics metrics;
+  metrics.SetConfiguration(7, std::chrono::milliseconds(1500));
+  const auto text = metrics.Text();
+  CHECK(text.find("flamingoloom_configuration_version 7") != std::string::npos);
+  CHECK(text.find("flamingoloom_configuration_age_seconds 1.5") !=
+        std::string::npos);
+}
+
 } // namespace
 } // namespace flamingoloom::event_loop
--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -73,6 +73,10 @@
   const Callback& aThen)
 {
   if (!mConfiguration || mPorts.mLoop->Now() >= mConfigurationValidUntil) {
+    mPorts.mLog->Write(
+      "request_refused",
+      { { "path", aTarget.mPath },
+        { "reason", mConfiguration ? "config_unconfirmed" : "no_config" } });
     aThen(RetryLater());
     return std::nullopt;
   }
