--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -286,6 +286,10 @@
                          { "error", confirmation.error().ToString() } });
     return;
   }
+  if (confirmation->mTableVersion < mOperatorVersion) {
+    // It was overtaken by a newer state.
+    return;
+  }
   mConfirmation = std::move(*confirmation);
   const std::chrono::milliseconds age(std::max<std::int64_t>(
     0, mLeaderWatch->StoreNowMs() - mConfirmation->mStoreMs));
--- a/flamingoloom/node/snapshot_replica.cpp
+++ b/flamingoloom/node/snapshot_replica.cpp
@@ -48,7 +48,8 @@
   SnapshotConfirmation confirmation;
   text >> confirmation.mSnapshotId >> confirmation.mTableVersion >>
     confirmation.mStoreMs;
-  if (text.fail()) {
+  if (text.fail() || confirmation.mTableVersion < 0 ||
+      confirmation.mStoreMs < 0) {
     return base::MakeError(ErrorCode::eInvalid,
                            "read snapshot confirmation",
                            "store",
@@ -158,6 +159,9 @@
   for (const auto& row : aRows) {
     const auto value = row.mValue.value_or("");
     mRows[row.mKey] = value;
+    if (row.mKey == kHeadKey) {
+      mHeadVersion = row.mValue ? row.mVersion : 0;
+    }
     if (IsPartKey(row.mKey)) {
       mPartDigests[row.mKey] = DigestOfCompressedPart(value).value_or("");
     }
@@ -169,8 +173,7 @@
       return;
     }
     mRowsKnown = true;
-    AddTransactions(*mPublication);
-    CommitNext();
+    StorePublication();
   }
   if (mWantedId != mHeldId) {
     Assemble();
@@ -251,17 +254,27 @@
     ReadChanges();
     return;
   }
-  AddTransactions(*mPublication);
-  CommitNext();
+  StorePublication();
+}
+
+void SnapshotReplica::StorePublication()
+{
+  if (AddTransactions(*mPublication)) {
+    CommitNext();
+  } else {
+    AbandonPublication();
+  }
 }
 
-void SnapshotReplica::AddTransactions(Publication& aPublication)
+bool SnapshotReplica::AddTransactions(Publication& aPublication) const
 {
   const auto& snapshot = aPublication.mSnapshot;
   std::vector<scheduler::RowChange> changes;
   for (std::size_t i = 0; i < snapshot.mParts.size(); ++i) {
     const auto key = PartKey(i);
-    if (mPartDigests[key] != snapshot.mPartDigests[i]) {
+    const auto stored = mPartDigests.find(key);
+    if (stored == mPartDigests.end() ||
+        stored->second != snapshot.mPartDigests[i]) {
       changes.push_back({ kSnapshotTable,
                           key,
                           CompressPart(snapshot.mParts[i]),
@@ -269,7 +282,8 @@
     }
   }
   const auto head = mRows.find(kHeadKey);
-  if (head == mRows.end() || head->second != snapshot.mHead) {
+  if (!changes.empty() || head == mRows.end() ||
+      head->second != snapshot.mHead) {
     changes.push_back(
       { kSnapshotTable, kHeadKey, snapshot.mHead, std::nullopt });
   }
@@ -280,34 +294,30 @@
       mPorts.mLog->Write(
         "snapshot_too_large",
         { { "key", change.mKey }, { "bytes", std::to_string(size) } });
-      aPublication.mTransactions.clear();
-      mPublication.reset();
-      mPublishedId.clear();
-      return;
+      return false;
     }
     auto& transactions = aPublication.mTransactions;
     if (transactions.empty() || bytes + size > kMaxTransactionBytes ||
         transactions.back().mChanges.size() >= kMaxTransactionRows) {
-      transactions.push_back(
-        { jobs::kSchedulerPartition, { aPublication.mEpoch }, {} });
+      transactions.push_back({ jobs::kSchedulerPartition, {}, {} });
       bytes = 0;
     }
     bytes += size;
     transactions.back().mChanges.push_back(std::move(change));
   }
+  return true;
 }
 
 void SnapshotReplica::CommitNext()
 {
-  if (!mPublication) {
-    return;
-  }
-  auto& publication = *mPublication;
+  const auto& publication = *mPublication;
   if (publication.mNext == publication.mTransactions.size()) {
     OnPublished();
     return;
   }
   auto transaction = publication.mTransactions[publication.mNext];
+  transaction.mConditions = { publication.mEpoch,
+                              { kSnapshotTable, kHeadKey, mHeadVersion } };
   if (publication.mNext + 1 == publication.mTransactions.size()) {
     transaction.mChanges.push_back(
       { kLeaderTable,
@@ -319,38 +329,65 @@
     transaction,
     mTiming.mCommitTimeout,
     [self = shared_from_this(),
-     expected = mPublication](Expected<CommitResult> aResult) {
-      if (self->mStopped || self->mPublication != expected) {
-        return;
-      }
-      if (!aResult) {
-        self->mPorts.mLog->Write("snapshot_unstored",
-                                 { { "error", aResult.error().ToString() } });
-        if (aResult.error().mCode == ErrorCode::eDenied) {
-          // It would be rejected again. The other instances follow the
-          // operators' table themselves.
-          self->mPublication.reset();
-          self->mPublishedId.clear();
-          self->BeginNextPublication();
-          return;
-        }
-        // The same rows again: a late transaction has no other effect.
-        self->mPorts.mLoop->After(self->mTiming.mRetryDelay, [self, expected] {
-          if (self->mPublication == expected) {
-            self->CommitNext();
-          }
-        });
-        return;
+     expected = mPublication](const Expected<CommitResult>& aResult) {
+      if (!self->mStopped && self->mPublication == expected) {
+        self->OnCommit(aResult);
       }
-      if (!aResult->mApplied) {
-        // The epoch has changed, which the owner learns by itself.
-        return;
-      }
-      ++expected->mNext;
-      self->CommitNext();
     });
 }
 
+void SnapshotReplica::OnCommit(const Expected<CommitResult>& aResult)
+{
+  if (!aResult) {
+    mPorts.mLog->Write("snapshot_unstored",
+                       { { "error", aResult.error().ToString() } });
+    if (aResult.error().mCode == ErrorCode::eDenied) {
+      // It would be rejected again.
+      AbandonPublication();
+      return;
+    }
+    mPorts.mLoop->After(mTiming.mRetryDelay,
+                        [self = shared_from_this(), expected = mPublication] {
+                          if (!self->mStopped &&
+                              self->mPublication == expected) {
+                            self->CommitNext();
+                          }
+                        });
+    return;
+  }
+  if (!aResult->mApplied) {
+    // An earlier call without a response was applied, or the epoch has changed,
+    // which the owner learns by itself.
+    RestartPublication();
+    return;
+  }
+  if (mPublication->mNext + 1 == mPublication->mTransactions.size()) {
+    mHeadVersion = aResult->mVersion;
+  }
+  ++mPublication->mNext;
+  CommitNext();
+}
+
+void SnapshotReplica::RestartPublication()
+{
+  mRowsKnown = false;
+  mPublication->mTransactions.clear();
+  mPublication->mNext = 0;
+  mPorts.mLoop->After(mTiming.mRetryDelay,
+                      [self = shared_from_this(), expected = mPublication] {
+                        if (self->mPublication == expected) {
+                          self->ReadChanges();
+                        }
+                      });
+}
+
+void SnapshotReplica::AbandonPublication()
+{
+  mPublication.reset();
+  mPublishedId.clear();
+  BeginNextPublication();
+}
+
 void SnapshotReplica::OnPublished()
 {
   const auto& snapshot = mPublication->mSnapshot;
--- a/flamingoloom/node/snapshot_replica.h
+++ b/flamingoloom/node/snapshot_replica.h
@@ -110,10 +110,18 @@
   // Decodes the rows if they are those of the wanted snapshot.
   void Assemble();
   void BeginNextPublication();
-  // The transactions that store what differs from the rows in the store. The
-  // head is in the last one.
-  void AddTransactions(Publication& aPublication);
+  // Stores what differs from the rows in the store, in transactions of which
+  // the last one has the head.
+  void StorePublication();
+  // Returns false if a row of aPublication is larger than the store accepts.
+  bool AddTransactions(Publication& aPublication) const;
   void CommitNext();
+  void OnCommit(const base::Expected<CommitResult>& aResult);
+  // Reads the rows again and stores what differs from them.
+  void RestartPublication();
+  // Gives up what is being stored. The other instances then watch the
+  // operators' table themselves.
+  void AbandonPublication();
   void OnPublished();
 
   const Ports mPorts;
@@ -124,6 +132,10 @@
   std::map<std::string, std::string> mRows;
   std::map<std::string, std::string> mPartDigests;
   PartCache mPartCache;
+  // Version of the head's row. Each transaction fails if it has changed, and
+  // the last one of a snapshot changes it, so that one which is applied late
+  // cannot undo a later snapshot.
+  std::int64_t mHeadVersion = 0;
   std::int64_t mVersion = 0;
   std::string mWantedId;
   std::string mHeldId;
--- a/testing/platform_world/configuration_spread_test.cpp
+++ b/testing/platform_world/configuration_spread_test.cpp
@@ -64,5 +64,35 @@
   CHECK(group.CountWithVersion(2) == kInstances - 1);
 }
 
+// Transactions without a response may be applied at once, or seconds later.
+TEST_CASE("Versions reach all instances although the store loses responses")
+{
+  constexpr int kVersions = 15;
+  constexpr int kQueues = 3000;
+  constexpr auto kQuietTime = seconds(12);
+  for (const std::uint64_t seed : { 1, 2, 3, 4, 5 }) {
+    INFO("seed " << seed);
+    InstanceGroup group(
+      kNearInstances, kRemoteInstances, kRegionLinkBytesPerSecond, seed);
+    group.Configure(1, kQueues);
+    group.RunFor(seconds(14));
+    group.SetFaults(StoreFault::eLosesResponses);
+    for (int version = 2; version <= kVersions; ++version) {
+      group.Configure(version, kQueues + version);
+      group.RunFor(milliseconds(400));
+    }
+    group.SetFaults(StoreFault::eNone);
+    group.RunFor(kQuietTime);
+    CHECK(group.CountWithVersion(kVersions) == kInstances);
+    // Less than one reading of the operators' table by each remote instance.
+    const auto bytesBefore = group.LinkBytes();
+    group.Configure(kVersions + 1, kQueues);
+    group.RunFor(kTimeToApply);
+    CHECK(group.CountWithVersion(kVersions + 1) == kInstances);
+    CHECK(group.LinkBytes() - bytesBefore <
+          kRemoteInstances * EncodeTestConfiguration(1, kQueues).size());
+  }
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -1,5 +1,8 @@
 #include "testing/platform_world/fake_store.h"
 
+#include <algorithm>
+#include <set>
+
 namespace flamingoloom::testing::platform_world {
 
 using base::ErrorCode;
@@ -131,11 +134,17 @@
   if (aVersion < mCompactedVersion) {
     return false;
   }
-  for (const auto& [table, row] : mHistory) {
-    if (table == aTable && row.mVersion > aVersion) {
+  // A row that changed several times is listed once, with its last change.
+  std::set<std::string> listed;
+  for (auto change = mHistory.rbegin();
+       change != mHistory.rend() && change->second.mVersion > aVersion;
+       ++change) {
+    const auto& [table, row] = *change;
+    if (table == aTable && listed.insert(row.mKey).second) {
       aRows.mRows.push_back(row);
     }
   }
+  std::reverse(aRows.mRows.begin(), aRows.mRows.end());
   aRows.mVersion = mVersion;
   aRows.mStoreNowMs = NowMs();
   return true;
--- a/testing/platform_world/instance_group.cpp
+++ b/testing/platform_world/instance_group.cpp
@@ -90,8 +90,12 @@
   bool mAlive = true;
 };
 
-InstanceGroup::InstanceGroup(int aNear, int aRemote, double aLinkBytesPerSecond)
-  : mLink(mClock, aLinkBytesPerSecond)
+InstanceGroup::InstanceGroup(int aNear,
+                             int aRemote,
+                             double aLinkBytesPerSecond,
+                             std::uint64_t aSeed)
+  : mClock(aSeed)
+  , mLink(mClock, aLinkBytesPerSecond)
   , mRowDecoder(std::make_unique<RowDecoder>())
 {
   mClock.RunUntil(base::Time(seconds(1000)));
@@ -131,6 +135,13 @@
   mMembers.at(aInstance)->mConnection.SetFault(aFault);
 }
 
+void InstanceGroup::SetFaults(StoreFault aFault)
+{
+  for (auto& member : mMembers) {
+    member->mConnection.SetFault(aFault);
+  }
+}
+
 int InstanceGroup::CountWithVersion(std::int64_t aVersion) const
 {
   int count = 0;
--- a/testing/platform_world/instance_group.h
+++ b/testing/platform_world/instance_group.h
@@ -25,13 +25,17 @@
 public:
   // Starts aNear instances and aRemote ones, of which the latter share a link
   // to the store with aLinkBytesPerSecond.
-  InstanceGroup(int aNear, int aRemote, double aLinkBytesPerSecond);
+  InstanceGroup(int aNear,
+                int aRemote,
+                double aLinkBytesPerSecond,
+                std::uint64_t aSeed = 1);
   ~InstanceGroup();
 
   // Writes a configuration as an operator does.
   void Configure(std::int64_t aVersion, int aQueues);
   void RunFor(base::Duration aDuration) { mClock.RunFor(aDuration); }
   void SetFault(std::size_t aInstance, StoreFault aFault);
+  void SetFaults(StoreFault aFault);
   // Number of instances whose active configuration has the version aVersion.
   int CountWithVersion(std::int64_t aVersion) const;
   // The response to a question for the length of the queue of aHost.
@@ -46,7 +50,7 @@
   class RowDecoder;
   struct Member;
 
-  fakes::VirtualClock mClock{ 1 };
+  fakes::VirtualClock mClock;
   FakeStore mStore{ mClock };
   SharedLink mLink;
   SilentLog mLog;
