Responses of up to 16 MB are read

The limit of 4 MB was reached by a configuration of some 13,000 queues, which no instance could then read at all.

--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -36,9 +36,9 @@
   // Longest time that a response may take once it has begun. A peer that sends
   // a few bytes at a time thus cannot hold a call for ever.
   base::Duration mMaxTransferTime = std::chrono::seconds(10);
-  // A response with a larger body fails the call. The platform sends rows in
-  // pages of 1 MB.
-  std::size_t mMaxBodyBytes = std::size_t{ 4 } * 1024 * 1024;
+  // A response with a larger body fails the call. The longest one of the
+  // platform has its configuration, about 320 bytes a queue.
+  std::size_t mMaxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
 };
 
 struct ClientCounters
