The client keeps to the descriptors of its machine

Cause: idle connections, up to four for each server, were only closed when the same server was called again, so the leader's connections grew with the servers times four: 4,537 open files were seen with 1,100 servers, where 129 of 147 machines allow 4,100. With none left, calls fail as if the servers were unhealthy.

Connections idle for too long are closed; at the limit the one idle for the longest time makes room; if none is idle the call waits, within its timeout, and fails as not sent. Metric flamingoloom_open_connections.

--- a/flamingoloom/event_loop/metrics.cpp
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -34,6 +34,11 @@
         .Help("Time since the active configuration was certainly the newest")
         .Register(*mRegistry)
         .Add({}))
+  , mOpenConnections(prometheus::BuildGauge()
+                       .Name("flamingoloom_open_connections")
+                       .Help("Open connections to the store and to servers")
+                       .Register(*mRegistry)
+                       .Add({}))
 {
 }
 
@@ -65,6 +70,11 @@
   mConfigurationAge.Set(std::chrono::duration<double>(aAge).count());
 }
 
+void Metrics::SetOpenConnections(int aCount)
+{
+  mOpenConnections.Set(aCount);
+}
+
 std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/flamingoloom/event_loop/metrics.h
+++ b/flamingoloom/event_loop/metrics.h
@@ -40,6 +40,9 @@
   // was certainly the newest one.
   void SetConfiguration(std::int64_t aVersion, base::Duration aAge);
 
+  // Sets the number of open connections to the store and to servers.
+  void SetOpenConnections(int aCount);
+
   // Returns all metrics in the Prometheus text exposition format.
   std::string Text() const;
 
@@ -49,6 +52,7 @@
   prometheus::Family<prometheus::Histogram>& mCalls;
   prometheus::Gauge& mConfigurationVersion;
   prometheus::Gauge& mConfigurationAge;
+  prometheus::Gauge& mOpenConnections;
   std::map<std::string, prometheus::Counter*> mEventCounters;
   std::map<std::string, prometheus::Histogram*> mCallHistograms;
 };
--- a/flamingoloom/event_loop/metrics_test.cpp
+++ b/flamingoloom/event_loop/metrics_test.cpp
@@ -30,5 +30,13 @@
         std::string::npos);
 }
 
+TEST_CASE("The number of open connections is shown")
+{
+  Metrics metrics;
+  metrics.SetOpenConnections(12);
+  CHECK(metrics.Text().find("flamingoloom_open_connections 12") !=
+        std::string::npos);
+}
+
 } // namespace
 } // namespace flamingoloom::event_loop
--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 
@@ -42,11 +43,25 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
-  SteadyTime mIdleSince;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+// A call that waits until it may open a connection.
+struct WaitingCall
+{
+  std::function<bool()> mHasTimedOut;
+  std::function<void()> mOpen;
+};
+
+// A connection that no call uses.
+struct IdleConnection
+{
+  std::string mPeer;
+  ConnectionPtr mConnection;
+  SteadyTime mSince;
+};
+
 std::optional<Tcp::endpoint> ParseEndpoint(const std::string& aPeer)
 {
   const auto colon = aPeer.rfind(':');
@@ -90,36 +105,96 @@
   {
   }
 
+  // Returns an idle connection to aPeer that can be used, or null.
   ConnectionPtr TakeIdle(const std::string& aPeer)
   {
-    auto& idle = mIdle[aPeer];
-    const auto oldest =
-      std::chrono::steady_clock::now() - mOptions.mMaxIdleTime;
-    while (!idle.empty()) {
-      auto connection = idle.back();
-      idle.pop_back();
-      if (connection->mIdleSince >= oldest && IsReusable(*connection)) {
+    CloseExpired();
+    const auto idle = mIdleOf.find(aPeer);
+    while (idle != mIdleOf.end() && !idle->second.empty()) {
+      auto connection = idle->second.back()->mConnection;
+      mIdle.erase(idle->second.back());
+      idle->second.pop_back();
+      if (IsReusable(*connection)) {
         return connection;
       }
+      OnClosed();
     }
     return nullptr;
   }
 
+  // Keeps a connection for later calls.
   void ReturnIdle(const std::string& aPeer, ConnectionPtr aConnection)
   {
-    aConnection->mIdleSince = std::chrono::steady_clock::now();
-    auto& idle = mIdle[aPeer];
-    idle.push_back(std::move(aConnection));
+    auto& idle = mIdleOf[aPeer];
+    idle.push_back(mIdle.insert(
+      mIdle.end(),
+      { aPeer, std::move(aConnection), std::chrono::steady_clock::now() }));
     if (static_cast<int>(idle.size()) > mOptions.mMaxIdlePerPeer) {
-      idle.pop_front();
+      CloseIdle(idle.front());
+    }
+    CloseExpired();
+    OpenNext();
+  }
+
+  // Calls aCall.mOpen as soon as one more connection may be opened, and counts
+  // that connection.
+  void Open(WaitingCall aCall)
+  {
+    mWaiting.push_back(std::move(aCall));
+    OpenNext();
+  }
+
+  // Counts a connection that is closed.
+  void OnClosed()
+  {
+    --mCounters.mOpenConnections;
+    OpenNext();
+  }
+
+  void OpenNext()
+  {
+    while (!mWaiting.empty()) {
+      if (mWaiting.front().mHasTimedOut()) {
+        mWaiting.pop_front();
+      } else if (mCounters.mOpenConnections < mOptions.mMaxConnections) {
+        ++mCounters.mOpenConnections;
+        const auto open = std::move(mWaiting.front().mOpen);
+        mWaiting.pop_front();
+        open();
+      } else if (!mIdle.empty()) {
+        CloseIdle(mIdle.begin());
+      } else {
+        return;
+      }
+    }
+  }
+
+  void CloseExpired()
+  {
+    const auto oldest =
+      std::chrono::steady_clock::now() - mOptions.mMaxIdleTime;
+    while (!mIdle.empty() && mIdle.front().mSince < oldest) {
+      CloseIdle(mIdle.begin());
     }
   }
 
+  void CloseIdle(std::list<IdleConnection>::iterator aIdle)
+  {
+    auto& ofPeer = mIdleOf[aIdle->mPeer];
+    ofPeer.erase(std::find(ofPeer.begin(), ofPeer.end(), aIdle));
+    mIdle.erase(aIdle);
+    OnClosed();
+  }
+
   asio::io_context& mLoop;
   ClientOptions mOptions;
   Observer mObserver;
   ClientCounters mCounters;
-  std::map<std::string, std::deque<ConnectionPtr>> mIdle;
+  // In the order in which they became idle.
+  std::list<IdleConnection> mIdle;
+  std::map<std::string, std::deque<std::list<IdleConnection>::iterator>>
+    mIdleOf;
+  std::deque<WaitingCall> mWaiting;
 };
 
 namespace {
@@ -155,6 +230,7 @@
     RestartTimer();
     mConnection = mPool->TakeIdle(mPeer);
     if (mConnection) {
+      mHoldsConnection = true;
       Send();
       return;
     }
@@ -168,18 +244,26 @@
       });
       return;
     }
+    mPool->Open({ [self] { return self->mDone; },
+                  [self, endpoint = *endpoint] { self->Connect(endpoint); } });
+  }
+
+  void Connect(const Tcp::endpoint& aEndpoint)
+  {
     ++mPool->mCounters.mConnectionAttempts;
     mConnection = std::make_shared<Connection>(mPool->mLoop);
-    mConnection->mStream.async_connect(*endpoint, [self](auto aError) {
-      if (aError) {
-        self->Fail("connect", aError);
-        return;
-      }
-      boost::system::error_code ignored;
-      self->mConnection->mStream.socket().set_option(Tcp::no_delay(true),
-                                                     ignored);
-      self->Send();
-    });
+    mHoldsConnection = true;
+    mConnection->mStream.async_connect(
+      aEndpoint, [self = this->shared_from_this()](auto aError) {
+        if (aError) {
+          self->Fail("connect", aError);
+          return;
+        }
+        boost::system::error_code ignored;
+        self->mConnection->mStream.socket().set_option(Tcp::no_delay(true),
+                                                       ignored);
+        self->Send();
+      });
   }
 
   void Send()
@@ -256,7 +340,10 @@
     }
     response.mBody = std::move(message.body());
     if (message.keep_alive()) {
+      mHoldsConnection = false;
       mPool->ReturnIdle(mPeer, mConnection);
+    } else {
+      Close();
     }
     Finish(std::move(response));
   }
@@ -295,10 +382,13 @@
 
   void Close()
   {
-    boost::system::error_code ignored;
-    if (mConnection) {
-      mConnection->mStream.socket().close(ignored);
+    if (!mHoldsConnection) {
+      return;
     }
+    mHoldsConnection = false;
+    boost::system::error_code ignored;
+    mConnection->mStream.socket().close(ignored);
+    mPool->OnClosed();
   }
 
   void Finish(base::Expected<Response> aResult)
@@ -324,7 +414,10 @@
   asio::steady_timer mTimer;
   base::Duration mTimeout{ 0 };
   SteadyTime mStartedAt;
+  // Kept until the last operation on it has ended.
   ConnectionPtr mConnection;
+  // Whether it is open and counted for this call.
+  bool mHoldsConnection = false;
   beast::http::request<beast::http::string_body> mRequest;
   beast::http::response_parser<beast::http::string_body> mParser;
   bool mSent = false;
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -29,8 +29,12 @@
   // Maximum idle connections in the pool of each peer. A long poll and
   // concurrent commands need two; bursts need more.
   int mMaxIdlePerPeer = 4;
-  // A connection that has been idle for longer is not reused. The limit is
-  // below the idle timeout of common servers (5 s or more), which close the
+  // Maximum number of connections to all peers. At the limit a call closes the
+  // connection that has been idle for the longest time; if none is idle, the
+  // call waits for one, which counts towards its timeout.
+  int mMaxConnections = 2900;
+  // A connection that has been idle for longer is closed. The limit is below
+  // the idle timeout of common servers (5 s or more), which close the
   // connection and would fail the next request.
   base::Duration mMaxIdleTime = std::chrono::milliseconds(4500);
   // Longest time that a response may take once it has begun. A peer that sends
@@ -44,6 +48,8 @@
 struct ClientCounters
 {
   unsigned long mConnectionAttempts = 0;
+  // Connections that are open or being opened.
+  int mOpenConnections = 0;
 };
 
 class Client
