A gang is stopped at once when the start of a member is not answered

Cause: after three calls without a response the leader stopped only that member; the others waited until it was known to have ended, which takes until the leases of its server expire.

Change: all members are stopped at once, also if a later call attempt is rejected while an earlier one may still take effect.

Result: the new case of scheduler_test failed before (1 stop of 2).

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -222,6 +222,10 @@
   void RequestStop(StepState& aStep, int aIndex, const char* aReason);
   // Stops all placed members of a gang that is no longer complete.
   void AbortGang(StepState& aStep);
+  // Stops the other members at once if an attempt of one has to be stopped: it
+  // may take until the leases of that member's server expire to know that it
+  // has, and servers end a gang that waits for a member.
+  void AbortIfGang(StepState& aStep);
   void HandleCompletion(base::Time aNow,
                         ServerState& aServer,
                         const TaskCompletion& aCompletion);
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -112,6 +112,13 @@
   }
 }
 
+void Scheduler::AbortIfGang(StepState& aStep)
+{
+  if (aStep.Spec().mGang && !aStep.mGangAborting) {
+    AbortGang(aStep);
+  }
+}
+
 // Responses of servers
 // ----------------------------------------------------------------------
 
@@ -153,6 +160,7 @@
       return;
     case StartResult::eUnknown:
       RequestStop(*step, index, "start not answered");
+      AbortIfGang(*step);
       return;
     case StartResult::eWrongServer:
       OnServerReplaced(aNow, aCommand.mServer);
@@ -175,6 +183,7 @@
   }
   if (aEarlierUnknown) {
     RequestStop(*step, index, "an earlier call attempt may still take effect");
+    AbortIfGang(*step);
   } else {
     Requeue(*step, index, StartResultName(aResult));
   }
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -76,6 +76,27 @@
   CHECK(restarts[1].mAttempt.mAttemptNumber == 2);
 }
 
+// A server that does not respond to a start rarely responds to the stop either.
+// Guards against the other members waiting for it until their servers end them.
+TEST_CASE("A member whose start is not answered aborts the gang at once")
+{
+  for (const auto result :
+       { StartResult::eUnknown, StartResult::eNoCapacity }) {
+    Fixture f;
+    f.AddServers(2);
+    auto job = Fixture::MakeJob("a", 2, 8);
+    job.mSteps[0].mGang = true;
+    f.Add(job);
+    const auto starts = f.RunPass().mStarts;
+    REQUIRE(starts.size() == 2);
+    f.mScheduler.OnStart(f.mNow, starts[0], StartResult::eStarted, false);
+    f.mScheduler.OnStart(f.mNow, starts[1], result, true);
+    const auto commands = f.RunPass();
+    CHECK(commands.mStarts.empty());
+    CHECK(commands.mStops.size() == 2);
+  }
+}
+
 // A start command that timed out may still take effect later. Guards against
 // starting the task elsewhere before that is ruled out, which would run it
 // twice.
