A forgotten history no longer makes each instance read the operators' table

Cause: when the store drops its history it cuts all watches. A watch counted as disconnected after one failed call, and each instance then turned from the leader's confirmations to the operators' table, whose changes were forgotten too: 147 full reads at once. The same happened 1.5 s after the loss of a leader.

Log line history_forgotten.

--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -106,7 +106,9 @@
   const auto now = mPorts.mLoop->Now();
   if (mLeader) {
     if (!mOperatorWatchIsLeaders) {
-      WatchOperators(mSettings.mLeaderWatchWait);
+      TableWatchTiming timing;
+      timing.mWait = mSettings.mLeaderWatchWait;
+      WatchOperators(timing);
       mOperatorWatchIsLeaders = true;
     }
     return;
@@ -119,11 +121,12 @@
   const auto timeout = mReplica->IsReading()
                          ? 2 * mSettings.mConfirmationTimeout
                          : mSettings.mConfirmationTimeout;
-  const bool confirmed = mLeaderWatch->IsConnected() && mConfirmation &&
-                         !mReplica->HasFailed() &&
-                         now - mConfirmationAt < timeout;
+  const bool confirmed =
+    mConfirmation && !mReplica->HasFailed() && now - mConfirmationAt < timeout;
   if (!starting && !confirmed && !mOperatorWatch) {
-    WatchOperators(TableWatchTiming{}.mWait);
+    TableWatchTiming timing;
+    timing.mForgottenDelay = FullReadDelay();
+    WatchOperators(timing);
   } else if (confirmed && mOperatorWatch) {
     DropOperatorWatch();
     mPorts.mLog->Write("operators_source", { { "source", "leader" } });
@@ -143,16 +146,28 @@
   mOperatorWatch.reset();
 }
 
-void Instance::WatchOperators(base::Duration aWait)
+base::Duration Instance::FullReadDelay() const
+{
+  // FNV-1a of the id, which spreads ids that differ in one character.
+  std::uint64_t hash = 0xcbf29ce484222325U;
+  for (const char c : mSettings.mId.Value()) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3U;
+  }
+  const auto range = mSettings.mMaxFullReadDelay - mSettings.mMinFullReadDelay;
+  return mSettings.mMinFullReadDelay +
+         base::Duration(static_cast<std::int64_t>(
+           hash % static_cast<std::uint64_t>(
+                    std::max<std::int64_t>(1, range.count()))));
+}
+
+void Instance::WatchOperators(TableWatchTiming aTiming)
 {
   DropOperatorWatch();
-  TableWatchTiming timing;
-  timing.mWait = aWait;
   mOperatorWatch = std::make_shared<TableWatch>(
     mPorts,
     mPorts.mRowDecoder->OperatorTable(),
     std::vector<std::string>{ "" },
-    timing,
+    aTiming,
     [this](const std::vector<Row>& aRows) { OnOperatorRows(aRows); });
   mPorts.mLog->Write(
     "operators_source",
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -37,6 +37,12 @@
   // confirmed a snapshot of it for this long. Longer than the leader's wait,
   // the interval of its renewals and their transit.
   base::Duration mConfirmationTimeout = std::chrono::milliseconds(1500);
+  // Without a leader an instance reads that table in full if the store has
+  // forgotten its changes. The delay gives a successor time to confirm the
+  // snapshot instead, and spreads the reads of all instances over the links
+  // that they share.
+  base::Duration mMinFullReadDelay = std::chrono::milliseconds(2000);
+  base::Duration mMaxFullReadDelay = std::chrono::milliseconds(6000);
   // How long the store may hold the response to the leader's watch of that
   // table. It bounds the age of the leader's confirmations.
   base::Duration mLeaderWatchWait = std::chrono::milliseconds(300);
@@ -79,7 +85,9 @@
   // Watches the operators' table while this instance is the leader or the
   // leader confirms no snapshot of it.
   void ChooseOperatorSource();
-  void WatchOperators(base::Duration aWait);
+  void WatchOperators(TableWatchTiming aTiming);
+  // How long to wait for a leader before reading that table in full.
+  base::Duration FullReadDelay() const;
   // Keeps the state that the watch has read.
   void DropOperatorWatch();
   // Publishes the state if it may differ from what is published, and this
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -49,8 +49,7 @@
         return;
       }
       if (!aPage) {
-        self->RecordFailure(aPage.error());
-        self->Retry();
+        self->OnFailure(aPage.error());
         return;
       }
       self->RecordContact(*aPage);
@@ -100,7 +99,7 @@
 {
   // Before the first response and after a failure, learning that the store
   // responds matters more than a change, so it is not asked to wait for one.
-  const bool responds = mConnected && mLastContact != base::Time();
+  const bool responds = mFailures == 0 && mLastContact != base::Time();
   mPorts.mStore->Watch(
     mTable,
     mVersion,
@@ -111,10 +110,13 @@
       }
       if (!aRows) {
         if (aRows.error().mCode == base::ErrorCode::eNotFound) {
+          self->mPorts.mLog->Write("history_forgotten",
+                                   { { "table", self->mTable } });
           self->mSnapshotNeeded = true;
+          self->RetryAfter(self->mTiming.mForgottenDelay);
+        } else {
+          self->OnFailure(aRows.error());
         }
-        self->RecordFailure(aRows.error());
-        self->Retry();
         return;
       }
       self->RecordContact(*aRows);
@@ -140,9 +142,9 @@
     });
 }
 
-void TableWatch::Retry()
+void TableWatch::RetryAfter(base::Duration aDelay)
 {
-  mPorts.mLoop->After(mTiming.mRetryDelay, [self = shared_from_this()] {
+  mPorts.mLoop->After(aDelay, [self = shared_from_this()] {
     if (self->mStopped) {
       return;
     }
@@ -173,19 +175,25 @@
                    ? now
                    : std::min(now, sentAt);
   mStoreNowMs = storeNowMs;
+  mFailures = 0;
   if (!mConnected) {
     mConnected = true;
     mPorts.mLog->Write("store_regained", { { "table", mTable } });
   }
 }
 
-void TableWatch::RecordFailure(const base::Error& aError)
+void TableWatch::OnFailure(const base::Error& aError)
 {
+  if (++mFailures == 1) {
+    RetryAfter(base::Duration(0));
+    return;
+  }
   if (mConnected) {
     mConnected = false;
     mPorts.mLog->Write("store_lost",
                        { { "table", mTable }, { "error", aError.ToString() } });
   }
+  RetryAfter(mTiming.mRetryDelay);
 }
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -23,8 +23,12 @@
   // connection is detected after this time, which must be well below the
   // platform's time limit for a change of configuration to take effect.
   base::Duration mWait = std::chrono::milliseconds(1500);
-  // Delay after a failed call.
+  // Delay after a call has failed twice in a row. The first retry is immediate:
+  // a connection that was cut says nothing about the store.
   base::Duration mRetryDelay = std::chrono::milliseconds(150);
+  // Delay of the full read after the store has forgotten the changes that were
+  // waited for.
+  base::Duration mForgottenDelay = std::chrono::milliseconds(150);
   // Timeout for reading one page.
   base::Duration mReadTimeout = std::chrono::milliseconds(1000);
 };
@@ -56,7 +60,7 @@
   // When the store last responded. The state is that of this time or newer; a
   // response that was long in transit counts from when the store sent it.
   base::Time LastContact() const { return mLastContact; }
-  // False from a failed call until the next response.
+  // False from the second failed call in a row until the next response.
   bool IsConnected() const { return mConnected; }
   // The store's clock in milliseconds in its last response.
   std::int64_t StoreNowMs() const { return mStoreNowMs; }
@@ -69,9 +73,10 @@
                 std::vector<Row> aEarlierPages);
   void ApplySnapshot(const std::vector<Row>& aRows);
   void WaitForChanges();
-  void Retry();
+  void RetryAfter(base::Duration aDelay);
+  // Retries a failed call.
+  void OnFailure(const base::Error& aError);
   void RecordContact(const Rows& aResponse);
-  void RecordFailure(const base::Error& aError);
 
   const Ports mPorts;
   const std::string mTable;
@@ -83,6 +88,7 @@
   base::Time mLastContact;
   std::int64_t mStoreNowMs = 0;
   bool mConnected = false;
+  int mFailures = 0;
   bool mComplete = false;
   bool mStopped = false;
   // Whether the next call reads a full snapshot.
--- a/testing/platform_world/instance_group.cpp
+++ b/testing/platform_world/instance_group.cpp
@@ -1,5 +1,6 @@
 #include "testing/platform_world/instance_group.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <optional>
 
@@ -153,6 +154,14 @@
   return count;
 }
 
+int InstanceGroup::CountReady() const
+{
+  return static_cast<int>(
+    std::count_if(mMembers.begin(), mMembers.end(), [](const auto& aMember) {
+      return aMember->mAlive && aMember->mInstance->IsReady();
+    }));
+}
+
 node::CallerResponse InstanceGroup::QueryLength(std::size_t aInstance,
                                                 const std::string& aHost,
                                                 const std::string& aKey)
--- a/testing/platform_world/instance_group.h
+++ b/testing/platform_world/instance_group.h
@@ -43,6 +43,10 @@
                                    const std::string& aHost,
                                    const std::string& aKey);
   std::size_t LinkBytes() const { return mLink.BytesPassed(); }
+  // The store drops its history of changes; watches then have to read anew.
+  void ForgetHistory() { mStore.CompactHistory(); }
+  // Number of instances that are alive and take callers.
+  int CountReady() const;
   // Ends the leader at once, without releasing its lease. There must be one.
   void KillLeader();
 
