Starts and ends are stored before the progress of other jobs

Cause: the leader stored changed rows in the order of their addresses, 47 a transaction, since each row had a condition of its own, and no state of a job before all rows of steps.

Change: rows of assignments and finished steps go first, by priority and objective, then final states, then the rest with a share of 20 rows. One row that numbers the batches carries the condition, so a transaction takes 95 rows. A batch without a response takes effect once and in its place as before: its number is compared.

--- a/flamingoloom/jobs/records.h
+++ b/flamingoloom/jobs/records.h
@@ -5,13 +5,16 @@
 //   table kJobTable, key ID + ".c"     cancellation marker
 //   table kStateTable, key ID          the job's state, for API callers
 //   table kStepTable, key ID/K/STEP    the tasks of a step in occurrence K
+//   table kBatchTable, key kBatchKey   the number of the leader's last batch
 //
 // The instances that serve the job API create the rows of kJobTable, in the
 // partition of the store that PartitionOfJob returns. The store processes the
 // transactions of one partition one after another, so acceptances of jobs in
 // different partitions wait neither for each other nor for the leader. Only the
-// leader writes kStateTable and kStepTable, in kSchedulerPartition, and removes
-// rows. A job without a row in kStateTable is queued.
+// leader writes the other tables, in kSchedulerPartition, and removes rows.
+// Each of its batches requires the version that kBatchKey had after the one
+// before, so a batch whose response was lost takes effect once, in its place. A
+// job without a row in kStateTable is queued.
 //
 // The Decode functions do not throw: they return an error for a row that cannot
 // be decoded.
@@ -30,6 +33,8 @@
 inline constexpr const char* kJobTable = "job";
 inline constexpr const char* kStateTable = "state";
 inline constexpr const char* kStepTable = "run";
+inline constexpr const char* kBatchTable = "batch";
+inline constexpr const char* kBatchKey = "last";
 
 inline constexpr const char* kSchedulerPartition = "scheduler";
 // All partitions of kJobTable.
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -311,15 +311,18 @@
   if (mCommitting || mPhase != Phase::eScheduling || !mScheduler.HasChanges()) {
     return;
   }
+  ++mBatchNumber;
   SendCommit(mScheduler.TakeBatch(StoreNowMs()), false);
 }
 
 void Leader::SendCommit(scheduler::Batch aBatch, bool aRetry)
 {
   mCommitting = true;
-  const Transaction transaction{ jobs::kSchedulerPartition,
-                                 { mEpochCondition },
-                                 aBatch.mRows };
+  Transaction transaction{ jobs::kSchedulerPartition,
+                           { mEpochCondition },
+                           aBatch.mRows };
+  transaction.mChanges.push_back(
+    { jobs::kBatchTable, jobs::kBatchKey, BatchName(), mBatchVersion });
   mPorts.mStore->Commit(transaction,
                         mTiming.mCommitTimeout,
                         [self = shared_from_this(),
@@ -331,30 +334,26 @@
                         });
 }
 
-bool Leader::IsOwnEarlierWrite(const scheduler::Batch& aBatch,
-                               const CommitResult& aResult,
-                               std::int64_t& aVersion) const
+std::string Leader::BatchName() const
 {
-  bool found = false;
+  return std::to_string(mEpoch) + " " + std::to_string(mBatchNumber);
+}
+
+std::optional<std::int64_t> Leader::VersionOfEarlierCall(
+  const CommitResult& aResult) const
+{
+  std::optional<std::int64_t> version;
   for (const auto& current : aResult.mCurrent) {
-    if (current.mTable == kLeaderTable) {
-      if (current.mRow.mVersion != mEpochCondition.mVersion) {
-        return false;
-      }
-      continue;
+    if (current.mTable == kLeaderTable &&
+        current.mRow.mVersion != mEpochCondition.mVersion) {
+      return std::nullopt;
     }
-    for (const auto& row : aBatch.mRows) {
-      if (row.mTable != current.mTable || row.mKey != current.mRow.mKey) {
-        continue;
-      }
-      if (row.mValue != current.mRow.mValue) {
-        return false;
-      }
-      aVersion = std::max(aVersion, current.mRow.mVersion);
-      found = true;
+    if (current.mTable == jobs::kBatchTable &&
+        current.mRow.mValue == BatchName()) {
+      version = current.mRow.mVersion;
     }
   }
-  return found;
+  return version;
 }
 
 void Leader::OnCommit(const scheduler::Batch& aBatch,
@@ -383,13 +382,15 @@
   }
   std::int64_t version = aResult->mVersion;
   if (!aResult->mApplied) {
-    version = 0;
-    if (!aRetry || !IsOwnEarlierWrite(aBatch, *aResult, version)) {
+    const auto earlier = aRetry ? VersionOfEarlierCall(*aResult) : std::nullopt;
+    if (!earlier) {
       LoseLeadership("the store has newer rows");
       return;
     }
+    version = *earlier;
   }
   mCommitting = false;
+  mBatchVersion = version;
   mCommitBackoff = mTiming.mCommitRetryDelay;
   if (aResult->mStoreNowMs > 0) {
     mStoreMs = aResult->mStoreNowMs;
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -101,11 +101,11 @@
   void OnCommit(const scheduler::Batch& aBatch,
                 bool aRetry,
                 base::Expected<CommitResult> aResult);
-  // Whether the store rejected aBatch only because an earlier call, whose
-  // outcome was unknown, has applied it. Sets aVersion to the rows' version.
-  bool IsOwnEarlierWrite(const scheduler::Batch& aBatch,
-                         const CommitResult& aResult,
-                         std::int64_t& aVersion) const;
+  // If the store rejected the current batch only because an earlier call, whose
+  // outcome was unknown, has applied it: the version of its rows.
+  std::optional<std::int64_t> VersionOfEarlierCall(
+    const CommitResult& aResult) const;
+  std::string BatchName() const;
   void SendCommands();
   void RequestReports();
   void LoseLeadership(const char* aReason);
@@ -148,6 +148,9 @@
   std::int64_t mStoreMs = 0;
   base::Time mStoreMsReadAt;
   bool mCommitting = false;
+  // Number of this epoch's current batch, and the version of the row kBatchKey.
+  std::uint64_t mBatchNumber = 0;
+  std::int64_t mBatchVersion = 0;
   bool mPassPending = false;
   base::Time mLastPass;
   base::Duration mPassCooldown{ 0 };
--- a/flamingoloom/node/leader_recovery.cpp
+++ b/flamingoloom/node/leader_recovery.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr const char* kLoadedTables[] = { jobs::kStateTable, jobs::kStepTable };
+constexpr const char* kLoadedTables[] = { jobs::kStateTable,
+                                          jobs::kStepTable,
+                                          jobs::kBatchTable };
 constexpr auto kReadRetryDelay = milliseconds(150);
 // Far above the latency objective of any job.
 constexpr base::Duration kMaxJobAge = std::chrono::minutes(10);
@@ -44,8 +46,14 @@
       }
       self->mStoreMs = aPage->mStoreNowMs;
       self->mStoreMsReadAt = self->mPorts.mLoop->Now();
-      auto& rows = aTableIndex == 0 ? self->mLoadedStates : self->mLoadedSteps;
-      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      if (kLoadedTables[aTableIndex] == jobs::kBatchTable) {
+        self->mBatchVersion =
+          aPage->mRows.empty() ? 0 : aPage->mRows.front().mVersion;
+      } else {
+        auto& rows =
+          aTableIndex == 0 ? self->mLoadedStates : self->mLoadedSteps;
+        rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      }
       if (aPage->mMore && !aPage->mRows.empty()) {
         self->Load(aTableIndex, aPage->mRows.back().mKey + '\0');
       } else if (aTableIndex + 1 < std::size(kLoadedTables)) {
@@ -115,7 +123,7 @@
     }
     for (const auto& row : mLoadedStates) {
       const auto state = jobs::DecodeState(row.mValue.value_or(""));
-      if (state && !mScheduler.RestoreState(row.mKey, *state, row.mVersion) &&
+      if (state && !mScheduler.RestoreState(row.mKey, *state) &&
           stored.count(row.mKey) == 0) {
         mOrphanedRows.push_back(
           { jobs::kStateTable, row.mKey, std::nullopt, std::nullopt });
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -122,7 +122,6 @@
   bool mCancelled = false;
   std::map<int, Occurrence> mOccurrences;
   int mUnfinishedOccurrences = 0;
-  std::int64_t mStateVersion = 0;
   bool mStateDirty = false;
   // The latest time at which completing the job earns full credit.
   base::Time mObjective;
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -46,8 +46,7 @@
 }
 
 bool Scheduler::RestoreState(const std::string& aJob,
-                             const jobs::StateRecord& aState,
-                             std::int64_t aVersion)
+                             const jobs::StateRecord& aState)
 {
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end()) {
@@ -55,7 +54,6 @@
   }
   Job& job = *entry->second;
   job.mState = aState.mState;
-  job.mStateVersion = aVersion;
   job.mEndedAtStoreMs = aState.mEndedAtStoreMs;
   return true;
 }
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -62,7 +62,9 @@
   friend bool operator==(const RowChange&, const RowChange&) = default;
 };
 
-// Rows to store in one transaction.
+// Rows to store in one transaction, the most urgent ones of those that wait.
+// They carry no conditions of their own: the leader must ensure that a batch
+// takes effect only once, and directly after the one before it.
 struct Batch
 {
   std::vector<RowChange> mRows;
@@ -105,9 +107,7 @@
   void AddJob(base::Time aNow, jobs::JobSpec aSpec);
   // Restore what a previous leader stored. Call these after AddJob and before
   // Resume. They return false for a job or step that is not known.
-  bool RestoreState(const std::string& aJob,
-                    const jobs::StateRecord& aState,
-                    std::int64_t aVersion);
+  bool RestoreState(const std::string& aJob, const jobs::StateRecord& aState);
   bool RestoreStep(const std::string& aJob,
                    const jobs::StepRecord& aStep,
                    std::int64_t aVersion,
@@ -161,8 +161,10 @@
   {
     return !mDirtySteps.empty() || !mDirtyJobs.empty();
   }
-  // Returns the next rows to store. aStoreNowMs is the time on the store's
-  // steady clock, which becomes the end time of jobs.
+  // Returns the next rows to store: those of assignments and finished steps
+  // first, then final states, then the rest, with a share for each. aStoreNowMs
+  // is the time on the store's steady clock, which becomes the end time of
+  // jobs.
   Batch TakeBatch(std::int64_t aStoreNowMs);
   // The batch is stored, and its rows have the version aVersion. Releases the
   // start commands of its assignments and the acknowledgement of completions.
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -3,6 +3,8 @@
 #include "flamingoloom/scheduler/scheduler.h"
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 namespace flamingoloom::scheduler {
 
@@ -11,11 +13,12 @@
 
 namespace {
 
-// The store accepts 100 entries in a transaction, and a condition counts as
-// one. The rest is for the condition on the epoch.
-constexpr std::size_t kMaxEntriesPerBatch = 95;
-// The row and the condition on its version.
-constexpr std::size_t kEntriesPerRow = 2;
+// The store accepts 100 entries in a transaction. The rest is for the leader's
+// conditions and the row that numbers its batches.
+constexpr std::size_t kMaxRowsPerBatch = 95;
+// Of these, rows that nobody waits for get at least this many, so that
+// completions are acknowledged in time also under a lasting load.
+constexpr std::size_t kMinProgressRowsPerBatch = 20;
 // Limits the work of garbage collection in one call, so that scheduling goes on
 // beside it.
 constexpr std::size_t kMaxExpiredJobsPerCall = 40;
@@ -28,40 +31,106 @@
 // Storing
 // ----------------------------------------------------------------------
 
+namespace {
+
+enum class StoreUrgency
+{
+  // Starts wait for the row, or the end of the job does.
+  eStart,
+  // Callers wait for the state. It comes after all rows of eStart, so that no
+  // job is shown as completed before its last completion is stored.
+  eFinalState,
+  // Nobody waits for it.
+  eProgress,
+};
+
+StoreUrgency UrgencyOf(const StepState& aStep)
+{
+  // A finished step goes with the starts of the steps that depend on it.
+  const bool urgent = aStep.mUnfinishedTasks == 0 ||
+                      std::any_of(aStep.mTasks.begin(),
+                                  aStep.mTasks.end(),
+                                  [](const Task& aTask) {
+                                    return aTask.mPhase == TaskPhase::eAssigned;
+                                  });
+  return urgent ? StoreUrgency::eStart : StoreUrgency::eProgress;
+}
+
+// A row to store: that of mStep, or if it is null the state of mJob.
+struct PendingRow
+{
+  StoreUrgency mUrgency;
+  Job* mJob;
+  StepState* mStep;
+
+  auto SortKey() const
+  {
+    return std::make_tuple(mUrgency,
+                           mJob->mSpec.mRules.mPriority,
+                           mJob->mObjective,
+                           std::string_view(mJob->mSpec.mId),
+                           mStep == nullptr ? 0 : mStep->mOccurrence,
+                           mStep == nullptr ? 0 : mStep->mStep);
+  }
+};
+
+// Returns the rows of one batch, the most urgent ones first.
+std::vector<PendingRow> SelectRows(const std::set<StepState*>& aSteps,
+                                   const std::set<Job*>& aJobs)
+{
+  std::vector<PendingRow> rows;
+  rows.reserve(aSteps.size() + aJobs.size());
+  for (StepState* step : aSteps) {
+    rows.push_back({ UrgencyOf(*step), step->mJob, step });
+  }
+  for (Job* job : aJobs) {
+    rows.push_back(
+      { job->IsFinal() ? StoreUrgency::eFinalState : StoreUrgency::eProgress,
+        job,
+        nullptr });
+  }
+  if (rows.size() <= kMaxRowsPerBatch) {
+    return rows;
+  }
+  std::sort(
+    rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.SortKey() < aRight.SortKey();
+    });
+  const auto progress =
+    std::find_if(rows.begin(), rows.end(), [](const PendingRow& aRow) {
+      return aRow.mUrgency == StoreUrgency::eProgress;
+    });
+  const auto progressRows = static_cast<std::size_t>(rows.end() - progress);
+  const auto urgentRows = std::min(
+    rows.size() - progressRows,
+    kMaxRowsPerBatch - std::min(kMinProgressRowsPerBatch, progressRows));
+  std::vector<PendingRow> selected(
+    rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(urgentRows));
+  const auto rest = std::min(kMaxRowsPerBatch - selected.size(), progressRows);
+  selected.insert(
+    selected.end(), progress, progress + static_cast<std::ptrdiff_t>(rest));
+  return selected;
+}
+
+} // namespace
+
 Batch Scheduler::TakeBatch(std::int64_t aStoreNowMs)
 {
   Batch batch;
   mAssignedInBatch.clear();
-  std::vector<StepState*> steps;
-  std::vector<Job*> states;
-  // Add the states of jobs after all steps, so that no job is shown as
-  // completed before its last completion is stored.
-  std::size_t entries = 0;
   std::size_t bytes = 0;
-  for (StepState* step : mDirtySteps) {
-    if (entries + kEntriesPerRow > kMaxEntriesPerBatch ||
-        bytes > kMaxBytesPerBatch) {
+  for (const auto& row : SelectRows(mDirtySteps, mDirtyJobs)) {
+    if (bytes > kMaxBytesPerBatch) {
       break;
     }
-    entries += kEntriesPerRow;
-    steps.push_back(step);
-    AddStepRow(*step, batch);
-    bytes += batch.mRows.back().mValue->size();
-  }
-  const bool allSteps = steps.size() == mDirtySteps.size();
-  for (Job* job : mDirtyJobs) {
-    if (!allSteps || entries + kEntriesPerRow > kMaxEntriesPerBatch) {
-      break;
+    if (row.mStep != nullptr) {
+      AddStepRow(*row.mStep, batch);
+      mDirtySteps.erase(row.mStep);
+    } else {
+      AddStateRow(*row.mJob, aStoreNowMs, batch);
+      mDirtyJobs.erase(row.mJob);
     }
-    entries += kEntriesPerRow;
-    states.push_back(job);
-    AddStateRow(*job, aStoreNowMs, batch);
-  }
-  for (StepState* step : steps) {
-    mDirtySteps.erase(step);
-  }
-  for (Job* job : states) {
-    mDirtyJobs.erase(job);
+    bytes += batch.mRows.back().mValue->size();
   }
   batch.mLastChangeNumber = mDirtySteps.empty() && mDirtyJobs.empty()
                               ? mChangeNumber
@@ -76,7 +145,7 @@
     { jobs::kStepTable,
       jobs::StepKey(aStep.mJob->mSpec.mId, aStep.mOccurrence, aStep.mStep),
       jobs::EncodeStep(aStep.Record()),
-      aStep.mRowVersion });
+      std::nullopt });
   for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
     if (aStep.mTasks[i].mPhase == TaskPhase::eAssigned) {
       mAssignedInBatch.emplace_back(&aStep, static_cast<int>(i));
@@ -95,7 +164,7 @@
       aJob.mSpec.mId,
       jobs::EncodeState(
         { aJob.mState, aJob.mSpec.mAccount, aJob.mEndedAtStoreMs }),
-      aJob.mStateVersion });
+      std::nullopt });
 }
 
 void Scheduler::OnStored(Time aNow, const Batch& aBatch, std::int64_t aVersion)
@@ -105,9 +174,7 @@
     if (job == mJobs.end()) {
       continue;
     }
-    if (row.mTable == jobs::kStateTable) {
-      job->second->mStateVersion = aVersion;
-    } else if (row.mTable == jobs::kStepTable) {
+    if (row.mTable == jobs::kStepTable) {
       for (auto& [number, occurrence] : job->second->mOccurrences) {
         for (auto& step : occurrence.mSteps) {
           if (row.mKey ==
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -1,5 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+
 #include "flamingoloom/scheduler/scheduler_fixture.h"
 
 namespace flamingoloom::scheduler {
@@ -311,6 +314,51 @@
   CHECK(f.mScheduler.TakeCommands().mStarts.size() == 120);
 }
 
+// While the store is slow more rows change than a batch takes. Guards against
+// starts, and the ends of jobs, that wait for rows that nobody waits for.
+TEST_CASE("Urgent starts and ends are stored before the progress of other jobs")
+{
+  Fixture f;
+  f.AddServers(60);
+  constexpr int kBusyJobs = 200;
+  for (int i = 0; i < kBusyJobs; ++i) {
+    f.Add(Fixture::MakeJob("busy" + std::to_string(i), 2, 1));
+  }
+  std::map<ServerId, ServerReport> reports;
+  for (const auto& start : f.StartAll()) {
+    auto& report = reports[start.mServer];
+    // One task of each job ends, and both of one job.
+    if (start.mAttempt.mTask.mIndex == 0 ||
+        start.mAttempt.mTask.mJob == "busy7") {
+      const auto number =
+        static_cast<std::int64_t>(report.mCompletions.size()) + 1;
+      report.mCompletions.push_back(
+        { number, start.mAttempt, TaskEndReason::eDone, "" });
+    } else {
+      report.mRunning.push_back({ start.mAttempt, "", 10, -1 });
+    }
+  }
+  for (const auto& [server, report] : reports) {
+    f.Report(server, report.mRunning, report.mCompletions);
+  }
+  auto urgent = Fixture::MakeJob("urgent", 1, 1);
+  urgent.mRules.mPriority = 0;
+  f.Add(urgent);
+  f.mScheduler.Schedule(f.mNow, 0);
+  const auto batch = f.mScheduler.TakeBatch(0);
+  std::set<std::string> keys;
+  std::size_t progress = 0;
+  for (const auto& row : batch.mRows) {
+    keys.insert(row.mTable + ":" + row.mKey);
+    progress += row.mKey.rfind("busy", 0) == 0 ? 1 : 0;
+  }
+  CHECK(keys.count("run:" + jobs::StepKey("urgent", 0, 0)) == 1);
+  CHECK(keys.count("run:" + jobs::StepKey("busy7", 0, 0)) == 1);
+  CHECK(keys.count("state:busy7") == 1);
+  // The rest is not left waiting either.
+  CHECK(progress >= 20);
+}
+
 // A draining server announces when it exits. Guards against losing the work of
 // a task that cannot complete before that.
 TEST_CASE("Work that cannot complete before its server exits is migrated")
