Work on servers that only respond late is neither given up nor moved

Change: a late response is followed at once by a request that grants a lease, unless the one in flight does; leases count from the report that arrived the fastest, by the least rate of the server's clock; reports say by how much they are late; the time after which a task hangs grows with its run time.

--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -32,15 +32,29 @@
   if (until <= now) {
     return std::nullopt;
   }
-  const auto untilMs = *mClockMs + base::ToMilliseconds(until - mClockReadAt);
+  const auto untilMs = MinClockMs() + base::ToMilliseconds(until - now);
   // A slow server clock reaches that value later than this instance's clock.
-  const auto latest =
-    mClockReadAt + std::chrono::duration_cast<Duration>(
-                     milliseconds(untilMs - *mClockMs) / mTiming.mMinClockRate);
+  const auto latest = now + std::chrono::duration_cast<Duration>(
+                              (until - now) / mTiming.mMinClockRate);
   mEvents.mOnLease(latest);
   return untilMs;
 }
 
+std::int64_t ServerSession::MinClockMs() const
+{
+  const auto elapsed = std::chrono::duration_cast<Duration>(
+    (mPorts.mLoop->Now() - mClockReadAt) * mTiming.mMinClockRate);
+  return *mClockMs + base::ToMilliseconds(elapsed);
+}
+
+void ServerSession::RecordClock(std::int64_t aClockMs)
+{
+  if (!mClockMs || aClockMs >= MinClockMs()) {
+    mClockMs = aClockMs;
+    mClockReadAt = mPorts.mLoop->Now();
+  }
+}
+
 void ServerSession::RequestReport()
 {
   if (mClosed || mRequestInFlight || !mEvents.mNeedsReports()) {
@@ -69,7 +83,7 @@
   // shows the incarnation.
   const bool incarnationIsFresh =
     mIncarnationSeen &&
-    mPorts.mLoop->Now() - mClockReadAt < mTiming.mIncarnationValidity;
+    mPorts.mLoop->Now() - mReportArrivedAt < mTiming.mIncarnationValidity;
   const auto ack =
     ackThrough > mConfirmedAck && incarnationIsFresh ? ackThrough : 0;
   request.mAckThrough = ack;
@@ -79,20 +93,29 @@
     request.mLeaseUntilMs = GrantLease();
   }
   mRequestInFlight = true;
+  mRequestGrantsLease = request.mLeaseUntilMs.has_value();
   const Time sentAt = mPorts.mLoop->Now();
   const auto number = ++mLastRequest;
   const auto timeout = request.mWait + mTiming.mResponseTimeout;
   mPorts.mLoop->After(timeout, [self = shared_from_this(), number] {
     self->OnReportOverdue(number);
   });
-  mPorts.mServers->Report(mServer,
-                          request,
-                          timeout + mTiming.mLateResponseTime,
-                          [self = shared_from_this(), number, sentAt, ack](
-                            base::Expected<ReportResponse> aResponse) {
-                            self->OnReportResponse(
-                              number, sentAt, ack, std::move(aResponse));
-                          });
+  mPorts.mServers->Report(
+    mServer,
+    request,
+    timeout + mTiming.mLateResponseTime,
+    [self = shared_from_this(),
+     number,
+     sentAt,
+     ack,
+     expectedBy = sentAt + request.mWait + mTiming.mTransitTime](
+      base::Expected<ReportResponse> aResponse) {
+      if (aResponse) {
+        aResponse->mReport.mDelay =
+          std::max(Duration(0), self->mPorts.mLoop->Now() - expectedBy);
+      }
+      self->OnReportResponse(number, sentAt, ack, std::move(aResponse));
+    });
 }
 
 void ServerSession::RequestReportAfter(Duration aDelay)
@@ -182,9 +205,17 @@
   mIncarnation = aResponse->mReport.mStartedMs;
   mIncarnationSeen = !late;
   mConfirmedAck = sameIncarnation ? std::max(mConfirmedAck, aAckSent) : 0;
-  mClockMs = aResponse->mClockMs;
-  mClockReadAt = mPorts.mLoop->Now();
+  if (!sameIncarnation) {
+    mClockMs.reset();
+  }
+  RecordClock(aResponse->mClockMs);
+  mReportArrivedAt = mPorts.mLoop->Now();
   mEvents.mOnReport(aResponse->mReport, aSentAt);
+  if (late && !mRequestGrantsLease) {
+    // The server lives. Its leases are renewed now rather than with the
+    // response to the request in flight, which may be as late.
+    mRequestInFlight = false;
+  }
   RequestReport();
 }
 
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -20,6 +20,9 @@
   // How long a server may hold a report back until a task completes. 2 s is the
   // longest wait that the platform accepts, and it charges for each report.
   base::Duration mReportWait = std::chrono::milliseconds(2000);
+  // Longest time that a request and its response are usually in transit; what
+  // goes beyond it is the delay of the report.
+  base::Duration mTransitTime = std::chrono::milliseconds(150);
   // After this time beyond mReportWait without a response the server counts as
   // unresponsive and is asked again; a response from another region takes 40
   // ms.
@@ -106,15 +109,22 @@
   const std::int64_t mEpoch;
   const ServerSessionTiming mTiming;
   const Events mEvents;
-  // The server's clock in its last report, and when that report arrived here.
+  // Returns the least that the server's clock shows now.
+  std::int64_t MinClockMs() const;
+  void RecordClock(std::int64_t aClockMs);
+
+  // The server's clock in the report of this incarnation that arrived the
+  // fastest, and when that report arrived here.
   std::optional<std::int64_t> mClockMs;
   base::Time mClockReadAt;
+  // When the last report that was used arrived.
+  base::Time mReportArrivedAt;
   // Highest acknowledgement that this incarnation of the server has confirmed.
   // It is not sent again: another incarnation, which numbers its completions
   // anew, would apply it to its own completions.
   std::int64_t mConfirmedAck = 0;
   std::int64_t mIncarnation = 0;
-  // Whether the incarnation was seen at mClockReadAt, rather than when the
+  // Whether the incarnation was seen at mReportArrivedAt, rather than when the
   // request for a late response was sent.
   bool mIncarnationSeen = false;
   // Number of the last request, and when the request of the last report that
@@ -122,6 +132,8 @@
   std::uint64_t mLastRequest = 0;
   base::Time mReportSentAt;
   bool mRequestInFlight = false;
+  // Whether the last request grants a lease.
+  bool mRequestGrantsLease = false;
   bool mRequestScheduled = false;
   int mFailures = 0;
   bool mClosed = false;
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -231,7 +231,8 @@
   void HandleCompletion(base::Time aNow,
                         ServerState& aServer,
                         const TaskCompletion& aCompletion);
-  void HandleRunningTask(base::Time aNow,
+  // aReportedAt is the time of the state that the report shows.
+  void HandleRunningTask(base::Time aReportedAt,
                          ServerState& aServer,
                          const RunningTask& aRunning);
   // Marks the task as done, and for a gang all of its members. A long-running
@@ -248,6 +249,11 @@
   // expired.
   void RequeueFromLostServers(base::Time aNow);
   void RequeueAllOn(ServerState& aServer, const char* aReason);
+  // Returns the time without progress after which a running task hangs.
+  // aMedianSpeed is that of its step in percent per second, 0 if unknown.
+  base::Duration StallTimeout(const StepState& aStep,
+                              const Task& aTask,
+                              double aMedianSpeed) const;
   // Returns whether a running task makes no progress or, near its data, is much
   // slower than aMedianSpeed, the median of its step in percent per second.
   bool IsStraggler(const StepState& aStep,
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -290,7 +290,7 @@
   }
   for (const auto& running : aReport.mRunning) {
     listed.insert(running.mAttempt);
-    HandleRunningTask(aNow, *server, running);
+    HandleRunningTask(aNow - aReport.mDelay, *server, running);
   }
   const auto attempts = server->mAttempts;
   for (const auto& attempt : attempts) {
@@ -308,7 +308,7 @@
   }
 }
 
-void Scheduler::HandleRunningTask(Time aNow,
+void Scheduler::HandleRunningTask(Time aReportedAt,
                                   ServerState& aServer,
                                   const RunningTask& aRunning)
 {
@@ -332,7 +332,7 @@
   }
   if (task->mPhase != TaskPhase::eRunning) {
     task->mPhase = TaskPhase::eRunning;
-    task->mStartedAt = task->mPercentChangedAt = aNow;
+    task->mStartedAt = task->mPercentChangedAt = aReportedAt;
     task->mPercent = task->mFirstPercent = aRunning.mPercent;
     if (task->mStopRequested) {
       mStops.insert({ aServer.mInfo.mId, aRunning.mAttempt });
@@ -340,9 +340,9 @@
   }
   if (aRunning.mPercent != task->mPercent) {
     task->mPercent = aRunning.mPercent;
-    task->mPercentChangedAt = aNow;
+    task->mPercentChangedAt = aReportedAt;
   }
-  task->mReportedAt = aNow;
+  task->mReportedAt = aReportedAt;
   if (!aRunning.mCheckpoint.empty()) {
     task->mCheckpoint = aRunning.mCheckpoint;
     step->mGangCheckpoint = aRunning.mCheckpoint;
--- a/flamingoloom/scheduler/scheduler_migration.cpp
+++ b/flamingoloom/scheduler/scheduler_migration.cpp
@@ -10,8 +10,12 @@
 namespace {
 
 // A task hangs if its progress did not change between two reports at least this
-// far apart. In this time a healthy task progresses by several percent.
-constexpr base::Duration kStallTimeout = std::chrono::milliseconds(1800);
+// far apart, and further apart than it takes a healthy task to progress by
+// several percent.
+constexpr base::Duration kMinStallTimeout = std::chrono::milliseconds(1800);
+constexpr double kStallPercent = 4.0;
+// Estimates of run times are wrong by up to a factor of ten.
+constexpr double kStallShareOfEstimate = 0.2;
 // A task with at least this progress is not restarted elsewhere.
 constexpr int kNearlyDonePercent = 90;
 // Progress is only evaluated in reports from this long after the start.
@@ -28,6 +32,21 @@
 
 } // namespace
 
+base::Duration Scheduler::StallTimeout(const StepState& aStep,
+                                       const Task& aTask,
+                                       double aMedianSpeed) const
+{
+  auto timeout = std::chrono::duration<double>(aStep.Spec().mEstimate) *
+                 kStallShareOfEstimate;
+  const double speed = std::max(aTask.Speed(), aMedianSpeed);
+  if (speed > 0) {
+    timeout =
+      std::min(timeout, std::chrono::duration<double>(kStallPercent / speed));
+  }
+  return std::max(kMinStallTimeout,
+                  std::chrono::duration_cast<base::Duration>(timeout));
+}
+
 bool Scheduler::IsStraggler(const StepState& aStep,
                             const Task& aTask,
                             double aMedianSpeed) const
@@ -37,7 +56,8 @@
       aTask.mPercent >= kNearlyDonePercent) {
     return false;
   }
-  if (aTask.mReportedAt - aTask.mPercentChangedAt >= kStallTimeout) {
+  if (aTask.mReportedAt - aTask.mPercentChangedAt >=
+      StallTimeout(aStep, aTask, aMedianSpeed)) {
     return true;
   }
   const ServerState* server = mFleet.Find(aTask.mServer);
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -359,6 +359,58 @@
   CHECK(progress >= 20);
 }
 
+// Guards against long work that is started again elsewhere since its percentage
+// does not change between two reports.
+TEST_CASE("A task that takes hours does not count as hanging")
+{
+  Fixture f;
+  f.AddServers(2);
+  auto job = Fixture::MakeJob("a", 1, 1);
+  job.mSteps[0].mEstimate = std::chrono::hours(1);
+  f.Add(job);
+  const auto start = f.StartAll().at(0);
+  for (int second = 0; second < 1800; second += 2) {
+    f.mNow += seconds(2);
+    f.Report(start.mServer, { { start.mAttempt, "", second / 36, -1 } }, {});
+    CHECK(f.RunPass().mStops.empty());
+  }
+  // Without any progress for several percent of its time it does hang.
+  for (int second = 0; second < 600; second += 2) {
+    f.mNow += seconds(2);
+    f.Report(start.mServer, { { start.mAttempt, "", 50, -1 } }, {});
+    if (!f.RunPass().mStops.empty()) {
+      return;
+    }
+  }
+  FAIL("the task was not stopped");
+}
+
+// Guards against a task that seems slow only since its server's reports are
+// late.
+TEST_CASE("A late report does not make a task a straggler")
+{
+  Fixture f;
+  f.AddServers(4);
+  f.Add(Fixture::MakeJob("a", 4, 8));
+  const auto starts = f.StartAll();
+  REQUIRE(starts.size() == 4);
+  const auto report =
+    [&](const StartCommand& aStart, int aPercent, base::Duration aDelay) {
+      f.mScheduler.OnReport(
+        f.mNow,
+        aStart.mServer,
+        { 1, { { aStart.mAttempt, "", aPercent, -1 } }, {}, aDelay },
+        f.mNow - aDelay);
+    };
+  f.mNow += seconds(8);
+  for (int i = 0; i < 3; ++i) {
+    report(starts[static_cast<std::size_t>(i)], 80, milliseconds(0));
+  }
+  // The state of 6 s ago: 16% after 2 s.
+  report(starts[3], 16, seconds(6));
+  CHECK(f.RunPass().mStops.empty());
+}
+
 // A draining server announces when it exits. Guards against losing the work of
 // a task that cannot complete before that.
 TEST_CASE("Work that cannot complete before its server exits is migrated")
--- a/flamingoloom/scheduler/server.h
+++ b/flamingoloom/scheduler/server.h
@@ -82,6 +82,9 @@
   std::int64_t mStartedMs = 0;
   std::vector<RunningTask> mRunning;
   std::vector<TaskCompletion> mCompletions;
+  // How much later than expected the report arrived: it may show the state of
+  // that long ago.
+  base::Duration mDelay{ 0 };
 };
 
 struct StartCommand
