A scheduling pass costs each server once, not once for each task

Cause: each task of each waiting step compared all servers anew, racks were tried by placing and undoing, the check for room near the data copied the whole fleet, and gangs that did not fit were searched for again in the same pass.

Change: the room of each server is counted once for a step and the best ones kept on a heap; the choice is the same. What several tasks need and did not get is remembered within the pass. Victims are valued again only where something changed.

--- a/flamingoloom/jobs/job.cpp
+++ b/flamingoloom/jobs/job.cpp
@@ -26,6 +26,23 @@
          mAccelerators <= aFree.mAccelerators;
 }
 
+std::int64_t Resources::CountIn(const Resources& aFree) const
+{
+  if (!FitsIn(aFree)) {
+    return 0;
+  }
+  std::int64_t count = kMaxCount;
+  for (const auto& [need, free] :
+       { std::pair{ mCpuMilli, aFree.mCpuMilli },
+         std::pair{ mMemoryMb, aFree.mMemoryMb },
+         std::pair{ mAccelerators, aFree.mAccelerators } }) {
+    if (need > 0) {
+      count = std::min(count, free / need);
+    }
+  }
+  return count;
+}
+
 Resources Resources::Times(std::int64_t aCount) const
 {
   return { mCpuMilli * aCount, mMemoryMb * aCount, mAccelerators * aCount };
--- a/flamingoloom/jobs/job.h
+++ b/flamingoloom/jobs/job.h
@@ -26,6 +26,10 @@
   Resources& operator+=(const Resources& aOther);
   Resources& operator-=(const Resources& aOther);
   bool FitsIn(const Resources& aFree) const;
+  // How many times this fits into aFree; at most kMaxCount, for a requirement
+  // of nothing.
+  std::int64_t CountIn(const Resources& aFree) const;
+  static constexpr std::int64_t kMaxCount = 1'000'000;
   Resources Times(std::int64_t aCount) const;
   // Returns cores plus accelerators, each of which counts as
   // kCoresPerAccelerator cores.
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -1,6 +1,7 @@
 #include "flamingoloom/scheduler/placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -26,21 +27,46 @@
   const std::set<base::DataCentreId>& aOutOfServiceDataCentres,
   base::Time aNow)
 {
+  mCandidates.reserve(aFleet.Servers().size());
   for (auto& [id, server] : aFleet.Servers()) {
     const bool usable =
       server.mListed && server.mFenced && server.mResponsive &&
       !server.mInfo.mDraining && server.mQuarantinedUntil <= aNow &&
       aOutOfServiceDataCentres.count(server.mInfo.mDataCentre) == 0;
     if (usable) {
-      mCandidates.emplace(id,
-                          Candidate{ &server, server.FreeCapacity(), {}, {} });
+      mCandidates.push_back({ &server, server.FreeCapacity(), {}, {} });
     }
   }
-  for (auto& [id, candidate] : mCandidates) {
-    mRacks[candidate.mServer->mInfo.mRack].push_back(&candidate);
+  for (Candidate& candidate : mCandidates) {
+    mAll.push_back(&candidate);
   }
 }
 
+const Placement::Racks& Placement::CandidatesByRack()
+{
+  if (mRacks.empty()) {
+    for (Candidate& candidate : mCandidates) {
+      mRacks[candidate.mServer->mInfo.mRack].push_back(&candidate);
+    }
+  }
+  return mRacks;
+}
+
+Placement::Candidate* Placement::Find(const base::ServerId& aServer)
+{
+  // The fleet lists its servers in the order of their ids.
+  const auto found =
+    std::lower_bound(mAll.begin(),
+                     mAll.end(),
+                     aServer,
+                     [](const Candidate* aLeft, const base::ServerId& aRight) {
+                       return aLeft->mServer->mInfo.mId < aRight;
+                     });
+  return found != mAll.end() && (*found)->mServer->mInfo.mId == aServer
+           ? *found
+           : nullptr;
+}
+
 bool Placement::IsEligible(const StepState& aStep,
                            const Candidate& aCandidate) const
 {
@@ -74,80 +100,96 @@
   return counts;
 }
 
-Placement::Candidate* Placement::BestCandidate(
+bool Placement::IsRemote(const StepState& aStep, const Candidate& aCandidate)
+{
+  const auto& dataRack = aStep.Spec().mDataRack;
+  return !dataRack.empty() && aCandidate.mServer->mInfo.mRack != dataRack;
+}
+
+Placement::Score Placement::ScoreOf(const StepState& aStep,
+                                    int aIndex,
+                                    const Candidate& aCandidate)
+{
+  const auto need = aStep.Spec().Footprint();
+  const auto& info = aCandidate.mServer->mInfo;
+  const Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
+  return { IsRemote(aStep, aCandidate),
+           task.mFailedOn.count(info.mId) > 0,
+           info.mWarmUpRemaining.count() > 0,
+           aCandidate.mFree.mAccelerators - need.mAccelerators,
+           aCandidate.mFree.mCpuMilli - need.mCpuMilli };
+}
+
+std::vector<Placement::Room> Placement::RoomsFor(
   const StepState& aStep,
-  int aIndex,
   const std::vector<Candidate*>& aCandidates,
   bool aAllowRemote,
-  const std::map<base::ServerId, int>& aTasksPerServer)
+  bool aWhenIdle) const
 {
-  const auto& spec = aStep.Spec();
-  const auto need = spec.Footprint();
-  const Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
-  Candidate* best = nullptr;
-  // The lowest score wins: near the data, no earlier failure of the task there,
-  // not warming up, and then the tightest fit.
-  using Score = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
-  Score bestScore;
+  const auto need = aStep.Spec().Footprint();
+  const auto limit = aStep.Spec().mMaxPerServer;
+  const auto tasksPerServer = TasksPerServer(aStep);
+  std::vector<Room> rooms;
   for (Candidate* candidate : aCandidates) {
     const auto& info = candidate->mServer->mInfo;
-    if (!need.FitsIn(candidate->mFree) || !IsEligible(aStep, *candidate)) {
+    const auto& free = aWhenIdle ? info.mCapacity : candidate->mFree;
+    if (!need.FitsIn(free) || !IsEligible(aStep, *candidate) ||
+        (!aAllowRemote && IsRemote(aStep, *candidate))) {
       continue;
     }
-    const bool remote = !spec.mDataRack.empty() && info.mRack != spec.mDataRack;
-    if (remote && !aAllowRemote) {
-      continue;
-    }
-    if (spec.mMaxPerServer > 0) {
-      const auto count = aTasksPerServer.find(info.mId);
-      if (count != aTasksPerServer.end() &&
-          count->second >= spec.mMaxPerServer) {
-        continue;
-      }
+    std::int64_t tasks = need.CountIn(free);
+    if (limit > 0) {
+      const auto placed = tasksPerServer.find(info.mId);
+      tasks = std::min<std::int64_t>(
+        tasks, limit - (placed == tasksPerServer.end() ? 0 : placed->second));
     }
-    const Score score{ remote,
-                       task.mFailedOn.count(info.mId) > 0,
-                       info.mWarmUpRemaining.count() > 0,
-                       candidate->mFree.mAccelerators - need.mAccelerators,
-                       candidate->mFree.mCpuMilli - need.mCpuMilli };
-    if (best == nullptr || score < bestScore) {
-      best = candidate;
-      bestScore = score;
+    if (tasks > 0) {
+      rooms.push_back({ candidate, tasks });
     }
   }
-  return best;
+  return rooms;
 }
 
-std::vector<Placement::Candidate*> Placement::AllCandidates()
+bool Placement::HasRoomFor(const std::vector<Room>& aRooms, std::size_t aTasks)
 {
-  std::vector<Candidate*> candidates;
-  candidates.reserve(mCandidates.size());
-  for (auto& [id, candidate] : mCandidates) {
-    candidates.push_back(&candidate);
+  std::int64_t left = static_cast<std::int64_t>(aTasks);
+  for (const Room& room : aRooms) {
+    left -= room.mTasks;
+    if (left <= 0) {
+      return true;
+    }
   }
-  return candidates;
+  return left <= 0;
 }
 
 Assignment Placement::PlaceSome(const StepState& aStep,
                                 const std::vector<int>& aIndices,
                                 bool aAllowRemote)
 {
-  if (!MayFit(aStep)) {
+  if (!MayFit(aStep, 1)) {
     return {};
   }
   auto assignment =
-    PlaceUntilFull(aStep, aIndices, AllCandidates(), aAllowRemote);
+    PlaceIn(aStep, aIndices, RoomsFor(aStep, mAll, aAllowRemote, false));
+  if (assignment.size() < aIndices.size()) {
+    RecordUnplaceable(aStep, 1, aAllowRemote);
+  }
+  return assignment;
+}
+
+void Placement::RecordUnplaceable(const StepState& aStep,
+                                  std::size_t aTasks,
+                                  bool aAllowRemote)
+{
   const auto& spec = aStep.Spec();
   const bool anywhere = aAllowRemote || spec.mDataRack.empty();
-  if (anywhere && spec.mMaxPerServer == 0 &&
-      assignment.size() < aIndices.size()) {
+  if (anywhere && spec.mMaxPerServer == 0) {
     mUnplaceable[{ aStep.mJob->mSpec.mRules.mService, spec.mRequiredLabel }]
-      .push_back(spec.Footprint());
+      .emplace_back(spec.Footprint(), aTasks);
   }
-  return assignment;
 }
 
-bool Placement::MayFit(const StepState& aStep) const
+bool Placement::MayFit(const StepState& aStep, std::size_t aTasks) const
 {
   const auto failed = mUnplaceable.find(
     { aStep.mJob->mSpec.mRules.mService, aStep.Spec().mRequiredLabel });
@@ -155,29 +197,74 @@
     return true;
   }
   const auto need = aStep.Spec().Footprint();
-  return std::none_of(
-    failed->second.begin(),
-    failed->second.end(),
-    [&need](const jobs::Resources& aFailed) { return aFailed.FitsIn(need); });
+  return std::none_of(failed->second.begin(),
+                      failed->second.end(),
+                      [&need, aTasks](const auto& aFailed) {
+                        return aFailed.second <= aTasks &&
+                               aFailed.first.FitsIn(need);
+                      });
 }
 
-Assignment Placement::PlaceUntilFull(const StepState& aStep,
-                                     const std::vector<int>& aIndices,
-                                     const std::vector<Candidate*>& aCandidates,
-                                     bool aAllowRemote)
+Assignment Placement::PlaceIn(const StepState& aStep,
+                              const std::vector<int>& aIndices,
+                              std::vector<Room> aRooms)
 {
   const auto need = aStep.Spec().Footprint();
-  auto tasksPerServer = TasksPerServer(aStep);
   Assignment assignment;
+  const auto take = [&](int aIndex, Room& aRoom) {
+    aRoom.mCandidate->mFree -= need;
+    --aRoom.mTasks;
+    assignment.emplace_back(aIndex, aRoom.mCandidate->mServer->mInfo.mId);
+  };
+  const bool sameForAll =
+    std::all_of(aIndices.begin(), aIndices.end(), [&](int aIndex) {
+      return aStep.mTasks[static_cast<std::size_t>(aIndex)].mFailedOn.empty();
+    });
+  if (!sameForAll) {
+    for (const int index : aIndices) {
+      Room* best = nullptr;
+      Score bestScore;
+      for (Room& room : aRooms) {
+        const auto score = ScoreOf(aStep, index, *room.mCandidate);
+        if (room.mTasks > 0 && (best == nullptr || score < bestScore)) {
+          best = &room;
+          bestScore = score;
+        }
+      }
+      if (best == nullptr) {
+        break;
+      }
+      take(index, *best);
+    }
+    return assignment;
+  }
+  // A room's score changes only when a task is placed there, so the best one is
+  // kept on a heap, in the order of the candidates among equal scores.
+  using Entry = std::pair<Score, std::size_t>;
+  std::vector<Entry> heap;
+  heap.reserve(aRooms.size());
+  const auto push = [&](std::size_t aRoom, int aIndex) {
+    heap.emplace_back(ScoreOf(aStep, aIndex, *aRooms[aRoom].mCandidate), aRoom);
+  };
+  if (aIndices.empty()) {
+    return assignment;
+  }
+  for (std::size_t i = 0; i < aRooms.size(); ++i) {
+    push(i, aIndices.front());
+  }
+  std::make_heap(heap.begin(), heap.end(), std::greater<>());
   for (const int index : aIndices) {
-    Candidate* candidate =
-      BestCandidate(aStep, index, aCandidates, aAllowRemote, tasksPerServer);
-    if (candidate == nullptr) {
+    if (heap.empty()) {
       break;
     }
-    candidate->mFree -= need;
-    ++tasksPerServer[candidate->mServer->mInfo.mId];
-    assignment.emplace_back(index, candidate->mServer->mInfo.mId);
+    std::pop_heap(heap.begin(), heap.end(), std::greater<>());
+    const auto room = heap.back().second;
+    heap.pop_back();
+    take(index, aRooms[room]);
+    if (aRooms[room].mTasks > 0) {
+      push(room, index);
+      std::push_heap(heap.begin(), heap.end(), std::greater<>());
+    }
   }
   return assignment;
 }
@@ -188,61 +275,57 @@
   const std::vector<Candidate*>& aCandidates,
   bool aAllowRemote)
 {
-  auto assignment = PlaceUntilFull(aStep, aIndices, aCandidates, aAllowRemote);
-  if (assignment.size() == aIndices.size()) {
-    return assignment;
-  }
-  for (const auto& [index, server] : assignment) {
-    mCandidates.at(server).mFree += aStep.Spec().Footprint();
+  auto rooms = RoomsFor(aStep, aCandidates, aAllowRemote, false);
+  if (!HasRoomFor(rooms, aIndices.size())) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return PlaceIn(aStep, aIndices, std::move(rooms));
 }
 
 std::optional<Assignment> Placement::PlaceAll(const StepState& aStep,
                                               const std::vector<int>& aIndices,
                                               bool aAllowRemote)
 {
-  if (!MayFit(aStep)) {
+  if (!MayFit(aStep, aIndices.size())) {
     return std::nullopt;
   }
-  if (!aStep.Spec().mSameRack) {
-    return PlaceAllOn(aStep, aIndices, AllCandidates(), aAllowRemote);
+  if (aStep.Spec().mSameRack) {
+    auto assignment = PlaceInOneRack(aStep, aIndices);
+    if (assignment || !aAllowRemote) {
+      return assignment;
+    }
   }
+  auto assignment = PlaceAllOn(aStep, aIndices, mAll, aAllowRemote);
+  if (!assignment) {
+    RecordUnplaceable(aStep, aIndices.size(), aAllowRemote);
+  }
+  return assignment;
+}
+
+std::optional<Assignment> Placement::PlaceInOneRack(
+  const StepState& aStep,
+  const std::vector<int>& aIndices)
+{
   // Use the rack with the least capacity left, so that other racks stay free as
   // a whole.
-  std::optional<Assignment> best;
-  std::int64_t minAcceleratorsLeft = std::numeric_limits<std::int64_t>::max();
-  const auto need = aStep.Spec().Footprint();
-  for (auto& [rack, candidates] : mRacks) {
+  const std::vector<Candidate*>* best = nullptr;
+  std::int64_t minAccelerators = std::numeric_limits<std::int64_t>::max();
+  for (const auto& [rack, candidates] : CandidatesByRack()) {
     if (!aStep.Spec().mDataRack.empty() && rack != aStep.Spec().mDataRack) {
       continue;
     }
-    auto assignment = PlaceAllOn(aStep, aIndices, candidates, true);
-    if (!assignment) {
-      continue;
-    }
-    std::int64_t acceleratorsLeft = 0;
+    std::int64_t accelerators = 0;
     for (const Candidate* candidate : candidates) {
-      acceleratorsLeft += candidate->mFree.mAccelerators;
-    }
-    for (const auto& [index, server] : *assignment) {
-      mCandidates.at(server).mFree += need;
+      accelerators += candidate->mFree.mAccelerators;
     }
-    if (acceleratorsLeft < minAcceleratorsLeft) {
-      minAcceleratorsLeft = acceleratorsLeft;
-      best = std::move(assignment);
-    }
-  }
-  if (best) {
-    for (const auto& [index, server] : *best) {
-      mCandidates.at(server).mFree -= need;
+    if (accelerators < minAccelerators &&
+        HasRoomFor(RoomsFor(aStep, candidates, true, false), aIndices.size())) {
+      minAccelerators = accelerators;
+      best = &candidates;
     }
-    return best;
   }
-  if (!aAllowRemote) {
-    return std::nullopt;
-  }
-  return PlaceAllOn(aStep, aIndices, AllCandidates(), true);
+  return best == nullptr ? std::nullopt
+                         : PlaceAllOn(aStep, aIndices, *best, true);
 }
 
 std::optional<Placement::PreemptionPlan> Placement::CheapestPreemption(
@@ -264,67 +347,88 @@
                       abortedGangs.count(aVictim.mStep) > 0;
     return free ? 0.0 : aVictim.mCost;
   };
-  for (const int index : aIndices) {
-    Candidate* best = nullptr;
-    std::tuple<bool, double, std::int64_t> bestScore;
-    std::vector<const Victim*> bestVictims;
-    for (Candidate* candidate : aCandidates) {
-      const auto& info = candidate->mServer->mInfo;
-      const bool remote =
-        !aStep.Spec().mDataRack.empty() && info.mRack != aStep.Spec().mDataRack;
-      const auto count = tasksPerServer.find(info.mId);
-      if (!IsEligible(aStep, *candidate) || (remote && !aAllowRemote) ||
-          (limit > 0 && count != tasksPerServer.end() &&
-           count->second >= limit)) {
-        continue;
+  std::vector<Candidate*> eligible;
+  for (Candidate* candidate : aCandidates) {
+    if (IsEligible(aStep, *candidate) &&
+        (aAllowRemote || !IsRemote(aStep, *candidate))) {
+      eligible.push_back(candidate);
+    }
+  }
+  // What it takes to place one more task on a candidate. It changes when a task
+  // is placed there, and when a gang is stopped, whose other members then cost
+  // nothing.
+  struct Option
+  {
+    bool mKnown = false;
+    bool mFeasible = false;
+    std::tuple<bool, double, std::int64_t> mScore;
+    std::vector<const Victim*> mVictims;
+  };
+  std::vector<Option> options(eligible.size());
+  const auto evaluate = [&](Candidate& aCandidate, Option& aOption) {
+    aOption = { true, false, {}, {} };
+    auto available =
+      availableOn.try_emplace(&aCandidate, aCandidate.mFree).first->second;
+    std::vector<const Victim*> byCost;
+    for (const Victim& victim : aCandidate.mVictims) {
+      if (stopped.count({ victim.mStep, victim.mIndex }) == 0) {
+        byCost.push_back(&victim);
       }
-      auto available =
-        availableOn.try_emplace(candidate, candidate->mFree).first->second;
-      std::vector<const Victim*> byCost;
-      for (const Victim& victim : candidate->mVictims) {
-        if (stopped.count({ victim.mStep, victim.mIndex }) == 0) {
-          byCost.push_back(&victim);
-        }
+    }
+    std::sort(byCost.begin(), byCost.end(), [&](auto* aLeft, auto* aRight) {
+      return costOf(*aLeft) < costOf(*aRight);
+    });
+    double cost = 0;
+    for (const Victim* victim : byCost) {
+      if (need.FitsIn(available)) {
+        break;
       }
-      std::sort(byCost.begin(), byCost.end(), [&](auto* aLeft, auto* aRight) {
-        return costOf(*aLeft) < costOf(*aRight);
-      });
-      double cost = 0;
-      std::vector<const Victim*> chosen;
-      for (const Victim* victim : byCost) {
-        if (need.FitsIn(available)) {
-          break;
+      available += victim->mFreed;
+      cost += costOf(*victim);
+      aOption.mVictims.push_back(victim);
+    }
+    aOption.mFeasible = need.FitsIn(available);
+    aOption.mScore = { IsRemote(aStep, aCandidate),
+                       cost,
+                       available.mAccelerators };
+  };
+  for (const int index : aIndices) {
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < eligible.size(); ++i) {
+      if (limit > 0) {
+        const auto count = tasksPerServer.find(eligible[i]->mServer->mInfo.mId);
+        if (count != tasksPerServer.end() && count->second >= limit) {
+          continue;
         }
-        available += victim->mFreed;
-        cost += costOf(*victim);
-        chosen.push_back(victim);
       }
-      if (!need.FitsIn(available)) {
-        continue;
+      if (!options[i].mKnown) {
+        evaluate(*eligible[i], options[i]);
       }
-      const std::tuple score{ remote, cost, available.mAccelerators };
-      if (best == nullptr || score < bestScore) {
-        best = candidate;
-        bestScore = score;
-        bestVictims = std::move(chosen);
+      if (options[i].mFeasible &&
+          (!best || options[i].mScore < options[*best].mScore)) {
+        best = i;
       }
     }
-    if (best == nullptr) {
+    if (!best) {
       return std::nullopt;
     }
-    auto& available = availableOn.at(best);
-    for (const Victim* victim : bestVictims) {
+    Candidate* const candidate = eligible[*best];
+    const auto chosen = std::move(options[*best]);
+    options[*best].mKnown = false;
+    auto& available = availableOn.at(candidate);
+    for (const Victim* victim : chosen.mVictims) {
       available += victim->mFreed;
       stopped.insert({ victim->mStep, victim->mIndex });
-      if (victim->mStep->Spec().mGang) {
-        abortedGangs.insert(victim->mStep);
+      if (victim->mStep->Spec().mGang &&
+          abortedGangs.insert(victim->mStep).second) {
+        options.assign(options.size(), {});
       }
       plan.mVictims.push_back(*victim);
     }
     available -= need;
-    plan.mCost += std::get<1>(bestScore);
-    ++tasksPerServer[best->mServer->mInfo.mId];
-    plan.mAssignment.emplace_back(index, best->mServer->mInfo.mId);
+    plan.mCost += std::get<1>(chosen.mScore);
+    ++tasksPerServer[candidate->mServer->mInfo.mId];
+    plan.mAssignment.emplace_back(index, candidate->mServer->mInfo.mId);
   }
   return plan;
 }
@@ -336,14 +440,14 @@
   const std::function<std::vector<Victim>(const ServerState&)>& aVictims,
   std::vector<Victim>& aChosen)
 {
-  for (auto& [id, candidate] : mCandidates) {
+  for (Candidate& candidate : mCandidates) {
     candidate.mVictims = IsEligible(aStep, candidate)
                            ? aVictims(*candidate.mServer)
                            : std::vector<Victim>{};
   }
   std::optional<PreemptionPlan> best;
   if (aStep.Spec().mSameRack) {
-    for (auto& [rack, candidates] : mRacks) {
+    for (const auto& [rack, candidates] : CandidatesByRack()) {
       const bool dataElsewhere =
         !aStep.Spec().mDataRack.empty() && rack != aStep.Spec().mDataRack;
       if (dataElsewhere && !aAllowRemote) {
@@ -356,13 +460,13 @@
     }
   }
   if (!best && (!aStep.Spec().mSameRack || aAllowRemote)) {
-    best = CheapestPreemption(aStep, aIndices, AllCandidates(), aAllowRemote);
+    best = CheapestPreemption(aStep, aIndices, mAll, aAllowRemote);
   }
   if (!best) {
     return std::nullopt;
   }
   for (const auto& [index, server] : best->mAssignment) {
-    mCandidates.at(server).mFree -= aStep.Spec().Footprint();
+    Find(server)->mFree -= aStep.Spec().Footprint();
   }
   aChosen = std::move(best->mVictims);
   return std::move(best->mAssignment);
@@ -378,7 +482,7 @@
 {
   if (!mExpectedCompletionsKnown) {
     mExpectedCompletionsKnown = true;
-    for (auto& [id, candidate] : mCandidates) {
+    for (Candidate& candidate : mCandidates) {
       candidate.mExpectedCompletions = aExpectedCompletions(*candidate.mServer);
     }
   }
@@ -388,7 +492,7 @@
   std::optional<Assignment> assignment;
   base::Duration previousHorizon = base::Duration::min();
   for (const auto horizon : kReservationHorizons) {
-    for (auto& [id, candidate] : mCandidates) {
+    for (Candidate& candidate : mCandidates) {
       for (const auto& completion : candidate.mExpectedCompletions) {
         if (completion.mAfter > previousHorizon &&
             completion.mAfter <= horizon) {
@@ -403,7 +507,7 @@
       break;
     }
   }
-  for (auto& [id, candidate] : mCandidates) {
+  for (Candidate& candidate : mCandidates) {
     for (const auto& completion : candidate.mExpectedCompletions) {
       if (completion.mAfter <= previousHorizon) {
         candidate.mFree -= completion.mFreed;
@@ -421,42 +525,40 @@
   if (spec.mDataRack.empty() && !(spec.mGang && spec.mSameRack)) {
     return true;
   }
-  std::map<base::ServerId, jobs::Resources> savedFree;
-  for (auto& [id, candidate] : mCandidates) {
-    savedFree[id] = candidate.mFree;
-    candidate.mFree = candidate.mServer->mInfo.mCapacity;
-  }
-  const auto unplaceable = std::exchange(mUnplaceable, {});
-  const auto assignment = PlaceAll(aStep, aIndices, false);
-  mUnplaceable = unplaceable;
-  for (auto& [id, candidate] : mCandidates) {
-    candidate.mFree = savedFree[id];
+  const auto fitsIn = [&](const std::vector<Candidate*>& aCandidates) {
+    return HasRoomFor(RoomsFor(aStep, aCandidates, true, true),
+                      aIndices.size());
+  };
+  const auto& racks = CandidatesByRack();
+  if (!spec.mDataRack.empty()) {
+    const auto rack = racks.find(spec.mDataRack);
+    return rack != racks.end() && fitsIn(rack->second);
   }
-  return assignment.has_value();
+  return std::any_of(racks.begin(), racks.end(), [&](const auto& aRack) {
+    return fitsIn(aRack.second);
+  });
 }
 
 void Placement::Deduct(const base::ServerId& aServer,
                        const jobs::Resources& aNeed)
 {
-  const auto candidate = mCandidates.find(aServer);
-  if (candidate != mCandidates.end()) {
-    candidate->second.mFree -= aNeed;
+  if (Candidate* candidate = Find(aServer)) {
+    candidate->mFree -= aNeed;
   }
 }
 
 bool Placement::Fits(const base::ServerId& aServer,
-                     const jobs::Resources& aNeed) const
+                     const jobs::Resources& aNeed)
 {
-  const auto candidate = mCandidates.find(aServer);
-  return candidate != mCandidates.end() &&
-         aNeed.FitsIn(candidate->second.mFree);
+  const Candidate* candidate = Find(aServer);
+  return candidate != nullptr && aNeed.FitsIn(candidate->mFree);
 }
 
 bool Placement::IsUsableFor(const StepState& aStep,
-                            const base::ServerId& aServer) const
+                            const base::ServerId& aServer)
 {
-  const auto candidate = mCandidates.find(aServer);
-  return candidate != mCandidates.end() && IsEligible(aStep, candidate->second);
+  const Candidate* candidate = Find(aServer);
+  return candidate != nullptr && IsEligible(aStep, *candidate);
 }
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -92,10 +93,13 @@
   // become negative.
   void Deduct(const base::ServerId& aServer, const jobs::Resources& aNeed);
   // Returns whether aNeed fits into the server's free capacity in this pass.
-  bool Fits(const base::ServerId& aServer, const jobs::Resources& aNeed) const;
+  bool Fits(const base::ServerId& aServer, const jobs::Resources& aNeed);
   // Returns whether the server accepts new tasks and meets the step's
   // requirements.
-  bool IsUsableFor(const StepState& aStep, const base::ServerId& aServer) const;
+  bool IsUsableFor(const StepState& aStep, const base::ServerId& aServer);
+  // Returns whether aTasks more tasks of the step may fit on the fleet, on any
+  // rack, by what did not fit earlier in this pass.
+  bool MayFit(const StepState& aStep, std::size_t aTasks) const;
 
 private:
   // A server that accepts new tasks, with its free capacity in this pass.
@@ -127,42 +131,67 @@
   // Returns whether the server meets the step's requirements, apart from
   // capacity.
   bool IsEligible(const StepState& aStep, const Candidate& aCandidate) const;
-  // Returns the best candidate with capacity for one more task, or null.
-  // aTasksPerServer is used for the step's limit of tasks per server.
-  Candidate* BestCandidate(
-    const StepState& aStep,
-    int aIndex,
-    const std::vector<Candidate*>& aCandidates,
-    bool aAllowRemote,
-    const std::map<base::ServerId, int>& aTasksPerServer);
+  // Whether the server is in another rack than the step's data.
+  static bool IsRemote(const StepState& aStep, const Candidate& aCandidate);
+
+  // The lowest score wins: near the data, no earlier failure of the task there,
+  // not warming up, and then the tightest fit.
+  using Score = std::tuple<bool, bool, bool, std::int64_t, std::int64_t>;
+  static Score ScoreOf(const StepState& aStep,
+                       int aIndex,
+                       const Candidate& aCandidate);
+
+  // How many more tasks of a step fit on a server.
+  struct Room
+  {
+    Candidate* mCandidate = nullptr;
+    std::int64_t mTasks = 0;
+  };
+  // Returns the servers among aCandidates with room for tasks of the step, or
+  // with aWhenIdle those that would have it if nothing ran there.
+  std::vector<Room> RoomsFor(const StepState& aStep,
+                             const std::vector<Candidate*>& aCandidates,
+                             bool aAllowRemote,
+                             bool aWhenIdle) const;
+  static bool HasRoomFor(const std::vector<Room>& aRooms, std::size_t aTasks);
   // Selects servers for the tasks in order and stops at the first one that does
   // not fit.
-  Assignment PlaceUntilFull(const StepState& aStep,
-                            const std::vector<int>& aIndices,
-                            const std::vector<Candidate*>& aCandidates,
-                            bool aAllowRemote);
-  // Like PlaceAll, but restricted to aCandidates.
+  Assignment PlaceIn(const StepState& aStep,
+                     const std::vector<int>& aIndices,
+                     std::vector<Room> aRooms);
+  // Like PlaceAll, but restricted to aCandidates, or to one rack.
   std::optional<Assignment> PlaceAllOn(
     const StepState& aStep,
     const std::vector<int>& aIndices,
     const std::vector<Candidate*>& aCandidates,
     bool aAllowRemote);
+  std::optional<Assignment> PlaceInOneRack(const StepState& aStep,
+                                           const std::vector<int>& aIndices);
   // Returns the number of placed tasks of the step on each server; empty if the
   // step has no limit of tasks per server.
   std::map<base::ServerId, int> TasksPerServer(const StepState& aStep) const;
-  std::vector<Candidate*> AllCandidates();
-
-  // Returns whether one more task of the step may fit on some server, on any
-  // rack, judging by mUnplaceable.
-  bool MayFit(const StepState& aStep) const;
-
-  std::map<base::ServerId, Candidate> mCandidates;
-  // Resources that did not fit on any server in this pass, by service and
-  // label. Free capacity only shrinks within a pass, so equal or larger
-  // requirements do not fit either.
-  std::map<std::pair<std::string, std::string>, std::vector<jobs::Resources>>
+  // Returns the candidate, or null if the server is none.
+  Candidate* Find(const base::ServerId& aServer);
+
+  using Racks = std::map<std::string, std::vector<Candidate*>>;
+  const Racks& CandidatesByRack();
+
+  // Records that this many tasks of the step do not fit.
+  void RecordUnplaceable(const StepState& aStep,
+                         std::size_t aTasks,
+                         bool aAllowRemote);
+
+  std::vector<Candidate> mCandidates;
+  // All of mCandidates, in the order of their ids.
+  std::vector<Candidate*> mAll;
+  // Numbers of tasks, with the resources of each, that did not fit in this
+  // pass, by service and label. Free capacity only shrinks within a pass, so as
+  // many or more tasks with equal or larger requirements do not fit either.
+  std::map<std::pair<std::string, std::string>,
+           std::vector<std::pair<jobs::Resources, std::size_t>>>
     mUnplaceable;
-  std::map<std::string, std::vector<Candidate*>> mRacks;
+  // Filled when first needed.
+  Racks mRacks;
   bool mExpectedCompletionsKnown = false;
 };
 
