--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -1,6 +1,9 @@
 #include "flamingoloom/http/client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <deque>
 #include <list>
 #include <map>
@@ -86,11 +89,9 @@
   // An idle connection has nothing to read. Readable means either that the
   // peer closed it or that unexpected bytes arrived; neither can be reused.
   char byte = 0;
-  boost::system::error_code error;
-  socket.non_blocking(true, error);
-  const auto flags = Tcp::socket::message_peek;
-  socket.receive(asio::buffer(&byte, 1), flags, error);
-  return error == asio::error::would_block;
+  const auto received =
+    recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -28,7 +28,7 @@
   // draining a server is at least 2.5 s.
   base::Duration mServerListInterval = std::chrono::milliseconds(500);
   // Changes within this time are handled in one scheduling pass.
-  base::Duration mPassDelay = std::chrono::milliseconds(2);
+  base::Duration mPassDelay = std::chrono::milliseconds(5);
   // Minimum delay before the next scheduling pass, as a multiple of the
   // duration of the last one, so that commands and reports are handled in
   // between on a small machine.
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -337,8 +337,11 @@
   }
   MigrateFromDrainingServers(aNow);
   CreateDueOccurrences(aNow, aUnixMs);
-  Placement placement(mFleet, mOutOfServiceDataCentres, aNow);
   const auto waitingSteps = WaitingStepsInOrder(aNow);
+  if (waitingSteps.empty()) {
+    return;
+  }
+  Placement placement(mFleet, mOutOfServiceDataCentres, aNow);
   // Capacity that is being freed by preemption for one step is not given to
   // others, not even to more urgent ones, which preempt work of their own.
   // Capacity that is only reserved may be used by more urgent steps.
