--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -89,13 +89,14 @@
         job,
         nullptr });
   }
-  if (rows.size() <= kMaxRowsPerBatch) {
-    return rows;
-  }
+  // The sets are in the order of addresses, which differs from run to run.
   std::sort(
     rows.begin(), rows.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.SortKey() < aRight.SortKey();
     });
+  if (rows.size() <= kMaxRowsPerBatch) {
+    return rows;
+  }
   const auto progress =
     std::find_if(rows.begin(), rows.end(), [](const PendingRow& aRow) {
       return aRow.mUrgency == StoreUrgency::eProgress;
--- a/testing/platform_world/cluster_simulation.cpp
+++ b/testing/platform_world/cluster_simulation.cpp
@@ -48,10 +48,8 @@
     const std::string& aKey,
     const std::string&) const override
   {
-    for (const auto& info : mServers.ServerInfos()) {
-      if (info.mId.Value() == aKey) {
-        return info;
-      }
+    if (const auto* info = mServers.FindInfo(ServerId(aKey))) {
+      return *info;
     }
     return base::MakeError(
       base::ErrorCode::eNotFound, "read server entry", aKey, "unknown");
--- a/testing/platform_world/fake_servers.cpp
+++ b/testing/platform_world/fake_servers.cpp
@@ -80,6 +80,13 @@
   return mServers.at(aServer).mIncarnation;
 }
 
+const scheduler::ServerInfo* FakeServers::FindInfo(
+  const base::ServerId& aServer) const
+{
+  const auto server = mServers.find(aServer);
+  return server == mServers.end() ? nullptr : &server->second.mInfo;
+}
+
 std::vector<scheduler::ServerInfo> FakeServers::ServerInfos() const
 {
   std::vector<scheduler::ServerInfo> infos;
--- a/testing/platform_world/fake_servers.h
+++ b/testing/platform_world/fake_servers.h
@@ -38,6 +38,8 @@
   // lost.
   void SetLateCommandShare(double aShare) { mLateCommandShare = aShare; }
   std::vector<scheduler::ServerInfo> ServerInfos() const;
+  // Returns null if there is no such server.
+  const scheduler::ServerInfo* FindInfo(const base::ServerId& aServer) const;
 
   // Calls of instances. The caller checks first whether the server is
   // reachable.
