The fake store rejects transactions that a partition cannot take in time

The platform's store answers 429 while more than a second of transactions waits for a partition; ours queued them without end. Seed 15 stays in large_cluster_test. That all instances claim at once while the store is slow is real and stays open.

--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxHistory = 2000;
 constexpr double kLostResponseShare = 0.4;
 constexpr std::size_t kMaxEntries = 100;
+// A partition rejects transactions while more than this waits for it.
+constexpr auto kMaxQueueTime = std::chrono::seconds(1);
 // Bytes of a response's headers, and of a row beside its value.
 constexpr std::size_t kResponseOverheadBytes = 200;
 constexpr std::size_t kRowOverheadBytes = 100;
@@ -67,9 +69,12 @@
   mHistory.clear();
 }
 
-base::Duration FakeStore::Enqueue(const std::string& aPartition)
+std::optional<base::Duration> FakeStore::Enqueue(const std::string& aPartition)
 {
   auto& busyUntil = mBusyUntil[aPartition];
+  if (busyUntil > mClock.Now() + kMaxQueueTime) {
+    return std::nullopt;
+  }
   busyUntil = std::max(busyUntil, mClock.Now()) + mTransactionTime;
   return busyUntil - mClock.Now();
 }
@@ -218,9 +223,14 @@
     fail(ErrorCode::eOutcomeUnknown, aTimeout);
     return;
   }
+  const auto wait = mStore.Enqueue(aTransaction.mPartition);
+  if (!wait) {
+    fail(ErrorCode::eUnavailable, kNetworkDelay);
+    return;
+  }
   // The store applies the write even if the sender was killed meanwhile.
   mClock.After(
-    kNetworkDelay + mStore.Enqueue(aTransaction.mPartition),
+    kNetworkDelay + *wait,
     [this, incarnation = mIncarnation, aTransaction, then = std::move(aThen)] {
       auto result = mStore.Apply(aTransaction);
       if (incarnation == mIncarnation) {
--- a/testing/platform_world/fake_store.h
+++ b/testing/platform_world/fake_store.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -58,8 +59,9 @@
   // other.
   void SetTransactionTime(base::Duration aTime) { mTransactionTime = aTime; }
   // Adds a transaction to the queue of its partition; returns the time until it
-  // is applied.
-  base::Duration Enqueue(const std::string& aPartition);
+  // is applied, or nothing if too many wait there, as the platform's store
+  // does.
+  std::optional<base::Duration> Enqueue(const std::string& aPartition);
   std::int64_t NowMs() const;
   std::int64_t Version() const { return mVersion; }
 
--- a/testing/platform_world/large_cluster_test.cpp
+++ b/testing/platform_world/large_cluster_test.cpp
@@ -1,4 +1,7 @@
 // The size of the platform's largest deployments: 150 instances, 1,200 servers.
+//
+// In seed 15 the store is slow while the leader's lease expires, so that many
+// instances claim leadership at once.
 #include <doctest/doctest.h>
 
 #include "testing/platform_world/cluster_simulation.h"
@@ -31,7 +34,7 @@
 
 TEST_CASE("Random faults break no invariant of a large cluster")
 {
-  for (const std::uint64_t seed : { 2, 3, 4 }) {
+  for (const std::uint64_t seed : { 2, 3, 4, 15 }) {
     INFO("seed " << seed);
     ClusterSimulation simulation(LargeCluster(seed));
     simulation.Run();
