Passes run every 40 ms while work waits

Cause: since reports that only show progress ask for no pass any more, work that waits for a time (another rack after 1.5 s, preemption after half of a stop's time) was looked at after up to 250 ms on a site with few events.

Change: the leader passes every 40 ms while steps wait, as before every 250 ms otherwise.

--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -354,7 +354,8 @@
   mPassCooldown = (mPorts.mLoop->Now() - now) * mTiming.mPassCooldownFactor;
   SendCommands();
   CommitNext();
-  auto next = mTiming.mMaxPassInterval;
+  auto next = mScheduler.HasWaitingSteps() ? mTiming.mMaxWaitingPassInterval
+                                           : mTiming.mMaxPassInterval;
   if (const auto due = mScheduler.MillisecondsToNextDue(unixMs)) {
     next = std::min<base::Duration>(next, milliseconds(*due + 1));
   }
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -338,6 +338,7 @@
   MigrateFromDrainingServers(aNow);
   CreateDueOccurrences(aNow, aUnixMs);
   const auto waitingSteps = WaitingStepsInOrder(aNow);
+  mHasWaitingSteps = false;
   if (waitingSteps.empty()) {
     return;
   }
@@ -354,6 +355,7 @@
   }
   for (const WaitingStep& waitingStep : waitingSteps) {
     PlaceStep(aNow, waitingStep, placement);
+    mHasWaitingSteps = mHasWaitingSteps || waitingStep.mStep->mWaitingTasks > 0;
   }
 }
 
