--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -354,8 +354,7 @@
   mPassCooldown = (mPorts.mLoop->Now() - now) * mTiming.mPassCooldownFactor;
   SendCommands();
   CommitNext();
-  auto next = mScheduler.HasWaitingSteps() ? mTiming.mMaxWaitingPassInterval
-                                           : mTiming.mMaxPassInterval;
+  auto next = mTiming.mMaxPassInterval;
   if (const auto due = mScheduler.MillisecondsToNextDue(unixMs)) {
     next = std::min<base::Duration>(next, milliseconds(*due + 1));
   }
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -33,11 +33,9 @@
   // duration of the last one, so that commands and reports are handled in
   // between on a small machine.
   int mPassCooldownFactor = 3;
-  // A scheduling pass runs at least this often, to look after running work, and
-  // more often while work waits, some of which may be placed, or preempt, after
-  // a time.
+  // A scheduling pass runs at least this often, for work that waits for
+  // capacity or for its due time.
   base::Duration mMaxPassInterval = std::chrono::milliseconds(250);
-  base::Duration mMaxWaitingPassInterval = std::chrono::milliseconds(40);
   // Task leases may extend this far beyond the expiry of the leader's own lease
   // in the store, so that tasks survive while the store is unavailable.
   base::Duration mLeaseBeyondLeadership = std::chrono::milliseconds(12000);
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -338,7 +338,6 @@
   MigrateFromDrainingServers(aNow);
   CreateDueOccurrences(aNow, aUnixMs);
   const auto waitingSteps = WaitingStepsInOrder(aNow);
-  mHasWaitingSteps = false;
   if (waitingSteps.empty()) {
     return;
   }
@@ -355,7 +354,6 @@
   }
   for (const WaitingStep& waitingStep : waitingSteps) {
     PlaceStep(aNow, waitingStep, placement);
-    mHasWaitingSteps = mHasWaitingSteps || waitingStep.mStep->mWaitingTasks > 0;
   }
 }
 
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -155,9 +155,6 @@
 
   // Runs a scheduling pass. aUnixMs is the time of day in Unix milliseconds.
   void Schedule(base::Time aNow, std::int64_t aUnixMs);
-  // Returns whether the last pass left work waiting that a later one may place
-  // although nothing else has changed: on another rack, or by preemption.
-  bool HasWaitingSteps() const { return mHasWaitingSteps; }
 
   // Returns whether there are changes to store. Only one batch may be in flight
   // at a time.
@@ -327,7 +324,6 @@
   // Servers with completions that are not stored yet.
   std::set<base::ServerId> mServersToAcknowledge;
   base::Time mStragglersCheckedAt;
-  bool mHasWaitingSteps = false;
   std::set<base::DataCentreId> mOutOfServiceDataCentres;
   std::map<base::AccountId, std::int64_t> mGuarantees;
   // Accounts whose jobs of priority 0 use more than their guarantee.
