The leader keeps up with the changes of thousands of servers' entries

Change: after a response with many rows it asks again at once, and the list is applied at least twice a second. The fake store limits its responses too.

--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -6,6 +6,14 @@
 
 namespace flamingoloom::node {
 
+namespace {
+
+// The store limits the rows of a response. After one with this many, more
+// changes may be known to the store already.
+constexpr std::size_t kManyServerRows = 200;
+
+} // namespace
+
 using base::ServerId;
 using base::Time;
 using std::chrono::milliseconds;
@@ -116,7 +124,15 @@
         self->ApplyServerRows(*aChanges);
         self->mServerListVersion =
           std::max(self->mServerListVersion, aChanges->mVersion);
-        self->ApplyServerList();
+        const bool more = aChanges->mRows.size() >= kManyServerRows;
+        if (!more || self->mPorts.mLoop->Now() - self->mServerListAppliedAt >=
+                       self->mTiming.mServerListInterval) {
+          self->ApplyServerList();
+        }
+        if (more) {
+          self->PollServerList();
+          return;
+        }
       } else if (aChanges.error().mCode == base::ErrorCode::eNotFound) {
         // The store has forgotten the changes.
         self->mServerListVersion = 0;
@@ -214,6 +230,7 @@
 {
   std::vector<scheduler::ServerInfo> servers;
   servers.reserve(mListedServers.size());
+  mServerListAppliedAt = mPorts.mLoop->Now();
   for (const auto& [key, info] : mListedServers) {
     servers.push_back(info);
   }
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -136,6 +136,7 @@
   // The server list by its version, and 0 if it has to be read in full.
   std::map<std::string, scheduler::ServerInfo> mListedServers;
   std::int64_t mServerListVersion = 0;
+  base::Time mServerListAppliedAt;
   // Entries that were logged as unreadable, with their versions, and the number
   // of rows without a readable key.
   std::map<std::string, std::int64_t> mUnreadableServers;
--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxHistory = 2000;
 constexpr double kLostResponseShare = 0.4;
 constexpr std::size_t kMaxEntries = 100;
+constexpr std::size_t kMaxRowsPerResponse = 500;
 // A partition rejects transactions while more than this waits for it.
 constexpr auto kMaxQueueTime = std::chrono::seconds(1);
 // Bytes of a response's headers, and of a row beside its value.
@@ -151,6 +152,10 @@
   }
   std::reverse(aRows.mRows.begin(), aRows.mRows.end());
   aRows.mVersion = mVersion;
+  if (aRows.mRows.size() > kMaxRowsPerResponse) {
+    aRows.mRows.resize(kMaxRowsPerResponse);
+    aRows.mVersion = aRows.mRows.back().mVersion;
+  }
   aRows.mStoreNowMs = NowMs();
   return true;
 }
--- a/testing/platform_world/instance_group.cpp
+++ b/testing/platform_world/instance_group.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char* kOperatorTable = "operators";
+constexpr const char* kServerTable = "members";
 constexpr const char* kConfigurationKey = "configuration";
 // What one queue takes in a configuration of the platform.
 constexpr std::size_t kBytesPerQueue = 240;
@@ -31,7 +32,7 @@
 {
 public:
   std::string OperatorTable() const override { return kOperatorTable; }
-  std::string ServerTable() const override { return "members"; }
+  std::string ServerTable() const override { return kServerTable; }
   std::string ConfigurationKey() const override { return kConfigurationKey; }
 
   base::Expected<node::Configuration> ReadConfiguration(
@@ -76,6 +77,14 @@
   }
 };
 
+class InstanceGroup::CountingLog : public node::EventLog
+{
+public:
+  void Write(const char* aEvent, const Fields&) override { ++mCounts[aEvent]; }
+
+  std::map<std::string, int> mCounts;
+};
+
 struct InstanceGroup::Member
 {
   Member(fakes::VirtualClock& aClock, FakeStore& aStore)
@@ -97,6 +106,7 @@
                              std::uint64_t aSeed)
   : mClock(aSeed)
   , mLink(mClock, aLinkBytesPerSecond)
+  , mLog(std::make_unique<CountingLog>())
   , mRowDecoder(std::make_unique<RowDecoder>())
 {
   mClock.RunUntil(base::Time(seconds(1000)));
@@ -115,7 +125,7 @@
                                                     &member->mConnection,
                                                     nullptr,
                                                     mRowDecoder.get(),
-                                                    &mLog },
+                                                    mLog.get() },
                                        settings);
     member->mInstance->Start();
     mMembers.push_back(std::move(member));
@@ -131,6 +141,19 @@
              EncodeTestConfiguration(aVersion, aQueues));
 }
 
+void InstanceGroup::PutUnreadableServers(int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    mStore.Put(kServerTable, "s" + std::to_string(i), "odd");
+  }
+}
+
+int InstanceGroup::CountEvents(const std::string& aEvent) const
+{
+  const auto count = mLog->mCounts.find(aEvent);
+  return count == mLog->mCounts.end() ? 0 : count->second;
+}
+
 void InstanceGroup::SetFault(std::size_t aInstance, StoreFault aFault)
 {
   mMembers.at(aInstance)->mConnection.SetFault(aFault);
--- a/testing/platform_world/instance_group.h
+++ b/testing/platform_world/instance_group.h
@@ -2,6 +2,7 @@
 // under virtual time.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,7 +12,6 @@
 #include "testing/platform_world/clock_loop.h"
 #include "testing/platform_world/fake_store.h"
 #include "testing/platform_world/shared_link.h"
-#include "testing/platform_world/silent_log.h"
 
 namespace flamingoloom::testing::platform_world {
 
@@ -47,17 +47,23 @@
   void ForgetHistory() { mStore.CompactHistory(); }
   // Number of instances that are alive and take callers.
   int CountReady() const;
+  // Writes aCount entries of servers that cannot be decoded, with new versions.
+  // The leader logs each version of one as "server_unreadable".
+  void PutUnreadableServers(int aCount);
+  // Number of log lines of the event so far, of all instances.
+  int CountEvents(const std::string& aEvent) const;
   // Ends the leader at once, without releasing its lease. There must be one.
   void KillLeader();
 
 private:
   class RowDecoder;
+  class CountingLog;
   struct Member;
 
   fakes::VirtualClock mClock;
   FakeStore mStore{ mClock };
   SharedLink mLink;
-  SilentLog mLog;
+  std::unique_ptr<CountingLog> mLog;
   std::unique_ptr<RowDecoder> mRowDecoder;
   std::vector<std::unique_ptr<Member>> mMembers;
 };
