--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -22,7 +22,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 using Tcp = asio::ip::tcp;
-using SteadyTime = std::chrono::steady_clock::time_point;
 
 const std::string& HeaderValue(const Headers& aHeaders, const char* aName)
 {
@@ -62,7 +61,7 @@
 {
   std::string mPeer;
   ConnectionPtr mConnection;
-  SteadyTime mSince;
+  base::Time mSince;
 };
 
 std::optional<Tcp::endpoint> ParseEndpoint(const std::string& aPeer)
@@ -99,9 +98,13 @@
 class Client::Impl : public std::enable_shared_from_this<Client::Impl>
 {
 public:
-  Impl(asio::io_context& aLoop, ClientOptions aOptions, Observer aObserver)
+  Impl(asio::io_context& aLoop,
+       ClientOptions aOptions,
+       Clock aClock,
+       Observer aObserver)
     : mLoop(aLoop)
     , mOptions(aOptions)
+    , mClock(std::move(aClock))
     , mObserver(std::move(aObserver))
   {
   }
@@ -127,9 +130,8 @@
   void ReturnIdle(const std::string& aPeer, ConnectionPtr aConnection)
   {
     auto& idle = mIdleOf[aPeer];
-    idle.push_back(mIdle.insert(
-      mIdle.end(),
-      { aPeer, std::move(aConnection), std::chrono::steady_clock::now() }));
+    idle.push_back(
+      mIdle.insert(mIdle.end(), { aPeer, std::move(aConnection), mClock() }));
     if (static_cast<int>(idle.size()) > mOptions.mMaxIdlePerPeer) {
       CloseIdle(idle.front());
     }
@@ -145,13 +147,15 @@
     OpenNext();
   }
 
-  // Counts a connection that is closed.
+  // A connection that was counted is closed.
   void OnClosed()
   {
     --mCounters.mOpenConnections;
     OpenNext();
   }
 
+  // Opens connections for the calls that wait, in their order, as long as the
+  // limit allows it.
   void OpenNext()
   {
     while (!mWaiting.empty()) {
@@ -170,10 +174,10 @@
     }
   }
 
+  // Closes the connections that have been idle for too long.
   void CloseExpired()
   {
-    const auto oldest =
-      std::chrono::steady_clock::now() - mOptions.mMaxIdleTime;
+    const auto oldest = mClock() - mOptions.mMaxIdleTime;
     while (!mIdle.empty() && mIdle.front().mSince < oldest) {
       CloseIdle(mIdle.begin());
     }
@@ -189,6 +193,7 @@
 
   asio::io_context& mLoop;
   ClientOptions mOptions;
+  Clock mClock;
   Observer mObserver;
   ClientCounters mCounters;
   // In the order in which they became idle.
@@ -216,7 +221,7 @@
 
   void Start(Request aRequest, base::Duration aTimeout)
   {
-    mStartedAt = std::chrono::steady_clock::now();
+    mStartedAt = mPool->mClock();
     mRequest.method_string(aRequest.mMethod);
     mRequest.target(aRequest.mTarget);
     mRequest.version(11);
@@ -284,9 +289,10 @@
   void RestartTimer()
   {
     auto self = this->shared_from_this();
-    const auto limit = mStartedAt + mTimeout + mPool->mOptions.mMaxTransferTime;
-    mTimer.expires_at(
-      std::min(asio::steady_timer::clock_type::now() + mTimeout, limit));
+    const base::Duration left = mStartedAt + mTimeout +
+                                mPool->mOptions.mMaxTransferTime -
+                                mPool->mClock();
+    mTimer.expires_after(std::clamp(left, base::Duration(0), mTimeout));
     mTimer.async_wait([self](auto aError) {
       if (!aError) {
         self->OnTimeout();
@@ -400,10 +406,8 @@
     mDone = true;
     mTimer.cancel();
     if (mPool->mObserver) {
-      mPool->mObserver(mPeer,
-                       std::chrono::duration_cast<base::Duration>(
-                         std::chrono::steady_clock::now() - mStartedAt),
-                       aResult.has_value());
+      mPool->mObserver(
+        mPeer, mPool->mClock() - mStartedAt, aResult.has_value());
     }
     auto callback = std::move(mCallback);
     callback(std::move(aResult));
@@ -414,7 +418,7 @@
   Client::Callback mCallback;
   asio::steady_timer mTimer;
   base::Duration mTimeout{ 0 };
-  SteadyTime mStartedAt;
+  base::Time mStartedAt;
   // Kept until the last operation on it has ended.
   ConnectionPtr mConnection;
   // Whether it is open and counted for this call.
@@ -429,8 +433,12 @@
 
 Client::Client(asio::io_context& aLoop,
                ClientOptions aOptions,
+               Clock aClock,
                Observer aObserver)
-  : mImpl(std::make_shared<Impl>(aLoop, aOptions, std::move(aObserver)))
+  : mImpl(std::make_shared<Impl>(aLoop,
+                                 aOptions,
+                                 std::move(aClock),
+                                 std::move(aObserver)))
 {
 }
 
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -1,6 +1,6 @@
 // An asynchronous HTTP/1.1 client with a pool of connections for each peer.
 //
-//   Client client(loop, {});
+//   Client client(loop, {}, clock);
 //   client.Call("10.0.0.1:80", request, 500ms, [](auto aResponse) { ... });
 //
 // A call that fails before the client starts to write its request returns
@@ -30,8 +30,8 @@
   // concurrent commands need two; bursts need more.
   int mMaxIdlePerPeer = 4;
   // Maximum number of connections to all peers. At the limit a call closes the
-  // connection that has been idle for the longest time; if none is idle, the
-  // call waits for one, which counts towards its timeout.
+  // connection that has been idle for the longest time. If none is idle, the
+  // call waits, which counts towards its timeout.
   int mMaxConnections = 2900;
   // A connection that has been idle for longer is closed. The limit is below
   // the idle timeout of common servers (5 s or more), which close the
@@ -57,6 +57,9 @@
 public:
   using Callback = std::function<void(base::Expected<Response>)>;
 
+  // Returns the current time of the runtime.
+  using Clock = std::function<base::Time()>;
+
   // Called once for each completed call with the peer, the duration of the
   // call, and whether a response was received.
   using Observer =
@@ -64,6 +67,7 @@
 
   Client(boost::asio::io_context& aLoop,
          ClientOptions aOptions,
+         Clock aClock,
          Observer aObserver = {});
   ~Client();
   Client(const Client&) = delete;
--- a/flamingoloom/http/connection_limit_test.cpp
+++ b/flamingoloom/http/connection_limit_test.cpp
@@ -56,7 +56,7 @@
 {
   Fixture(int aServers, ClientOptions aOptions)
     : mServers(mLoop, aServers)
-    , mClient(mLoop, aOptions)
+    , mClient(mLoop, aOptions, [this] { return mNow; })
   {
   }
 
@@ -77,6 +77,7 @@
   }
 
   boost::asio::io_context mLoop;
+  base::Time mNow{ std::chrono::seconds(1000) };
   Servers mServers;
   Client mClient;
   int mMaxOpen = 0;
@@ -146,17 +147,21 @@
 TEST_CASE("Connections that were idle for too long are closed by later calls")
 {
   ClientOptions options;
-  options.mMaxIdleTime = milliseconds(30);
   Fixture fixture(4, options);
   fixture.mMaxOpen = options.mMaxConnections;
   for (std::size_t i = 0; i < 3; ++i) {
     fixture.Call(i);
     fixture.AnswerAllUntil(i + 1);
   }
-  fixture.mLoop.run_for(milliseconds(60));
-  fixture.Call(3);
+  fixture.mNow += options.mMaxIdleTime - milliseconds(1);
+  fixture.Call(0);
   fixture.AnswerAllUntil(4);
-  CHECK(fixture.mClient.Counters().mOpenConnections == 1);
+  CHECK(fixture.mClient.Counters().mOpenConnections == 3);
+  // The other two have been idle for longer.
+  fixture.mNow += milliseconds(2);
+  fixture.Call(3);
+  fixture.AnswerAllUntil(5);
+  CHECK(fixture.mClient.Counters().mOpenConnections == 2);
 }
 
 TEST_CASE("A connection that fails or is closed by the peer is not counted")
--- a/flamingoloom/http/http_test.cpp
+++ b/flamingoloom/http/http_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "flamingoloom/event_loop/asio_loop.h"
 #include "flamingoloom/http/client.h"
 #include "flamingoloom/http/server.h"
 
@@ -18,7 +19,7 @@
 {
   explicit Fixture(Server::Handler aHandler, ServerLimits aLimits = {})
     : mServer(mLoop, aLimits, std::move(aHandler))
-    , mClient(mLoop, {})
+    , mClient(mLoop, {}, [this] { return mRuntime.Now(); })
   {
     REQUIRE(mServer.Listen("127.0.0.1:0"));
     mPeer = "127.0.0.1:" + std::to_string(mServer.Port());
@@ -38,6 +39,7 @@
   }
 
   boost::asio::io_context mLoop;
+  event_loop::AsioLoop mRuntime{ mLoop };
   Server mServer;
   Client mClient;
   std::string mPeer;
--- a/flamingoloom/http/slow_response_test.cpp
+++ b/flamingoloom/http/slow_response_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include "flamingoloom/event_loop/asio_loop.h"
 #include "flamingoloom/http/client.h"
 
 namespace flamingoloom::http {
@@ -83,7 +84,8 @@
                               const SlowServer& aServer,
                               ClientOptions aOptions = {})
 {
-  Client client(aLoop, aOptions);
+  event_loop::AsioLoop runtime(aLoop);
+  Client client(aLoop, aOptions, [&runtime] { return runtime.Now(); });
   std::optional<base::Expected<Response>> result;
   client.Call(aServer.Address(),
               { "GET", "/", {}, "" },
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -86,14 +86,17 @@
   void Load(std::size_t aTableIndex, const std::string& aFrom);
   void FinishLoading();
   void OnJobRows(const std::vector<Row>& aRows);
-  // Reads what has changed in the server list, or all of it if that is not
-  // known, at regular intervals.
+  // Reads what has changed in the server list, or all of it if
+  // mServerListVersion is 0, and does so again after an interval.
   void PollServerList();
+  // Reads the list from the key aFrom on.
   void ReadServerPage(const std::string& aFrom);
   void PollServerListLater();
+  // Takes over changed entries into mListedServers.
   void ApplyServerRows(const Rows& aRows);
   // Logs an entry of the server list that cannot be decoded, once a version.
   void LogUnreadableServer(const Row& aRow, const base::Error& aError);
+  // Passes mListedServers to the scheduler.
   void ApplyServerList();
   ServerSession* SessionFor(const base::ServerId& aServer);
   ServerSession::Events SessionEvents(const base::ServerId& aServer);
@@ -109,6 +112,7 @@
   // outcome was unknown, has applied it: the version of its rows.
   std::optional<std::int64_t> VersionOfEarlierCall(
     const CommitResult& aResult) const;
+  // Identifies the current batch among those of all epochs.
   std::string BatchName() const;
   void SendCommands();
   void RequestReports();
@@ -133,9 +137,11 @@
   base::Duration mCommitBackoff;
   scheduler::Scheduler mScheduler;
   std::map<base::ServerId, std::shared_ptr<ServerSession>> mSessions;
-  // The server list by its version, and 0 if it has to be read in full.
+  // The decoded entries of the server list, by key, as of this version of the
+  // store; 0 if the list has to be read in full.
   std::map<std::string, scheduler::ServerInfo> mListedServers;
   std::int64_t mServerListVersion = 0;
+  // When the scheduler last got the list.
   base::Time mServerListAppliedAt;
   // Entries that were logged as unreadable, with their versions, and the number
   // of rows without a readable key.
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -103,16 +103,17 @@
   // Returns the expiry of a lease that begins now, by the server's clock;
   // nullopt if that clock is not known yet or no lease may be granted.
   std::optional<std::int64_t> GrantLease();
+  // Returns the least that the server's clock may show now, in milliseconds.
+  // mClockMs must be known.
+  std::int64_t MinClockMs() const;
+  // Keeps the reading of the server's clock if it tells more than the last one.
+  void RecordClock(std::int64_t aClockMs);
 
   const Ports mPorts;
   scheduler::ServerInfo mServer;
   const std::int64_t mEpoch;
   const ServerSessionTiming mTiming;
   const Events mEvents;
-  // Returns the least that the server's clock shows now.
-  std::int64_t MinClockMs() const;
-  void RecordClock(std::int64_t aClockMs);
-
   // The server's clock in the report of this incarnation that arrived the
   // fastest, and when that report arrived here.
   std::optional<std::int64_t> mClockMs;
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -97,9 +97,6 @@
   // Returns whether the server accepts new tasks and meets the step's
   // requirements.
   bool IsUsableFor(const StepState& aStep, const base::ServerId& aServer);
-  // Returns whether aTasks more tasks of the step may fit on the fleet, on any
-  // rack, by what did not fit earlier in this pass.
-  bool MayFit(const StepState& aStep, std::size_t aTasks) const;
 
 private:
   // A server that accepts new tasks, with its free capacity in this pass.
@@ -153,6 +150,7 @@
                              const std::vector<Candidate*>& aCandidates,
                              bool aAllowRemote,
                              bool aWhenIdle) const;
+  // Returns whether aRooms take as many tasks.
   static bool HasRoomFor(const std::vector<Room>& aRooms, std::size_t aTasks);
   // Selects servers for the tasks in order and stops at the first one that does
   // not fit.
@@ -174,9 +172,14 @@
   Candidate* Find(const base::ServerId& aServer);
 
   using Racks = std::map<std::string, std::vector<Candidate*>>;
+  // Computed once, since most passes do not need it.
   const Racks& CandidatesByRack();
 
-  // Records that this many tasks of the step do not fit.
+  // Returns whether aTasks more tasks of the step may fit on the fleet, on any
+  // rack, by what did not fit earlier in this pass.
+  bool MayFit(const StepState& aStep, std::size_t aTasks) const;
+  // Records for MayFit that this many tasks of the step do not fit, unless that
+  // may be due to a restriction of the step to some servers.
   void RecordUnplaceable(const StepState& aStep,
                          std::size_t aTasks,
                          bool aAllowRemote);
@@ -190,7 +193,7 @@
   std::map<std::pair<std::string, std::string>,
            std::vector<std::pair<jobs::Resources, std::size_t>>>
     mUnplaceable;
-  // Filled when first needed.
+  // Empty until CandidatesByRack is called.
   Racks mRacks;
   bool mExpectedCompletionsKnown = false;
 };
--- a/testing/bench/pass_benchmark.cpp
+++ b/testing/bench/pass_benchmark.cpp
@@ -29,7 +29,6 @@
 
 jobs::JobSpec MakeJob(int aNumber, std::mt19937& aRandom)
 {
-  // Widths, sizes and shares as on the platform's largest deployment.
   constexpr int kWidths[] = { 4, 8, 8, 16, 26, 60 };
   constexpr int kSizes[] = { 1, 1, 2, 4, 8 };
   jobs::JobSpec job;
