--- a/testing/platform_world/large_cluster_test.cpp
+++ b/testing/platform_world/large_cluster_test.cpp
@@ -1,7 +1,7 @@
 // The size of the platform's largest deployments: 150 instances, 1,200 servers.
 //
-// In seed 15 the store is slow while the leader's lease expires, so that many
-// instances claim leadership at once.
+// In seed 15 the store is slow while the leader's lease expires, and nearly all
+// instances claim leadership within a second.
 #include <doctest/doctest.h>
 
 #include "testing/platform_world/cluster_simulation.h"
