--- a/review/standins/worker.cpp
+++ b/review/standins/worker.cpp
@@ -94,6 +94,9 @@
   mUp = false;
   ++mLife;
   mWaiters.clear();
+  for (const auto& [task, run] : std::exchange(mRuns, {})) {
+    mFleet.BreakGang(task, run.mRun);
+  }
   mServer->Crash();
   mFleet.mCrashes.push_back({ mRuntime.NowMs(), mSpec.mId });
   mRuntime.Record(fmt::format("worker {} crashes", mSpec.mId));
