--- a/review/standins/system.h
+++ b/review/standins/system.h
@@ -33,6 +33,8 @@
   // Starts all processes, and calls aThen once all of them are ready.
   void Start(std::function<void()> aThen);
   const std::vector<std::string>& CallerAddresses() const { return mCallers; }
+  // Kills an instance's process and starts it again after aDownMs.
+  void Restart(const std::string& aCallerAddress, double aDownMs);
   bool HasEndedByItself() const;
 
 private:
@@ -40,8 +42,12 @@
   {
     pid_t mId = 0;
     std::string mReadiness;
+    // Path of its files, without their suffixes.
+    std::string mFiles;
   };
 
+  // Starts the program with the settings that stand in aFiles.
+  pid_t Launch(const std::string& aFiles) const;
   void AwaitReady(std::function<void()> aThen);
 
   Runtime& mRuntime;
