--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -83,7 +83,7 @@
       ++sStaleAnswers;
       sStaleInstances.insert(aInstance);
       aWorld.mRuntime.Record(fmt::format(
-        "CONFIG: {} {} version {}, which was acknowledged over 5 s ago",
+        "CONFIG: {} {} version {}, which was acknowledged over 4 s ago",
         aInstance,
         aWhat,
         version));
