--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -328,12 +328,12 @@
     return;
   }
   for (int i = 0; i < kRebornWorkers; ++i) {
-    const auto crash = [&aWorld, i] {
-      aWorld.mFleet.Workers()[static_cast<std::size_t>(i * 3 + 1)]->Crash();
+    const auto index = static_cast<std::size_t>(i) * 3 + 1;
+    const auto crash = [&aWorld, index] {
+      aWorld.mFleet.Workers()[index]->Crash();
     };
-    const auto restart = [&aWorld, i] {
-      aWorld.mFleet.Workers()[static_cast<std::size_t>(i * 3 + 1)]->Restart(
-        "b");
+    const auto restart = [&aWorld, index] {
+      aWorld.mFleet.Workers()[index]->Restart("b");
     };
     aWorld.mRuntime.After(4000 + i * 370.0, crash);
     aWorld.mRuntime.After(5500 + i * 370.0, restart);
