Review case 1: without the disruption the configuration changes too

Cause: with TROUBLE=0 the script left out the changes of the configuration beside the slow store, so that no answer could be stale: it could not fail. Change: TROUBLE=0 plays the same rounds with a store as fast as usual.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -126,39 +126,25 @@
   if (aWorld.mRuntime.NowMs() > kRoundsMs) {
     return;
   }
-  aWorld.mRuntime.Record("the store turns slow");
-  aWorld.mStore.SetSlow(true);
+  if (aWorld.mTrouble) {
+    aWorld.mRuntime.Record("the store turns slow");
+    aWorld.mStore.SetSlow(true);
+  }
   aWorld.mRuntime.After(kSlowForMs / 2, [&aWorld] {
     sVersion += kVersionStep;
     aWorld.mStore.Put("op", "config", MakeConfiguration(0, sVersion));
     aWorld.mRuntime.Record(
       fmt::format("version {} is acknowledged by the store", sVersion));
   });
-  aWorld.mRuntime.After(kSlowForMs, [&aWorld] {
-    aWorld.mRuntime.Record("the store is as fast as usual");
-    aWorld.mStore.SetSlow(false);
-  });
-  aWorld.mRuntime.After(kSlowForMs + kContactMs + 200,
-                        [&aWorld] { ProbeVersion(aWorld); });
-  aWorld.mRuntime.After(kRoundMs, [&aWorld] { PlayRound(aWorld); });
-}
-
-void PlayConfiguration(World& aWorld)
-{
   if (aWorld.mTrouble) {
-    PlayRound(aWorld);
-    return;
-  }
-  aWorld.mRuntime.After(21000, [&aWorld] { aWorld.mFinish(); });
-  for (int ms = 500; ms < 20000; ms += 1000) {
-    aWorld.mRuntime.After(ms, [&aWorld] {
-      aWorld.mCaller.Probe(
-        "batch", kShopKey, [](const std::string&, int aStatus) {
-          ++sProbes;
-          sStaleAnswers += aStatus == 404 ? 1 : 0;
-        });
+    aWorld.mRuntime.After(kSlowForMs, [&aWorld] {
+      aWorld.mRuntime.Record("the store is as fast as usual");
+      aWorld.mStore.SetSlow(false);
     });
   }
+  aWorld.mRuntime.After(kSlowForMs + kContactMs + 200,
+                        [&aWorld] { ProbeVersion(aWorld); });
+  aWorld.mRuntime.After(kRoundMs, [&aWorld] { PlayRound(aWorld); });
 }
 
 Verdict JudgeConfiguration(World& aWorld)
@@ -569,7 +555,7 @@
     { "configuration",
       0,
       [](World& aWorld) { AddWorkers(aWorld, 4, 64000); },
-      PlayConfiguration,
+      PlayRound,
       100000,
       JudgeConfiguration,
       6 },
@@ -578,7 +564,7 @@
       [](World& aWorld) { AddWorkers(aWorld, 4, 64000); },
       [](World& aWorld) {
         sRestartOthers = true;
-        PlayConfiguration(aWorld);
+        PlayRound(aWorld);
       },
       100000,
       JudgeConfiguration,
