--- a/flamingoloom/node/instance_configuration.cpp
+++ b/flamingoloom/node/instance_configuration.cpp
@@ -218,7 +218,19 @@
                          { "error", confirmation.error().ToString() } });
     return;
   }
-  if (confirmation->mTableVersion < mOperatorVersion) {
+  const bool otherSnapshot =
+    !mConfirmation || mConfirmation->mSnapshotId != confirmation->mSnapshotId;
+  const bool overtaken = confirmation->mTableVersion < mOperatorVersion;
+  if (otherSnapshot) {
+    mPorts.mLog->Write(
+      "snapshot_confirmed",
+      { { "snapshot", confirmation->mSnapshotId },
+        { "table_version", std::to_string(confirmation->mTableVersion) },
+        { "known_version", std::to_string(mOperatorVersion) },
+        { "held", mReplica->HeldId() },
+        { "overtaken", overtaken ? "1" : "0" } });
+  }
+  if (overtaken) {
     // It was overtaken by a newer state.
     return;
   }
@@ -241,6 +253,12 @@
 {
   if (mLeader || !mConfirmation || mConfirmation->mSnapshotId != aId ||
       mConfirmation->mTableVersion < mOperatorVersion) {
+    mPorts.mLog->Write(
+      "snapshot_dropped",
+      { { "snapshot", aId },
+        { "confirmed", mConfirmation ? mConfirmation->mSnapshotId : "" },
+        { "leader", mLeader ? "1" : "0" },
+        { "known_version", std::to_string(mOperatorVersion) } });
     return;
   }
   const auto outOfService = OutOfServiceDataCentres();
