--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -33,11 +33,7 @@
 {
   mStartedAt = mPorts.mLoop->Now();
   mReplica = std::make_shared<SnapshotReplica>(
-    mPorts,
-    SnapshotReplicaTiming{},
-    [this](const std::string& aId, const OperatorSnapshot& aSnapshot) {
-      OnSnapshot(aId, aSnapshot);
-    });
+    mPorts, SnapshotReplicaTiming{}, [this] { ApplyConfirmation(); });
   mLeaderWatch = std::make_shared<TableWatch>(
     mPorts,
     kLeaderTable,
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -75,9 +75,9 @@
 
 private:
   void OnOperatorRows(const std::vector<Row>& aRows);
-  void OnSnapshot(const std::string& aId, const OperatorSnapshot& aSnapshot);
   void OnConfirmation(const std::string& aValue);
-  // Takes over the state of the last confirmation if its snapshot is held.
+  // Uses the snapshot of the last confirmation, unless it is not held or this
+  // instance knows a newer state of the operators' table.
   void ApplyConfirmation();
   // Uses aConfiguration if it is newer than the active one.
   void Activate(std::shared_ptr<const Configuration> aConfiguration,
--- a/flamingoloom/node/instance_configuration.cpp
+++ b/flamingoloom/node/instance_configuration.cpp
@@ -241,38 +241,26 @@
   if (mLeader) {
     return;
   }
-  if (mReplica->HeldId() == mConfirmation->mSnapshotId) {
-    ApplyConfirmation();
-  } else {
-    mReplica->Fetch(mConfirmation->mSnapshotId);
-  }
+  mReplica->Fetch(mConfirmation->mSnapshotId);
+  ApplyConfirmation();
 }
 
-void Instance::OnSnapshot(const std::string& aId,
-                          const OperatorSnapshot& aSnapshot)
+void Instance::ApplyConfirmation()
 {
-  if (mLeader || !mConfirmation || mConfirmation->mSnapshotId != aId ||
+  if (mLeader || !mConfirmation ||
       mConfirmation->mTableVersion < mOperatorVersion) {
-    mPorts.mLog->Write(
-      "snapshot_dropped",
-      { { "snapshot", aId },
-        { "confirmed", mConfirmation ? mConfirmation->mSnapshotId : "" },
-        { "leader", mLeader ? "1" : "0" },
-        { "known_version", std::to_string(mOperatorVersion) } });
+    return;
+  }
+  const auto* snapshot = mReplica->FindHeld(mConfirmation->mSnapshotId);
+  if (snapshot == nullptr) {
     return;
   }
   const auto outOfService = OutOfServiceDataCentres();
-  mOperators.mRowVersions = aSnapshot.mRowVersions;
-  Activate(aSnapshot.mConfiguration, "leader");
+  mOperators.mRowVersions = snapshot->mRowVersions;
+  Activate(snapshot->mConfiguration, "leader");
   mOperatorVersion = mConfirmation->mTableVersion;
-  OnOutOfServiceChanged(outOfService);
-  ApplyConfirmation();
-}
-
-void Instance::ApplyConfirmation()
-{
-  mOperatorVersion = std::max(mOperatorVersion, mConfirmation->mTableVersion);
   mOperatorsConfirmedAt = std::max(mOperatorsConfirmedAt, mConfirmationAt);
+  OnOutOfServiceChanged(outOfService);
   UpdateApi();
 }
 
--- a/flamingoloom/node/snapshot_replica.cpp
+++ b/flamingoloom/node/snapshot_replica.cpp
@@ -78,6 +78,11 @@
   }
 }
 
+const OperatorSnapshot* SnapshotReplica::FindHeld(const std::string& aId) const
+{
+  return !mHeldId.empty() && aId == mHeldId ? &mHeld : nullptr;
+}
+
 void SnapshotReplica::ReadChanges()
 {
   if (mReading || mStopped) {
@@ -186,14 +191,14 @@
   if (head == mRows.end() || SnapshotId(head->second) != mWantedId) {
     return;
   }
-  const auto read = DecodePartDigests(head->second)
-                      .and_then([&](const std::vector<std::string>& aDigests) {
-                        std::vector<std::string> parts;
-                        for (std::size_t i = 0; i < aDigests.size(); ++i) {
-                          parts.push_back(mRows[PartKey(i)]);
-                        }
-                        return DecodeSnapshot(head->second, parts, mPartCache);
-                      });
+  auto read = DecodePartDigests(head->second)
+                .and_then([&](const std::vector<std::string>& aDigests) {
+                  std::vector<std::string> parts;
+                  for (std::size_t i = 0; i < aDigests.size(); ++i) {
+                    parts.push_back(mRows[PartKey(i)]);
+                  }
+                  return DecodeSnapshot(head->second, parts, mPartCache);
+                });
   if (!read) {
     mPorts.mLog->Write(
       "snapshot_unreadable",
@@ -202,7 +207,8 @@
     return;
   }
   mHeldId = mWantedId;
-  mOnSnapshot(mHeldId, *read);
+  mHeld = std::move(*read);
+  mOnSnapshot();
 }
 
 // Publishing
@@ -219,6 +225,7 @@
     return;
   }
   mNextPublication = std::make_shared<Publication>();
+  mNextPublication->mState = std::move(aSnapshot);
   mNextPublication->mSnapshot = std::move(encoded);
   mNextPublication->mEpoch = std::move(aEpoch);
   mNextPublication->mConfirm = std::move(aConfirm);
@@ -396,6 +403,7 @@
     mPartDigests[PartKey(i)] = snapshot.mPartDigests[i];
   }
   mPublishedId = mHeldId = mWantedId = snapshot.mId;
+  mHeld = mPublication->mState;
   mPorts.mLog->Write(
     "snapshot_stored",
     { { "snapshot", snapshot.mId },
--- a/flamingoloom/node/snapshot_replica.h
+++ b/flamingoloom/node/snapshot_replica.h
@@ -57,9 +57,8 @@
 class SnapshotReplica : public std::enable_shared_from_this<SnapshotReplica>
 {
 public:
-  // Called with each snapshot that was read completely, and its id.
-  using OnSnapshot =
-    std::function<void(const std::string& aId, const OperatorSnapshot&)>;
+  // Called when another snapshot is held after a read.
+  using OnSnapshot = std::function<void()>;
 
   SnapshotReplica(Ports aPorts,
                   SnapshotReplicaTiming aTiming,
@@ -69,6 +68,9 @@
   void Fetch(const std::string& aId);
   // The id of the snapshot that was read or published last.
   const std::string& HeldId() const { return mHeldId; }
+  // The snapshot aId if it is held, else nullptr. Valid until the next one is
+  // held.
+  const OperatorSnapshot* FindHeld(const std::string& aId) const;
   // Whether rows are being read.
   bool IsReading() const { return mReading; }
   // Whether the snapshot that was requested last cannot be decoded.
@@ -93,6 +95,7 @@
   // A snapshot on its way to the store.
   struct Publication
   {
+    OperatorSnapshot mState;
     EncodedSnapshot mSnapshot;
     RowCondition mEpoch;
     std::function<SnapshotConfirmation(std::string)> mConfirm;
@@ -139,6 +142,7 @@
   std::int64_t mVersion = 0;
   std::string mWantedId;
   std::string mHeldId;
+  OperatorSnapshot mHeld;
   std::string mBadId;
   bool mReading = false;
   // Whether that read began after the publication.
--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -294,7 +294,12 @@
       if (!mStore.ReadChanges(aTable, aVersion, rows)) {
         then(MakeError(ErrorCode::eNotFound, "follow", "store", "forgotten"));
       } else if (!rows.mRows.empty() || mClock.Now() >= aUntil) {
-        Deliver(rows, then);
+        const auto delay = mWatchDelays.find(aTable);
+        if (delay == mWatchDelays.end()) {
+          Deliver(rows, then);
+        } else {
+          CallLater(delay->second, [this, rows, then] { Deliver(rows, then); });
+        }
       } else {
         Poll(aTable, aVersion, aUntil, then);
       }
--- a/testing/platform_world/fake_store.h
+++ b/testing/platform_world/fake_store.h
@@ -95,6 +95,11 @@
   // Rows that are read pass aLink; by default they take no time. aLink must
   // outlive the connection.
   void SetLink(SharedLink& aLink) { mLink = &aLink; }
+  // The responses to watches of aTable take aDelay longer.
+  void SetWatchDelay(const std::string& aTable, base::Duration aDelay)
+  {
+    mWatchDelays[aTable] = aDelay;
+  }
   // Drops responses in flight, since the instance was killed.
   void Disconnect() { ++mIncarnation; }
 
@@ -126,6 +131,7 @@
   FakeStore& mStore;
   fakes::VirtualClock& mClock;
   SharedLink* mLink = nullptr;
+  std::map<std::string, base::Duration> mWatchDelays;
   StoreFault mFault = StoreFault::eNone;
   int mIncarnation = 0;
 };
--- a/testing/platform_world/instance_group.cpp
+++ b/testing/platform_world/instance_group.cpp
@@ -166,6 +166,13 @@
   }
 }
 
+void InstanceGroup::SetWatchDelay(std::size_t aInstance,
+                                  const std::string& aTable,
+                                  base::Duration aDelay)
+{
+  mMembers.at(aInstance)->mConnection.SetWatchDelay(aTable, aDelay);
+}
+
 int InstanceGroup::CountWithVersion(std::int64_t aVersion) const
 {
   int count = 0;
--- a/testing/platform_world/instance_group.h
+++ b/testing/platform_world/instance_group.h
@@ -36,6 +36,10 @@
   void RunFor(base::Duration aDuration) { mClock.RunFor(aDuration); }
   void SetFault(std::size_t aInstance, StoreFault aFault);
   void SetFaults(StoreFault aFault);
+  // See StoreConnection.
+  void SetWatchDelay(std::size_t aInstance,
+                     const std::string& aTable,
+                     base::Duration aDelay);
   // Number of instances whose active configuration has the version aVersion.
   int CountWithVersion(std::int64_t aVersion) const;
   // The response to a question for the length of the queue of aHost.
@@ -54,6 +58,8 @@
   int CountEvents(const std::string& aEvent) const;
   // Ends the leader at once, without releasing its lease. There must be one.
   void KillLeader();
+  FakeStore& Store() { return mStore; }
+  fakes::VirtualClock& Clock() { return mClock; }
 
 private:
   class RowDecoder;
--- a/testing/platform_world/snapshot_replica_test.cpp
+++ b/testing/platform_world/snapshot_replica_test.cpp
@@ -89,9 +89,7 @@
     return std::make_shared<node::SnapshotReplica>(
       node::Ports{ &mLoop, &mLateStore, nullptr, nullptr, &mLog },
       node::SnapshotReplicaTiming{},
-      [this](const std::string&, const node::OperatorSnapshot& aSnapshot) {
-        mReadVersion = aSnapshot.mConfiguration->mVersion;
-      });
+      [] {});
   }
 
   void Publish(std::int64_t aVersion)
@@ -116,7 +114,6 @@
   ClockLoop mLoop{ mClock };
   SilentLog mLog;
   node::RowCondition mEpoch;
-  std::int64_t mReadVersion = 0;
   std::shared_ptr<node::SnapshotReplica> mPublisher = MakeReplica();
 };
 
@@ -135,8 +132,9 @@
   const auto reader = fixture.MakeReplica();
   reader->Fetch(*published);
   fixture.mClock.RunFor(seconds(1));
-  CHECK(reader->HeldId() == *published);
-  CHECK(fixture.mReadVersion == 2);
+  const auto* held = reader->FindHeld(*published);
+  REQUIRE(held != nullptr);
+  CHECK(held->mConfiguration->mVersion == 2);
 }
 
 TEST_CASE("A snapshot that was stored without a response is published")
