An attempt of a gang counts as failed once

Cause: Scheduler::HandleTaskFailed counted each member's failed end as a failure of the gang. Servers that break together end several members of one attempt before any of them can be told of the others.

Evidence: run_ended end=failed for 0.0.0#1, 0.0.1#1 and 0.0.2#1, then job_state to=failed; no run has the number 2.

Change: the step keeps the last attempt that was counted, also in its row in the store, so that a new leader does not count it again. Earlier rows have no such value, which reads as 0.

--- a/flamingoloom/jobs/records.cpp
+++ b/flamingoloom/jobs/records.cpp
@@ -218,7 +218,10 @@
                                   task.mFailures,
                                   task.mCheckpoint }));
   }
-  return Json::array({ aStep.mOccurrence, aStep.mStep, std::move(tasks) })
+  return Json::array({ aStep.mOccurrence,
+                       aStep.mStep,
+                       std::move(tasks),
+                       aStep.mGangFailedAttempt })
     .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -238,6 +241,10 @@
       task.mCheckpoint = value.at(5);
       step.mTasks.push_back(std::move(task));
     }
+    constexpr std::size_t kGangFailedAttemptIndex = 3;
+    if (aJson.size() > kGangFailedAttemptIndex) {
+      step.mGangFailedAttempt = aJson.at(kGangFailedAttemptIndex);
+    }
     return step;
   });
 }
--- a/flamingoloom/jobs/records.h
+++ b/flamingoloom/jobs/records.h
@@ -84,6 +84,9 @@
   int mStep = 0;
   // Tasks that were never assigned to a server have no record.
   std::vector<TaskRecord> mTasks;
+  // The last attempt of a gang that is counted in TaskRecord::mFailures, 0
+  // before the first. Rows of earlier versions do not have it.
+  int mGangFailedAttempt = 0;
 
   friend bool operator==(const StepRecord&, const StepRecord&) = default;
 };
--- a/flamingoloom/jobs/records_test.cpp
+++ b/flamingoloom/jobs/records_test.cpp
@@ -43,6 +43,8 @@
     1, 2, { { 7, TaskOutcome::eAssigned, 3, base::ServerId("s1"), 2, "cp" } }
   };
   CHECK(DecodeStep(EncodeStep(step)).value() == step);
+  step.mGangFailedAttempt = 2;
+  CHECK(DecodeStep(EncodeStep(step)).value() == step);
   StateRecord state{ JobState::eFailed, base::AccountId("shop"), 17 };
   CHECK(DecodeState(EncodeState(state)).value() == state);
 }
--- a/flamingoloom/scheduler/job_progress.cpp
+++ b/flamingoloom/scheduler/job_progress.cpp
@@ -35,7 +35,7 @@
 
 jobs::StepRecord StepState::Record() const
 {
-  jobs::StepRecord record{ mOccurrence, mStep, {} };
+  jobs::StepRecord record{ mOccurrence, mStep, {}, mGangFailedAttempt };
   for (std::size_t i = 0; i < mTasks.size(); ++i) {
     const Task& task = mTasks[i];
     if (task.mAttemptNumber == 0) {
@@ -88,6 +88,7 @@
 void RestoreStep(StepState& aStep, const jobs::StepRecord& aRecord)
 {
   aStep.mHasRow = true;
+  aStep.mGangFailedAttempt = aRecord.mGangFailedAttempt;
   for (const auto& row : aRecord.mTasks) {
     if (row.mIndex < 0 || row.mIndex >= static_cast<int>(aStep.mTasks.size())) {
       continue;
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -83,7 +83,10 @@
   // A member of the gang has ended; the others are being stopped.
   bool mGangAborting = false;
   std::string mGangCheckpoint;
+  // Number of failed attempts of the gang, and the last one that is counted.
+  // Several members of one attempt may fail.
   int mGangFailures = 0;
+  int mGangFailedAttempt = 0;
   int mGangAttemptNumber = 0;
   // Servers selected for the waiting tasks whose capacity is not free yet. It
   // becomes free when the preempted tasks on them have stopped or, for a
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -440,8 +440,16 @@
   Job& job = *aStep.mJob;
   mFleet.RecordFailure(aServer, job.mSpec.mId, aNow);
   task.mFailedOn.insert(aServer.mInfo.mId);
-  const int failures =
-    aStep.Spec().mGang ? ++aStep.mGangFailures : ++task.mFailures;
+  int failures = 0;
+  if (aStep.Spec().mGang) {
+    if (aStep.mGangFailedAttempt != task.mAttemptNumber) {
+      aStep.mGangFailedAttempt = task.mAttemptNumber;
+      ++aStep.mGangFailures;
+    }
+    failures = aStep.mGangFailures;
+  } else {
+    failures = ++task.mFailures;
+  }
   Requeue(aStep, aIndex, "failed");
   if (failures >= job.mSpec.mRules.mMaxAttempts && !aStep.Spec().mLongRunning &&
       !job.IsFinal()) {
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -213,6 +213,65 @@
   CHECK(f.RunPass().mStarts.empty());
 }
 
+// Servers of a rack may all be faulty, and each reports its member as failed.
+// Guards against a job that fails for good after one attempt of its gang.
+TEST_CASE("An attempt of a gang fails once, however many members fail")
+{
+  Fixture f;
+  f.AddServers(12);
+  auto job = Fixture::MakeJob("a", 4, 8);
+  job.mSteps[0].mGang = true;
+  f.Add(job);
+  for (int attempt = 1; attempt <= job.mRules.mMaxAttempts; ++attempt) {
+    CHECK(f.State("a") != JobState::eFailed);
+    const auto starts = f.StartAll();
+    REQUIRE(starts.size() == 4);
+    for (const auto& start : starts) {
+      f.Report(start.mServer,
+               {},
+               { { attempt, start.mAttempt, TaskEndReason::eFailed, "" } });
+    }
+  }
+  CHECK(f.State("a") == JobState::eFailed);
+}
+
+// As above, with a leader that stops after it has stored the first failure.
+TEST_CASE("A new leader does not count an attempt of a gang as failed again")
+{
+  auto job = Fixture::MakeJob("a", 4, 8);
+  job.mSteps[0].mGang = true;
+  Fixture before;
+  before.AddServers(4);
+  before.Add(job);
+  const auto starts = before.StartAll();
+  REQUIRE(starts.size() == 4);
+  before.Report(starts[0].mServer,
+                {},
+                { { 1, starts[0].mAttempt, TaskEndReason::eFailed, "" } });
+  before.Store();
+  Fixture after;
+  after.Add(job);
+  after.mScheduler.RestoreStep(
+    "a",
+    jobs::DecodeStep(before.mRows.at("run:" + jobs::StepKey("a", 0, 0)))
+      .value(),
+    after.mNow + seconds(12));
+  after.mScheduler.Resume(after.mNow);
+  after.mInfos = before.mInfos;
+  after.UpdateServers();
+  for (const auto& start : starts) {
+    after.Report(
+      start.mServer, {}, { { 1, start.mAttempt, TaskEndReason::eFailed, "" } });
+  }
+  after.Store();
+  const auto row =
+    jobs::DecodeStep(after.mRows.at("run:" + jobs::StepKey("a", 0, 0))).value();
+  REQUIRE(row.mTasks.size() == 4);
+  for (const auto& task : row.mTasks) {
+    CHECK(task.mFailures == 1);
+  }
+}
+
 // Guards against a step that starts before all steps that it depends on are
 // done.
 TEST_CASE("A step waits for all tasks of the step that it depends on")
