A gang avoids the servers on which any of its members failed

Cause: each member avoided only the servers on which it had failed itself, so the members changed places on the same four servers. A same-rack gang chose its rack without regard to failures at all.

Change: a failure on a server counts for all members, and a rack with enough other servers comes first. It stays a preference.

--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -56,7 +56,8 @@
   int mFirstPercent = 0;
   base::Time mPercentChangedAt;
   base::Time mReportedAt;
-  // Servers on which the task has failed or made too little progress.
+  // Servers on which the task, or any member of its gang, has failed, or on
+  // which the task made too little progress.
   std::set<base::ServerId> mFailedOn;
 
   // Returns the progress of this attempt in percent per second, by the last
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <limits>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -218,7 +217,8 @@
   };
   const bool sameForAll =
     std::all_of(aIndices.begin(), aIndices.end(), [&](int aIndex) {
-      return aStep.mTasks[static_cast<std::size_t>(aIndex)].mFailedOn.empty();
+      return aStep.mTasks[static_cast<std::size_t>(aIndex)].mFailedOn ==
+             aStep.mTasks[static_cast<std::size_t>(aIndices.front())].mFailedOn;
     });
   if (!sameForAll) {
     for (const int index : aIndices) {
@@ -306,10 +306,13 @@
   const StepState& aStep,
   const std::vector<int>& aIndices)
 {
-  // Use the rack with the least capacity left, so that other racks stay free as
-  // a whole.
+  // Use a rack with enough servers on which the gang has not failed, and of
+  // these the one with the least capacity left, so that other racks stay free
+  // as a whole.
+  const auto& failedOn =
+    aStep.mTasks[static_cast<std::size_t>(aIndices.front())].mFailedOn;
   const std::vector<Candidate*>* best = nullptr;
-  std::int64_t minAccelerators = std::numeric_limits<std::int64_t>::max();
+  std::pair<bool, std::int64_t> bestRank;
   for (const auto& [rack, candidates] : CandidatesByRack()) {
     if (!aStep.Spec().mDataRack.empty() && rack != aStep.Spec().mDataRack) {
       continue;
@@ -318,9 +321,21 @@
     for (const Candidate* candidate : candidates) {
       accelerators += candidate->mFree.mAccelerators;
     }
-    if (accelerators < minAccelerators &&
-        HasRoomFor(RoomsFor(aStep, candidates, true, false), aIndices.size())) {
-      minAccelerators = accelerators;
+    if (best != nullptr && bestRank <= std::make_pair(false, accelerators)) {
+      continue;
+    }
+    auto rooms = RoomsFor(aStep, candidates, true, false);
+    if (!HasRoomFor(rooms, aIndices.size())) {
+      continue;
+    }
+    std::erase_if(rooms, [&failedOn](const Room& aRoom) {
+      return failedOn.count(aRoom.mCandidate->mServer->mInfo.mId) > 0;
+    });
+    const std::pair<bool, std::int64_t> rank{
+      !HasRoomFor(rooms, aIndices.size()), accelerators
+    };
+    if (best == nullptr || rank < bestRank) {
+      bestRank = rank;
       best = &candidates;
     }
   }
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -439,15 +439,19 @@
   Task& task = aStep.mTasks[static_cast<std::size_t>(aIndex)];
   Job& job = *aStep.mJob;
   mFleet.RecordFailure(aServer, job.mSpec.mId, aNow);
-  task.mFailedOn.insert(aServer.mInfo.mId);
   int failures = 0;
   if (aStep.Spec().mGang) {
+    // Any member would fail there and so end the next attempt.
+    for (Task& member : aStep.mTasks) {
+      member.mFailedOn.insert(aServer.mInfo.mId);
+    }
     if (aStep.mGangFailedAttempt != task.mAttemptNumber) {
       aStep.mGangFailedAttempt = task.mAttemptNumber;
       ++aStep.mGangFailures;
     }
     failures = aStep.mGangFailures;
   } else {
+    task.mFailedOn.insert(aServer.mInfo.mId);
     failures = ++task.mFailures;
   }
   Requeue(aStep, aIndex, "failed");
--- a/flamingoloom/scheduler/scheduler_placement_test.cpp
+++ b/flamingoloom/scheduler/scheduler_placement_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "flamingoloom/scheduler/scheduler_fixture.h"
 
 namespace flamingoloom::scheduler {
@@ -170,5 +172,35 @@
   CHECK(starts[0].mAttempt.mTask.mJob == "first");
 }
 
+// Guards against a gang that uses up its attempts on faulty servers beside
+// sound ones, as its members only change places.
+TEST_CASE("A gang avoids the servers on which any of its members failed")
+{
+  for (const bool sameRack : { false, true }) {
+    INFO("same rack: " << sameRack);
+    Fixture f;
+    f.AddServers(4, "r1");
+    f.AddServers(4, "r2", 4);
+    auto job = Fixture::MakeJob("a", 4, 8);
+    job.mSteps[0].mGang = true;
+    job.mSteps[0].mSameRack = sameRack;
+    f.Add(job);
+    const auto starts = f.StartAll();
+    REQUIRE(starts.size() == 4);
+    std::set<ServerId> failed;
+    for (const auto& start : starts) {
+      failed.insert(start.mServer);
+      f.Report(start.mServer,
+               {},
+               { { 1, start.mAttempt, TaskEndReason::eFailed, "" } });
+    }
+    const auto restarts = f.RunPass().mStarts;
+    CHECK(restarts.size() == 4);
+    for (const auto& start : restarts) {
+      CHECK(failed.count(start.mServer) == 0);
+    }
+  }
+}
+
 } // namespace
 } // namespace flamingoloom::scheduler
