A job is queued until a server has started one of its tasks

Cause: a job became running when a server was selected, and stayed so when the server rejected the start.

Evidence: job_state to=running, then four times start_answered answer=unhealthy with run_released, for each of eight jobs, and no job_state after that.

Change: the state changes with the answer to a start, or with a report that lists a task of the job as running or ended. An assignment to a server that does not respond is counted as queued too.

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -216,6 +216,9 @@
               int aIndex,
               const base::ServerId& aServer,
               base::Time aNow);
+  // A server has started a task of the job. A queued job becomes a running one
+  // only now: servers may reject what is assigned to them, or not respond.
+  void RecordTaskStarted(Job& aJob);
   // Abandons an attempt and returns its task to waiting. For a gang the other
   // members are stopped too.
   void Requeue(StepState& aStep, int aIndex, const char* aReason);
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -41,9 +41,12 @@
   server->mUsed += aStep.Spec().Footprint();
   server->mAttempts.insert({ aStep.Name(aIndex), task.mAttemptNumber });
   MarkDirty(aStep);
-  Job& job = *aStep.mJob;
-  if (job.mState == JobState::eQueued) {
-    SetState(job, JobState::eRunning);
+}
+
+void Scheduler::RecordTaskStarted(Job& aJob)
+{
+  if (aJob.mState == JobState::eQueued) {
+    SetState(aJob, JobState::eRunning);
   }
 }
 
@@ -149,6 +152,7 @@
       task->mPhase = TaskPhase::eRunning;
       task->mRespondedAt = aNow;
       task->mStartedAt = task->mPercentChangedAt = aNow;
+      RecordTaskStarted(*step->mJob);
       if (task->mStopRequested) {
         mStops.insert({ aCommand.mServer, aCommand.mAttempt });
       }
@@ -319,6 +323,9 @@
 {
   StepState* step = nullptr;
   Task* task = FindTask(aRunning.mAttempt.mTask, &step);
+  if (task != nullptr) {
+    RecordTaskStarted(*step->mJob);
+  }
   const bool current =
     task != nullptr &&
     task->mAttemptNumber == aRunning.mAttempt.mAttemptNumber &&
@@ -360,6 +367,9 @@
 {
   StepState* step = nullptr;
   Task* task = FindTask(aCompletion.mAttempt.mTask, &step);
+  if (task != nullptr) {
+    RecordTaskStarted(*step->mJob);
+  }
   const bool current =
     task != nullptr &&
     task->mAttemptNumber == aCompletion.mAttempt.mAttemptNumber &&
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -515,6 +515,57 @@
   CHECK(restarts[0].mServer != start.mServer);
 }
 
+// Servers may reject a start, or not respond to it. Guards against a queue
+// length that leaves out jobs which have only been assigned to a server.
+TEST_CASE("A job is queued until a server has started one of its tasks")
+{
+  for (const auto result : { StartResult::eUnhealthy,
+                             StartResult::eNoCapacity,
+                             StartResult::eUnknown }) {
+    Fixture f;
+    f.AddServers(1);
+    f.Add(Fixture::MakeJob("a", 2, 1));
+    const auto starts = f.RunPass().mStarts;
+    REQUIRE(starts.size() == 2);
+    CHECK(f.mScheduler.QueueLengths() == jobs::QueueLengths{ { "q", 1 } });
+    for (const auto& start : starts) {
+      f.mScheduler.OnStart(f.mNow, start, result, false);
+    }
+    f.RunPass();
+    CHECK(f.mScheduler.QueueLengths() == jobs::QueueLengths{ { "q", 1 } });
+    CHECK(f.State("a") == JobState::eQueued);
+  }
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::MakeJob("a", 2, 1));
+  const auto starts = f.RunPass().mStarts;
+  f.mScheduler.OnStart(f.mNow, starts.at(0), StartResult::eStarted, false);
+  CHECK(f.mScheduler.QueueLengths().empty());
+  CHECK(f.State("a") == JobState::eRunning);
+}
+
+// The responses to a start may be lost, or be those to an earlier leader.
+// Guards against a job that stays queued although its tasks run or have run.
+TEST_CASE("A job is running once a report lists one of its tasks")
+{
+  for (const bool ended : { false, true }) {
+    Fixture f;
+    f.AddServers(1);
+    f.Add(Fixture::MakeJob("a", 2, 1));
+    const auto start = f.RunPass().mStarts.at(0);
+    f.mScheduler.OnStart(f.mNow, start, StartResult::eUnknown, true);
+    if (ended) {
+      f.Report(start.mServer,
+               {},
+               { { 1, start.mAttempt, TaskEndReason::eStopped, "" } });
+    } else {
+      f.Report(start.mServer, { { start.mAttempt, "", 0 } }, {});
+    }
+    CHECK(f.mScheduler.QueueLengths().empty());
+    CHECK(f.State("a") == JobState::eRunning);
+  }
+}
+
 // Guards against attempts that keep running after their job was cancelled.
 TEST_CASE("Cancellation stops running tasks and starts no further ones")
 {
