--- /dev/null
+++ b/testing/real_cluster/traffic.h
@@ -0,0 +1,105 @@
+// Callers of a cluster of real processes: they submit jobs through a balancer,
+// repeat what was refused or not answered, and judge whether anything that was
+// accepted is lost. Not thread-safe.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "flamingoloom/http/client.h"
+#include "review/standins/worker.h"
+#include "testing/real_cluster/instance_processes.h"
+
+namespace flamingoloom::testing::real_cluster {
+
+struct QueueTraffic
+{
+  std::string mName;
+  int mPriority = 0;
+  double mJobsPerSecond = 0;
+  double mMeanWidth = 1;
+  int mMaxWidth = 1;
+  double mMeanMs = 0;
+  int mCpuMilli = 0;
+  int mMemoryMb = 0;
+  bool mGang = false;
+  // Share of the tasks that fail by a fault of their own.
+  double mErrorShare = 0;
+  double mCancelShare = 0;
+};
+
+// The queues of lustre-ops-grown, by the figures of its sheet.
+std::vector<QueueTraffic> LargeTraffic();
+inline constexpr int kMaxAttempts = 2;
+inline constexpr const char* kHost = "queues.example";
+inline constexpr const char* kKey = "key-of-shop";
+
+class Traffic
+{
+public:
+  Traffic(review::Runtime& aRuntime,
+          const InstanceProcesses& aInstances,
+          review::Fleet& aFleet,
+          std::uint64_t aSeed);
+
+  // Submits jobs of aQueues until aUntilMs.
+  void Start(const std::vector<QueueTraffic>& aQueues, double aUntilMs);
+  // Asks for the state of each accepted job until it is final, or for the last
+  // time at aUntilMs.
+  void AskForAll(double aUntilMs);
+  // Writes what was lost to the record, and returns its number.
+  int Judge();
+
+private:
+  struct JobRecord
+  {
+    std::string mQueue;
+    bool mGang = false;
+    bool mCancelled = false;
+    std::optional<double> mAcceptedMs;
+    // The state in the last answer, or its status.
+    std::string mState;
+    bool mGone = false;
+  };
+
+  void SubmitNext(const QueueTraffic& aQueue, double aUntilMs);
+  void Submit(const QueueTraffic& aQueue);
+  void Post(const std::string& aId, const std::string& aBody, int aAttempt);
+  void Query(const std::string& aId);
+  void Cancel(const std::string& aId, int aAttempt);
+  using Then = std::function<void(int aStatus, const std::string& aBody)>;
+  void Call(const char* aMethod,
+            const std::string& aId,
+            const std::string& aBody,
+            Then aThen);
+  // Polls readiness as the platform's balancer does.
+  void PollReadiness();
+  std::size_t PickInstance();
+  // Fails a share of the tasks that have started.
+  void FailTasks();
+  // Attempts that the servers have reported as failed: of a gang, or the most
+  // of one task.
+  int FailedAttempts(const std::string& aId, bool aGang) const;
+
+  review::Runtime& mRuntime;
+  const InstanceProcesses& mInstances;
+  review::Fleet& mFleet;
+  std::mt19937_64 mRandom;
+  http::Client mPoller;
+  // Each has connections of its own, which it keeps.
+  std::vector<std::unique_ptr<http::Client>> mClients;
+  std::vector<std::size_t> mInstanceOfClient;
+  std::vector<int> mMissedPolls;
+  std::map<std::string, JobRecord> mJobs;
+  std::map<std::string, double> mErrorShares;
+  std::size_t mStartsSeen = 0;
+  // Requests without an answer, by what happened to their instance.
+  std::map<std::string, int> mUnanswered;
+  int mUnansweredWithoutCause = 0;
+};
+
+} // namespace flamingoloom::testing::real_cluster
