A failed job's line names its failures and is not crowded out

Change: job_failed has the attempt, its server, the number of failures and the maximum. The first 10 lines a second of each event are kept beyond the limit.

--- a/flamingoloom/event_loop/stream_log.cpp
+++ b/flamingoloom/event_loop/stream_log.cpp
@@ -43,21 +43,23 @@
   fcntl(mDescriptor, F_SETFL, flags | O_NONBLOCK);
 }
 
-bool StreamLog::AdmitLine()
+bool StreamLog::AdmitLine(const char* aEvent)
 {
   const auto now = mLoop.Now();
   if (now - mSecondStart >= std::chrono::seconds(1)) {
     mSecondStart = now;
     mLinesThisSecond = 0;
+    mEventsThisSecond.clear();
   }
-  return ++mLinesThisSecond <= kLogLinesPerSecond &&
+  const bool reserved = ++mEventsThisSecond[aEvent] <= kReservedLinesPerEvent;
+  return (++mLinesThisSecond <= kLogLinesPerSecond || reserved) &&
          mBuffer.size() < kLogBufferBytes;
 }
 
 void StreamLog::Write(const char* aEvent, const Fields& aFields)
 {
   mMetrics.CountEvent(aEvent);
-  if (!AdmitLine()) {
+  if (!AdmitLine(aEvent)) {
     ++mDroppedLines;
     return;
   }
--- a/flamingoloom/event_loop/stream_log.h
+++ b/flamingoloom/event_loop/stream_log.h
@@ -2,11 +2,14 @@
 // descriptor.
 //
 // Lines are buffered and written without blocking. The log drops lines beyond
-// kLogLinesPerSecond and lines that would exceed the buffer because the reader
-// is too slow, and later logs how many it dropped. Not thread-safe.
+// kLogLinesPerSecond, except the first kReservedLinesPerEvent of each event,
+// and lines that would exceed the buffer because the reader is too slow. It
+// later logs how many it dropped. Not thread-safe.
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 
 #include "flamingoloom/event_loop/metrics.h"
@@ -17,6 +20,9 @@
 // Above the rate of the busiest second on the platform, and cheap enough to
 // take less than 1% of an instance's CPU time.
 inline constexpr int kLogLinesPerSecond = 250;
+// Per second and event, so that the lines of each task do not crowd out rare
+// ones, such as the failure of a job.
+inline constexpr int kReservedLinesPerEvent = 10;
 inline constexpr std::size_t kLogBufferBytes = std::size_t{ 256 } * 1024;
 
 class StreamLog : public node::EventLog
@@ -35,8 +41,8 @@
   std::uint64_t Dropped() const { return mDroppedLines; }
 
 private:
-  // Counts a line against the rate limit; returns false if it must be dropped.
-  bool AdmitLine();
+  // Counts a line against the rate limits; returns false if it must be dropped.
+  bool AdmitLine(const char* aEvent);
   void ScheduleFlush();
 
   node::Loop& mLoop;
@@ -48,6 +54,7 @@
   std::uint64_t mReportedDroppedLines = 0;
   base::Time mSecondStart;
   int mLinesThisSecond = 0;
+  std::map<std::string, int, std::less<>> mEventsThisSecond;
 };
 
 } // namespace flamingoloom::event_loop
--- a/flamingoloom/event_loop/stream_log_test.cpp
+++ b/flamingoloom/event_loop/stream_log_test.cpp
@@ -61,5 +61,23 @@
         std::string::npos);
 }
 
+// Guards against the failure of a job that leaves no line, as the lines of many
+// tasks have used up the second.
+TEST_CASE("A rare event is logged beside more lines than the rate limit")
+{
+  FakeLoop loop;
+  int pipeEnds[2];
+  REQUIRE(pipe(pipeEnds) == 0);
+  Metrics metrics;
+  StreamLog log(loop, metrics, pipeEnds[1]);
+  for (int i = 0; i < kLogLinesPerSecond * 2; ++i) {
+    log.Write("frequent", {});
+  }
+  log.Write("rare", {});
+  log.Flush();
+  CHECK(log.Dropped() == kLogLinesPerSecond);
+  CHECK(ReadAll(pipeEnds[0]).find("event=rare") != std::string::npos);
+}
+
 } // namespace
 } // namespace flamingoloom::event_loop
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -467,6 +467,12 @@
   Requeue(aStep, aIndex, "failed");
   if (failures >= job.mSpec.mRules.mMaxAttempts && !aStep.Spec().mLongRunning &&
       !job.IsFinal()) {
+    Log("job_failed",
+        job.mSpec.mId,
+        { { "run", AttemptText(aStep.Name(aIndex), task.mAttemptNumber) },
+          { "server", aServer.mInfo.mId.Value() },
+          { "failures", std::to_string(failures) },
+          { "max_attempts", std::to_string(job.mSpec.mRules.mMaxAttempts) } });
     FailJob(job);
   }
 }
