A watch names a version and time only with the state that they have

Cause: while a table is read anew page by page, TableWatch took the version and the time of the first page at once.

--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -33,7 +33,7 @@
 
 void TableWatch::ReadPage(std::size_t aPartitionIndex,
                           const std::string& aFrom,
-                          std::vector<Row> aEarlierPages)
+                          Snapshot aEarlierPages)
 {
   mPorts.mStore->Read(
     mTable,
@@ -44,7 +44,7 @@
     [self = shared_from_this(),
      aPartitionIndex,
      first = aPartitionIndex == 0 && aFrom.empty(),
-     rows = std::move(aEarlierPages)](base::Expected<Rows> aPage) mutable {
+     snapshot = std::move(aEarlierPages)](base::Expected<Rows> aPage) mutable {
       if (self->mStopped) {
         return;
       }
@@ -52,33 +52,37 @@
         self->OnFailure(aPage.error());
         return;
       }
-      self->RecordContact(*aPage);
+      self->LogUnreadableRows(*aPage);
       if (first) {
-        // Changes after this version, that of the first page, are watched.
-        self->mVersion = aPage->mVersion;
+        snapshot.mVersion = aPage->mVersion;
+        snapshot.mStoreNowMs = aPage->mStoreNowMs;
+        snapshot.mReceivedAt = self->mPorts.mLoop->Now();
       }
+      auto& rows = snapshot.mRows;
       rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
       if (aPage->mMore && !aPage->mRows.empty()) {
         const auto next = aPage->mRows.back().mKey + '\0';
-        self->ReadPage(aPartitionIndex, next, std::move(rows));
+        self->ReadPage(aPartitionIndex, next, std::move(snapshot));
         return;
       }
       if (aPartitionIndex + 1 < self->mPartitions.size()) {
-        self->ReadPage(aPartitionIndex + 1, "", std::move(rows));
+        self->ReadPage(aPartitionIndex + 1, "", std::move(snapshot));
         return;
       }
-      self->ApplySnapshot(rows);
+      self->ApplySnapshot(snapshot);
       self->WaitForChanges();
     });
 }
 
-void TableWatch::ApplySnapshot(const std::vector<Row>& aRows)
+void TableWatch::ApplySnapshot(const Snapshot& aSnapshot)
 {
+  RecordContact(aSnapshot.mStoreNowMs, aSnapshot.mReceivedAt);
+  mVersion = aSnapshot.mVersion;
   mSnapshotNeeded = false;
   std::vector<Row> changes;
   auto removed = std::move(mVersions);
   mVersions.clear();
-  for (const auto& row : aRows) {
+  for (const auto& row : aSnapshot.mRows) {
     const auto known = removed.find(row.mKey);
     if (known == removed.end() || known->second != row.mVersion) {
       changes.push_back(row);
@@ -119,7 +123,8 @@
         }
         return;
       }
-      self->RecordContact(*aRows);
+      self->LogUnreadableRows(*aRows);
+      self->RecordContact(aRows->mStoreNowMs, self->mPorts.mLoop->Now());
       std::vector<Row> changes;
       for (const auto& row : aRows->mRows) {
         auto& version = self->mVersions[row.mKey];
@@ -156,25 +161,27 @@
   });
 }
 
-void TableWatch::RecordContact(const Rows& aResponse)
+void TableWatch::LogUnreadableRows(const Rows& aResponse)
 {
   if (aResponse.mUnreadable > 0) {
     mPorts.mLog->Write("rows_unreadable",
                        { { "table", mTable },
                          { "rows", std::to_string(aResponse.mUnreadable) } });
   }
-  const auto now = mPorts.mLoop->Now();
-  const auto storeNowMs = aResponse.mStoreNowMs;
-  const std::chrono::milliseconds storeElapsed(storeNowMs - mStoreNowMs);
+}
+
+void TableWatch::RecordContact(std::int64_t aStoreNowMs, base::Time aReceivedAt)
+{
+  const std::chrono::milliseconds storeElapsed(aStoreNowMs - mStoreNowMs);
   const auto sentAt =
     mLastContact + std::chrono::duration_cast<base::Duration>(
                      storeElapsed * TableWatchTiming::kMaxClockRatio);
   // The time between two responses by the store's clock does not include their
   // transit.
-  mLastContact = mLastContact == base::Time() || storeNowMs < mStoreNowMs
-                   ? now
-                   : std::min(now, sentAt);
-  mStoreNowMs = storeNowMs;
+  mLastContact = mLastContact == base::Time() || aStoreNowMs < mStoreNowMs
+                   ? aReceivedAt
+                   : std::min(aReceivedAt, sentAt);
+  mStoreNowMs = aStoreNowMs;
   mFailures = 0;
   if (!mConnected) {
     mConnected = true;
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -68,15 +68,27 @@
   std::int64_t Version() const { return mVersion; }
 
 private:
+  // A snapshot that is being read, page by page. Until it is complete, the
+  // state, its version and its time remain those from before.
+  struct Snapshot
+  {
+    std::vector<Row> mRows;
+    // Of the first page: changes after it are watched.
+    std::int64_t mVersion = 0;
+    std::int64_t mStoreNowMs = 0;
+    base::Time mReceivedAt;
+  };
+
   void ReadPage(std::size_t aPartitionIndex,
                 const std::string& aFrom,
-                std::vector<Row> aEarlierPages);
-  void ApplySnapshot(const std::vector<Row>& aRows);
+                Snapshot aEarlierPages);
+  void ApplySnapshot(const Snapshot& aSnapshot);
   void WaitForChanges();
   void RetryAfter(base::Duration aDelay);
   // Retries a failed call.
   void OnFailure(const base::Error& aError);
-  void RecordContact(const Rows& aResponse);
+  void RecordContact(std::int64_t aStoreNowMs, base::Time aReceivedAt);
+  void LogUnreadableRows(const Rows& aResponse);
 
   const Ports mPorts;
   const std::string mTable;
--- a/testing/platform_world/fake_store.cpp
+++ b/testing/platform_world/fake_store.cpp
@@ -128,6 +128,10 @@
     }
     rows.mRows.push_back(row->second);
   }
+  if (mMaxRowsPerPage && rows.mRows.size() > *mMaxRowsPerPage) {
+    rows.mRows.resize(*mMaxRowsPerPage);
+    rows.mMore = true;
+  }
   rows.mVersion = mVersion;
   rows.mStoreNowMs = NowMs();
   return rows;
--- a/testing/platform_world/fake_store.h
+++ b/testing/platform_world/fake_store.h
@@ -55,6 +55,8 @@
            const std::string& aKey,
            std::optional<std::string> aValue);
   void CompactHistory();
+  // Reads return at most this many rows at once.
+  void SetMaxRowsPerPage(std::size_t aRows) { mMaxRowsPerPage = aRows; }
   // Duration of a transaction; transactions of one partition wait for each
   // other.
   void SetTransactionTime(base::Duration aTime) { mTransactionTime = aTime; }
@@ -75,6 +77,7 @@
   std::map<Key, node::Row> mRows;
   std::deque<std::pair<std::string, node::Row>> mHistory;
   base::Duration mTransactionTime{ 0 };
+  std::optional<std::size_t> mMaxRowsPerPage;
   // When the last queued transaction of each partition is applied.
   std::map<std::string, base::Time> mBusyUntil;
   std::int64_t mCompactedVersion = 0;
