--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -210,7 +210,7 @@
     renewal.mChanges.push_back(
       { kLeaderTable,
         kConfirmationKey,
-        EncodeConfirmation(MakeConfirmation(*snapshot)),
+        EncodeConfirmation({ *snapshot, LeaderReading() }),
         std::nullopt });
   }
   mPorts.mStore->Commit(
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -94,7 +94,8 @@
   // instance has read it as the leader.
   void PublishOperators();
   bool HasLeaderRead() const;
-  SnapshotConfirmation MakeConfirmation(std::string aSnapshotId) const;
+  // The reading of which mOperators is the state. HasLeaderRead must be true.
+  TableReading LeaderReading() const;
   std::set<base::DataCentreId> OutOfServiceDataCentres() const;
   // aBefore is their set before the operators' table changed.
   void OnOutOfServiceChanged(const std::set<base::DataCentreId>& aBefore);
--- a/flamingoloom/node/instance_configuration.cpp
+++ b/flamingoloom/node/instance_configuration.cpp
@@ -190,10 +190,7 @@
     return;
   }
   mPublicationDue = false;
-  mReplica->Publish(
-    mOperators, mElection.EpochCondition(), [this](std::string aId) {
-      return MakeConfirmation(std::move(aId));
-    });
+  mReplica->Publish(mOperators, mElection.EpochCondition(), LeaderReading());
 }
 
 bool Instance::HasLeaderRead() const
@@ -202,11 +199,9 @@
          mOperatorWatch->LastContact() != base::Time();
 }
 
-SnapshotConfirmation Instance::MakeConfirmation(std::string aSnapshotId) const
+TableReading Instance::LeaderReading() const
 {
-  return { std::move(aSnapshotId),
-           mOperatorWatch->Version(),
-           mOperatorWatch->StoreNowMs() };
+  return { mOperatorWatch->Version(), mOperatorWatch->StoreNowMs() };
 }
 
 void Instance::OnConfirmation(const std::string& aValue)
@@ -220,12 +215,12 @@
   }
   const bool otherSnapshot =
     !mConfirmation || mConfirmation->mSnapshotId != confirmation->mSnapshotId;
-  const bool overtaken = confirmation->mTableVersion < mOperatorVersion;
+  const bool overtaken = confirmation->mReading.mVersion < mOperatorVersion;
   if (otherSnapshot) {
     mPorts.mLog->Write(
       "snapshot_confirmed",
       { { "snapshot", confirmation->mSnapshotId },
-        { "table_version", std::to_string(confirmation->mTableVersion) },
+        { "table_version", std::to_string(confirmation->mReading.mVersion) },
         { "known_version", std::to_string(mOperatorVersion) },
         { "held", mReplica->HeldId() },
         { "overtaken", overtaken ? "1" : "0" } });
@@ -236,7 +231,7 @@
   }
   mConfirmation = std::move(*confirmation);
   const std::chrono::milliseconds age(std::max<std::int64_t>(
-    0, mLeaderWatch->StoreNowMs() - mConfirmation->mStoreMs));
+    0, mLeaderWatch->StoreNowMs() - mConfirmation->mReading.mStoreMs));
   mConfirmationAt = mLeaderWatch->LastContact() - age;
   if (mLeader) {
     return;
@@ -248,7 +243,7 @@
 void Instance::ApplyConfirmation()
 {
   if (mLeader || !mConfirmation ||
-      mConfirmation->mTableVersion < mOperatorVersion) {
+      mConfirmation->mReading.mVersion < mOperatorVersion) {
     return;
   }
   const auto* snapshot = mReplica->FindHeld(mConfirmation->mSnapshotId);
@@ -258,7 +253,7 @@
   const auto outOfService = OutOfServiceDataCentres();
   mOperators.mRowVersions = snapshot->mRowVersions;
   Activate(snapshot->mConfiguration, "leader");
-  mOperatorVersion = mConfirmation->mTableVersion;
+  mOperatorVersion = mConfirmation->mReading.mVersion;
   mOperatorsConfirmedAt = std::max(mOperatorsConfirmedAt, mConfirmationAt);
   OnOutOfServiceChanged(outOfService);
   UpdateApi();
--- a/flamingoloom/node/snapshot_replica.cpp
+++ b/flamingoloom/node/snapshot_replica.cpp
@@ -38,18 +38,17 @@
 std::string EncodeConfirmation(const SnapshotConfirmation& aConfirmation)
 {
   return aConfirmation.mSnapshotId + " " +
-         std::to_string(aConfirmation.mTableVersion) + " " +
-         std::to_string(aConfirmation.mStoreMs);
+         std::to_string(aConfirmation.mReading.mVersion) + " " +
+         std::to_string(aConfirmation.mReading.mStoreMs);
 }
 
 Expected<SnapshotConfirmation> DecodeConfirmation(const std::string& aValue)
 {
   std::istringstream text(aValue);
   SnapshotConfirmation confirmation;
-  text >> confirmation.mSnapshotId >> confirmation.mTableVersion >>
-    confirmation.mStoreMs;
-  if (text.fail() || confirmation.mTableVersion < 0 ||
-      confirmation.mStoreMs < 0) {
+  auto& reading = confirmation.mReading;
+  text >> confirmation.mSnapshotId >> reading.mVersion >> reading.mStoreMs;
+  if (text.fail() || reading.mVersion < 0 || reading.mStoreMs < 0) {
     return base::MakeError(ErrorCode::eInvalid,
                            "read snapshot confirmation",
                            "store",
@@ -214,10 +213,9 @@
 // Publishing
 // -------------------------------------------------------------------
 
-void SnapshotReplica::Publish(
-  OperatorSnapshot aSnapshot,
-  RowCondition aEpoch,
-  std::function<SnapshotConfirmation(std::string)> aConfirm)
+void SnapshotReplica::Publish(OperatorSnapshot aSnapshot,
+                              RowCondition aEpoch,
+                              TableReading aReading)
 {
   auto encoded = EncodeSnapshot(aSnapshot);
   const auto& newest = mNextPublication ? mNextPublication : mPublication;
@@ -228,7 +226,7 @@
   mNextPublication->mState = std::move(aSnapshot);
   mNextPublication->mSnapshot = std::move(encoded);
   mNextPublication->mEpoch = std::move(aEpoch);
-  mNextPublication->mConfirm = std::move(aConfirm);
+  mNextPublication->mReading = aReading;
   if (!mPublication) {
     BeginNextPublication();
   }
@@ -329,7 +327,7 @@
     transaction.mChanges.push_back(
       { kLeaderTable,
         kConfirmationKey,
-        EncodeConfirmation(publication.mConfirm(publication.mSnapshot.mId)),
+        EncodeConfirmation({ publication.mSnapshot.mId, publication.mReading }),
         std::nullopt });
   }
   mPorts.mStore->Commit(
--- a/flamingoloom/node/snapshot_replica.h
+++ b/flamingoloom/node/snapshot_replica.h
@@ -27,14 +27,21 @@
 // The leader writes this row of kLeaderTable with its renewals.
 inline constexpr const char* kConfirmationKey = "operators";
 
+// When the leader has read the operators' table: its version, and the store's
+// clock in milliseconds.
+struct TableReading
+{
+  std::int64_t mVersion = 0;
+  std::int64_t mStoreMs = 0;
+
+  friend bool operator==(const TableReading&, const TableReading&) = default;
+};
+
 // The leader's statement that a snapshot was the state of the operators' table.
 struct SnapshotConfirmation
 {
   std::string mSnapshotId;
-  // Version of the operators' table and the store's clock when the leader read
-  // it.
-  std::int64_t mTableVersion = 0;
-  std::int64_t mStoreMs = 0;
+  TableReading mReading;
 
   friend bool operator==(const SnapshotConfirmation&,
                          const SnapshotConfirmation&) = default;
@@ -76,12 +83,12 @@
   // Whether the snapshot that was requested last cannot be decoded.
   bool HasFailed() const { return !mWantedId.empty() && mWantedId == mBadId; }
 
-  // Stores aSnapshot, on the condition aEpoch, and then calls aConfirm for the
-  // confirmation that is stored with it. If another snapshot is being stored,
+  // Stores aSnapshot, on the condition aEpoch, and with it the confirmation
+  // that it was the state at aReading. If another snapshot is being stored,
   // that is completed first. aSnapshot must have a configuration.
   void Publish(OperatorSnapshot aSnapshot,
                RowCondition aEpoch,
-               std::function<SnapshotConfirmation(std::string)> aConfirm);
+               TableReading aReading);
   // Publishes nothing more; called when leadership ends.
   void StopPublishing();
   // The id of the snapshot that is stored, if it is the one that was passed to
@@ -98,7 +105,7 @@
     OperatorSnapshot mState;
     EncodedSnapshot mSnapshot;
     RowCondition mEpoch;
-    std::function<SnapshotConfirmation(std::string)> mConfirm;
+    TableReading mReading;
     std::vector<Transaction> mTransactions;
     std::size_t mNext = 0;
   };
--- a/testing/platform_world/late_confirmation_test.cpp
+++ b/testing/platform_world/late_confirmation_test.cpp
@@ -42,11 +42,7 @@
     mReplica->Publish(
       { { { "configuration", aTableVersion } }, std::move(configuration) },
       mEpoch,
-      [&](std::string aId) {
-        return node::SnapshotConfirmation{ std::move(aId),
-                                           aTableVersion,
-                                           mGroup.Store().NowMs() };
-      });
+      { aTableVersion, mGroup.Store().NowMs() });
     while (!mReplica->PublishedId()) {
       mGroup.RunFor(milliseconds(1));
     }
@@ -60,7 +56,7 @@
     Write(node::kRenewalKey, "leader");
     Write(node::kConfirmationKey,
           node::EncodeConfirmation(
-            { aSnapshot, aTableVersion, mGroup.Store().NowMs() }));
+            { aSnapshot, { aTableVersion, mGroup.Store().NowMs() } }));
   }
 
 private:
--- a/testing/platform_world/snapshot_replica_test.cpp
+++ b/testing/platform_world/snapshot_replica_test.cpp
@@ -11,6 +11,7 @@
 namespace flamingoloom::testing::platform_world {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // A connection to the store whose next transaction may get no response and be
@@ -94,9 +95,20 @@
 
   void Publish(std::int64_t aVersion)
   {
-    mPublisher->Publish(MakeSnapshot(aVersion), mEpoch, [](std::string aId) {
-      return node::SnapshotConfirmation{ std::move(aId), 1, 1 };
-    });
+    mPublisher->Publish(MakeSnapshot(aVersion), mEpoch, { aVersion, 1 });
+  }
+
+  // The confirmation in the store, if there is one.
+  std::optional<node::SnapshotConfirmation> StoredConfirmation() const
+  {
+    const auto rows = mStore.Read(node::kLeaderTable,
+                                  jobs::kSchedulerPartition,
+                                  node::kConfirmationKey,
+                                  std::string(node::kConfirmationKey) + '\0');
+    if (rows.mRows.empty()) {
+      return std::nullopt;
+    }
+    return node::DecodeConfirmation(rows.mRows[0].mValue.value()).value();
   }
 
   std::int64_t WriteEpoch()
@@ -140,12 +152,38 @@
 TEST_CASE("A snapshot that was stored without a response is published")
 {
   Fixture fixture;
-  fixture.mLateStore.DelayNextCommit(std::chrono::milliseconds(5));
+  fixture.mLateStore.DelayNextCommit(milliseconds(5));
   fixture.Publish(1);
   fixture.mClock.RunFor(seconds(4));
   CHECK(fixture.mPublisher->PublishedId());
 }
 
+// The publication of a snapshot may take long, and a newer version come
+// meanwhile. Guards against an old snapshot that is taken for the newer
+// version: if the leader stops before the next publication, nobody reads that
+// version.
+TEST_CASE("A snapshot is confirmed only for the version that it is of")
+{
+  Fixture fixture;
+  const auto first = node::EncodeSnapshot(MakeSnapshot(1)).mId;
+  fixture.mLateStore.DelayNextCommit(seconds(30));
+  fixture.Publish(1);
+  fixture.mClock.RunFor(milliseconds(500));
+  fixture.Publish(2);
+  bool firstWasConfirmed = false;
+  for (int ms = 0; ms < 4000; ++ms) {
+    fixture.mClock.RunFor(milliseconds(1));
+    const auto confirmation = fixture.StoredConfirmation();
+    if (confirmation && confirmation->mSnapshotId == first) {
+      firstWasConfirmed = true;
+      CHECK(confirmation->mReading.mVersion == 1);
+    }
+  }
+  CHECK(firstWasConfirmed);
+  REQUIRE(fixture.StoredConfirmation());
+  CHECK(fixture.StoredConfirmation()->mReading.mVersion == 2);
+}
+
 TEST_CASE("A leader of an earlier epoch publishes nothing")
 {
   Fixture fixture;
