An attempt is not lost while a server may list further ends

Cause: an attempt that a report lists neither as running nor as ended counts as lost. A server lists 500 ends at a time, so those beyond them looked lost.

What ran in an earlier life of a restarted server is still given up.

--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -308,8 +308,9 @@
     }
     const bool responded =
       task->mRespondedAt.has_value() && *task->mRespondedAt <= aSentAt;
-    if (task->mPhase == TaskPhase::eUnresolved ||
-        (restarted && task->mPhase == TaskPhase::eRunning) || responded) {
+    const bool known = !aReport.mMayHaveMoreCompletions &&
+                       (task->mPhase == TaskPhase::eUnresolved || responded);
+    if (known || (restarted && task->mPhase == TaskPhase::eRunning)) {
       Requeue(*step, attempt.mTask.mIndex, "absent from the server's report");
     }
   }
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -196,6 +196,32 @@
   CHECK(f.RunPass().mStarts.size() == 1);
 }
 
+// A server lists a limited number of completions, for example after the store
+// was away and none could be acknowledged. Guards against starting tasks again
+// that are done but not listed yet.
+TEST_CASE("An attempt is not lost while further completions may follow")
+{
+  Fixture f;
+  f.AddServers(1);
+  f.Add(Fixture::MakeJob("a", 3, 1));
+  const auto starts = f.StartAll();
+  REQUIRE(starts.size() == 3);
+  f.mNow += seconds(1);
+  ServerReport report{
+    1, {}, { { 1, starts[0].mAttempt, TaskEndReason::eDone, "" } }
+  };
+  report.mMayHaveMoreCompletions = true;
+  f.mScheduler.OnReport(f.mNow, starts[0].mServer, report, f.mNow);
+  CHECK(f.RunPass().mStarts.empty());
+  // Only the attempt that a complete list does not have is lost.
+  f.Report(starts[0].mServer,
+           {},
+           { { 2, starts[1].mAttempt, TaskEndReason::eDone, "" } });
+  const auto restarts = f.RunPass().mStarts;
+  REQUIRE(restarts.size() == 1);
+  CHECK(restarts[0].mAttempt.mTask == starts[2].mAttempt.mTask);
+}
+
 // Guards against a task that is retried more often than its queue allows.
 TEST_CASE("A job fails when a task has used up its attempts")
 {
--- a/flamingoloom/scheduler/server.h
+++ b/flamingoloom/scheduler/server.h
@@ -85,6 +85,9 @@
   // How much later than expected the report arrived: it may show the state of
   // that long ago.
   base::Duration mDelay{ 0 };
+  // Further completions may follow those that are listed, once these are
+  // acknowledged. An attempt that is not listed may be among them.
+  bool mMayHaveMoreCompletions = false;
 };
 
 struct StartCommand
