A long-running task that is down comes before more urgent work

Cause: waiting steps are placed by priority, so it has no turn as long as more urgent work keeps coming.

Evidence: run_released as the leases end, 6.3 s after the crash, and no start_answered after it.

Change: a long-running step of which a task waits that was started before comes right after what guarantees cover, and reserves capacity as gangs do.

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -284,13 +284,13 @@
   void PlaceStep(base::Time aNow,
                  const WaitingStep& aWaitingStep,
                  Placement& aPlacement);
-  // Reserves capacity that is about to become free for a gang that does not fit
-  // now.
-  void ReserveForGang(base::Time aNow,
-                      StepState& aStep,
-                      const std::vector<int>& aIndices,
-                      bool aAllowRemote,
-                      Placement& aPlacement);
+  // Reserves capacity that is about to become free for tasks that do not fit
+  // now, so that smaller ones do not fill each gap.
+  void ReserveCapacity(base::Time aNow,
+                       StepState& aStep,
+                       const std::vector<int>& aIndices,
+                       bool aAllowRemote,
+                       Placement& aPlacement);
   // Returns what the attempts on a server will free, and when.
   std::vector<ExpectedCompletion> ExpectedCompletions(
     const ServerState& aServer,
--- a/flamingoloom/scheduler/scheduler_placement.cpp
+++ b/flamingoloom/scheduler/scheduler_placement.cpp
@@ -51,6 +51,18 @@
   return indices;
 }
 
+// Whether a long-running task waits that was started before: it is down until
+// it runs again.
+bool IsServiceDown(const StepState& aStep)
+{
+  return aStep.Spec().mLongRunning &&
+         std::any_of(
+           aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
+             return aTask.mPhase == TaskPhase::eWaiting &&
+                    aTask.mAttemptNumber > 0;
+           });
+}
+
 } // namespace
 
 std::vector<Scheduler::WaitingStep> Scheduler::WaitingStepsInOrder(Time aNow)
@@ -91,7 +103,10 @@
     const int lateness = expectedEnd <= job.mObjective  ? 0
                          : expectedEnd <= noCreditAfter ? 1
                                                         : 2;
-    return std::make_tuple(job.mSpec.mRules.mPriority,
+    // A service that is down comes before all work that has an end, however
+    // urgent: while the fleet is full, waiting for its turn would not end.
+    return std::make_tuple(!IsServiceDown(*aWaitingStep.mStep),
+                           job.mSpec.mRules.mPriority,
                            lateness,
                            job.mObjective,
                            aWaitingStep.mStep->mOccurrence,
@@ -223,8 +238,8 @@
   // that a stop takes before preempting, which loses work.
   if (!aWaitingStep.mGuaranteed ||
       aNow - step.mReadyAt < mSettings.mMaxStopTime / 2) {
-    if (step.Spec().mGang) {
-      ReserveForGang(aNow, step, indices, remote, aPlacement);
+    if (step.Spec().mGang || IsServiceDown(step)) {
+      ReserveCapacity(aNow, step, indices, remote, aPlacement);
     }
     return;
   }
@@ -256,11 +271,11 @@
   }
 }
 
-void Scheduler::ReserveForGang(Time aNow,
-                               StepState& aStep,
-                               const std::vector<int>& aIndices,
-                               bool aAllowRemote,
-                               Placement& aPlacement)
+void Scheduler::ReserveCapacity(Time aNow,
+                                StepState& aStep,
+                                const std::vector<int>& aIndices,
+                                bool aAllowRemote,
+                                Placement& aPlacement)
 {
   if (!aStep.mPlan.empty()) {
     ReservePlannedCapacity(aNow, aStep, aPlacement);
--- a/flamingoloom/scheduler/scheduler_placement_test.cpp
+++ b/flamingoloom/scheduler/scheduler_placement_test.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <deque>
+#include <map>
 #include <set>
 
 #include "flamingoloom/scheduler/scheduler_fixture.h"
@@ -202,5 +204,66 @@
   }
 }
 
+// Guards against a long-running task that is not started again after a crash as
+// long as more urgent work fills the fleet.
+TEST_CASE("A long-running task that is down comes before more urgent work")
+{
+  // The platform allows 6 s.
+  constexpr auto kRestartTime = seconds(6);
+  constexpr auto kPassInterval = milliseconds(250);
+  // The urgent work takes whole servers, or leaves only gaps.
+  for (const int accelerators : { 8, 1 }) {
+    INFO("accelerators of an urgent task: " << accelerators);
+    Fixture f;
+    f.AddServers(2);
+    auto service = Fixture::MakeJob("service", 1, 8);
+    service.mSteps[0].mLongRunning = true;
+    service.mRules.mPriority = 2;
+    f.Add(service);
+    const auto start = f.StartAll().at(0);
+    int jobs = 0;
+    for (; jobs < 64; ++jobs) {
+      f.Add(Fixture::MakeJob("urgent" + std::to_string(jobs), 1, accelerators));
+    }
+    std::map<ServerId, std::deque<StartCommand>> running;
+    for (const auto& urgent : f.StartAll()) {
+      running[urgent.mServer].push_back(urgent);
+    }
+    f.Report(start.mServer,
+             {},
+             { { 1, start.mAttempt, TaskEndReason::eLeaseExpired, "" } });
+    bool serviceRuns = false;
+    std::map<ServerId, std::int64_t> completions{ { start.mServer, 1 } };
+    for (base::Duration down{ 0 }; down < kRestartTime && !serviceRuns;
+         down += kPassInterval) {
+      for (const auto& urgent : f.StartAll()) {
+        serviceRuns = serviceRuns || urgent.mAttempt.mTask.mJob == "service";
+        running[urgent.mServer].push_back(urgent);
+      }
+      f.mNow += kPassInterval;
+      // One urgent task ends on each server, as others keep coming.
+      for (auto& [server, starts] : running) {
+        if (!starts.empty()) {
+          const auto ended = starts.front();
+          starts.pop_front();
+          std::vector<RunningTask> others;
+          for (const auto& other : starts) {
+            others.push_back({ other.mAttempt, "", 50 });
+          }
+          f.Report(server,
+                   others,
+                   { { ++completions[server],
+                       ended.mAttempt,
+                       TaskEndReason::eDone,
+                       "" } });
+        }
+        f.Add(
+          Fixture::MakeJob("urgent" + std::to_string(jobs++), 1, accelerators));
+      }
+    }
+    CHECK(serviceRuns);
+  }
+}
+
 } // namespace
 } // namespace flamingoloom::scheduler
