--- a/testing/real_cluster/instance_processes.cpp
+++ b/testing/real_cluster/instance_processes.cpp
@@ -59,13 +59,15 @@
   : mRuntime(aRuntime)
   , mProgram(aProgram)
 {
-  std::vector<std::string> zones;
-  for (const auto& [zone, region] : aSettingsTemplate.at("zones").items()) {
-    zones.push_back(zone);
+  std::vector<std::string> dataCentres;
+  for (const auto& [dataCentre, region] :
+       aSettingsTemplate.at("zones").items()) {
+    dataCentres.push_back(dataCentre);
   }
   for (int i = 0; i < aCount; ++i) {
     Process process;
-    const auto& zone = zones[static_cast<std::size_t>(i) % zones.size()];
+    const auto& dataCentre =
+      dataCentres[static_cast<std::size_t>(i) % dataCentres.size()];
     process.mName = fmt::format("instance-{}", i);
     process.mCallers = Loopback(FreePort());
     process.mReadiness = Loopback(FreePort());
@@ -74,8 +76,8 @@
     Json settings = aSettingsTemplate;
     settings["node-name"] = process.mName;
     settings["ip"] = "127.0.0.1";
-    settings["zone"] = zone;
-    settings["region"] = aSettingsTemplate.at("zones").at(zone);
+    settings["zone"] = dataCentre;
+    settings["region"] = aSettingsTemplate.at("zones").at(dataCentre);
     settings["listen-addresses"] = { { "frontend", process.mCallers },
                                      { "readiness", process.mReadiness } };
     settings["internal-port-range"] = { internalPort, internalPort };
--- a/testing/real_cluster/main.cpp
+++ b/testing/real_cluster/main.cpp
@@ -82,7 +82,7 @@
   review::Store& mStore;
   review::Fleet& mFleet;
   InstanceProcesses& mInstances;
-  std::vector<std::string> mZones;
+  std::vector<std::string> mDataCentres;
   std::mt19937_64 mRandom;
   int mVersion = 1;
 
@@ -176,11 +176,12 @@
   { "evacuate",
     16000,
     [](Cluster& aCluster) {
-      const auto zone =
-        aCluster.mZones[aCluster.mRandom() % aCluster.mZones.size()];
-      aCluster.mStore.Put("op", "evacuate/" + zone, Json::object());
-      aCluster.mRuntime.After(8000, [&aCluster, zone] {
-        aCluster.mStore.Remove("op", "evacuate/" + zone);
+      const auto dataCentre =
+        aCluster
+          .mDataCentres[aCluster.mRandom() % aCluster.mDataCentres.size()];
+      aCluster.mStore.Put("op", "evacuate/" + dataCentre, Json::object());
+      aCluster.mRuntime.After(8000, [&aCluster, dataCentre] {
+        aCluster.mStore.Remove("op", "evacuate/" + dataCentre);
       });
     } },
   { "slow",
@@ -230,25 +231,26 @@
                               program,
                               folder,
                               std::stoi(aArguments[6]));
-  std::vector<std::string> zones;
-  for (const auto& [zone, region] : settings.at("zones").items()) {
-    zones.push_back(zone);
+  std::vector<std::string> dataCentres;
+  for (const auto& [dataCentre, region] : settings.at("zones").items()) {
+    dataCentres.push_back(dataCentre);
   }
   const int servers = std::stoi(aArguments[7]);
   for (int i = 0; i < servers; ++i) {
     constexpr int kServersPerRack = 8;
     const int rack = i / kServersPerRack;
-    fleet.Add({ fmt::format("s-{:04}", i),
-                kService,
-                zones[static_cast<std::size_t>(rack) % zones.size()],
-                "a",
-                fmt::format("r-{}", rack),
-                128000,
-                262144,
-                8 });
+    fleet.Add(
+      { fmt::format("s-{:04}", i),
+        kService,
+        dataCentres[static_cast<std::size_t>(rack) % dataCentres.size()],
+        "a",
+        fmt::format("r-{}", rack),
+        128000,
+        262144,
+        8 });
   }
-  Cluster cluster{ runtime,   store, fleet,
-                   instances, zones, std::mt19937_64(seed) };
+  Cluster cluster{ runtime,   store,       fleet,
+                   instances, dataCentres, std::mt19937_64(seed) };
   Traffic traffic(runtime, instances, fleet, seed + 1);
   runtime.After(kStartMs, [&] { traffic.Start(LargeTraffic(), untilMs); });
   constexpr double kCalmMs = 4000;
--- a/testing/real_cluster/traffic.h
+++ b/testing/real_cluster/traffic.h
@@ -32,7 +32,7 @@
   double mCancelShare = 0;
 };
 
-// The queues of lustre-ops-grown, by the figures of its sheet.
+// Three queues of a deployment with 350 servers, two of them with gangs.
 std::vector<QueueTraffic> LargeTraffic();
 inline constexpr int kMaxAttempts = 2;
 inline constexpr const char* kHost = "queues.example";
