real_cluster counts requests that a stopping instance cuts off

Change: the end after SIGTERM is a state of its own; a request older than 200 ms that is cut off there counts as lost. The braces are added.

--- a/flamingoloom/node/operator_snapshot_test.cpp
+++ b/flamingoloom/node/operator_snapshot_test.cpp
@@ -143,7 +143,7 @@
 
 TEST_CASE("A decoded confirmation equals the encoded one")
 {
-  const SnapshotConfirmation confirmation{ "abc", 12, 345 };
+  const SnapshotConfirmation confirmation{ "abc", { 12, 345 } };
   CHECK(DecodeConfirmation(EncodeConfirmation(confirmation)) == confirmation);
   CHECK(!DecodeConfirmation(""));
   CHECK(!DecodeConfirmation("abc 12"));
--- a/testing/real_cluster/instance_processes.cpp
+++ b/testing/real_cluster/instance_processes.cpp
@@ -187,7 +187,7 @@
     return;
   }
   process.mId = 0;
-  Change(process, InstanceState::eDown, "has ended");
+  Change(process, InstanceState::eLeft, "has ended");
   LaunchAfter(aIndex, aDownMs);
 }
 
--- a/testing/real_cluster/instance_processes.h
+++ b/testing/real_cluster/instance_processes.h
@@ -19,6 +19,8 @@
   eRunning,
   // SIGTERM was sent, and the process has not ended yet.
   eTerminating,
+  // The process has ended after SIGTERM and is not started again yet.
+  eLeft,
   // Killed, stopped by SIGSTOP, or not started again yet.
   eDown,
 };
--- a/testing/real_cluster/traffic.cpp
+++ b/testing/real_cluster/traffic.cpp
@@ -180,29 +180,39 @@
       }
       mInstanceOfClient[client] = PickInstance();
       if (aAnswer.error().mCode == base::ErrorCode::eOutcomeUnknown) {
-        constexpr double kAfterEndMs = 200;
-        const auto state = mInstances.State(target);
-        const bool ended = state == InstanceState::eDown ||
-                           mInstances.ChangedMs(target) > sentMs - kAfterEndMs;
-        const char* cause = state == InstanceState::eTerminating ? "terminating"
-                            : ended                              ? "down"
-                                                                 : "running";
-        ++mUnanswered[cause];
-        mUnansweredWithoutCause +=
-          state == InstanceState::eTerminating || !ended;
-        mRuntime.Record(fmt::format("UNANSWERED {} {} at {} ({}), after {:.0f} "
-                                    "ms: {}",
-                                    aMethod,
-                                    aId,
-                                    mInstances.CallerAddress(target),
-                                    cause,
-                                    mRuntime.NowMs() - sentMs,
-                                    aAnswer.error().ToString()));
+        RecordUnanswered(std::string(aMethod) + " " + aId,
+                         target,
+                         sentMs,
+                         aAnswer.error().ToString());
       }
       then(0, "");
     });
 }
 
+void Traffic::RecordUnanswered(const std::string& aRequest,
+                               std::size_t aInstance,
+                               double aSentMs,
+                               const std::string& aError)
+{
+  // An instance that stops may cut off requests that are younger than this.
+  constexpr double kSlackMs = 200;
+  const auto state = mInstances.State(aInstance);
+  const double ageMs = mRuntime.NowMs() - aSentMs;
+  const bool stopping =
+    state == InstanceState::eTerminating || state == InstanceState::eLeft;
+  const bool down = state == InstanceState::eDown ||
+                    mInstances.ChangedMs(aInstance) > aSentMs - kSlackMs;
+  const char* where = stopping ? "stopping" : down ? "down" : "running";
+  ++mUnanswered[where];
+  mUnansweredWithoutCause += stopping ? ageMs > kSlackMs : !down;
+  mRuntime.Record(fmt::format("UNANSWERED {} at {} ({}), after {:.0f} ms: {}",
+                              aRequest,
+                              mInstances.CallerAddress(aInstance),
+                              where,
+                              ageMs,
+                              aError));
+}
+
 void Traffic::Post(const std::string& aId,
                    const std::string& aBody,
                    int aAttempt)
--- a/testing/real_cluster/traffic.h
+++ b/testing/real_cluster/traffic.h
@@ -76,6 +76,11 @@
             const std::string& aId,
             const std::string& aBody,
             Then aThen);
+  // A request was sent and the connection ended, or the caller gave up.
+  void RecordUnanswered(const std::string& aRequest,
+                        std::size_t aInstance,
+                        double aSentMs,
+                        const std::string& aError);
   // Polls readiness as the platform's balancer does.
   void PollReadiness();
   std::size_t PickInstance();
@@ -97,7 +102,7 @@
   std::map<std::string, JobRecord> mJobs;
   std::map<std::string, double> mErrorShares;
   std::size_t mStartsSeen = 0;
-  // Requests without an answer, by what happened to their instance.
+  // Requests without an answer, by the state of their instance.
   std::map<std::string, int> mUnanswered;
   int mUnansweredWithoutCause = 0;
 };
