The log says why a ready task is not started, and the state of the fleet

Callers see an accepted job of which nothing runs.

Change: once a second the leader looks at all ready steps of which no task runs (WaitingReport, decides nothing). For up to 10 accounts it logs the step that waits longest with one of nine reasons and the room near its data, anywhere, beyond others' plans, on quarantined and on unusable servers (`waiting`), with the numbers of servers by state (`fleet`). `servers_fenced` gives the time that a leader needed until it could start tasks. Gauges flamingoloom_servers and flamingoloom_accelerators.

--- a/flamingoloom/event_loop/metrics.cpp
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -39,6 +39,15 @@
                        .Help("Open connections to the store and to servers")
                        .Register(*mRegistry)
                        .Add({}))
+  , mServers(
+      prometheus::BuildGauge()
+        .Name("flamingoloom_servers")
+        .Help("Listed servers, by whether they take new tasks, or why not")
+        .Register(*mRegistry))
+  , mAccelerators(prometheus::BuildGauge()
+                    .Name("flamingoloom_accelerators")
+                    .Help("Accelerators of usable servers: all, free, planned")
+                    .Register(*mRegistry))
 {
 }
 
@@ -75,6 +84,25 @@
   mOpenConnections.Set(aCount);
 }
 
+void Metrics::SetFleet(const scheduler::FleetSummary& aSummary)
+{
+  const auto setServers = [this](const char* aState, int aCount) {
+    mServers.Add({ { "state", aState } }).Set(aCount);
+  };
+  setServers("usable", aSummary.mUsable);
+  setServers("quarantined", aSummary.mQuarantined);
+  setServers("silent", aSummary.mSilent);
+  setServers("unfenced", aSummary.mUnfenced);
+  setServers("draining", aSummary.mDraining);
+  setServers("out_of_service", aSummary.mOutOfService);
+  const auto setAccelerators = [this](const char* aState, std::int64_t aCount) {
+    mAccelerators.Add({ { "state", aState } }).Set(static_cast<double>(aCount));
+  };
+  setAccelerators("usable", aSummary.mUsableAccelerators);
+  setAccelerators("free", aSummary.mFreeAccelerators);
+  setAccelerators("planned", aSummary.mPlannedAccelerators);
+}
+
 std::string Metrics::Text() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry->Collect());
--- a/flamingoloom/event_loop/metrics.h
+++ b/flamingoloom/event_loop/metrics.h
@@ -20,6 +20,7 @@
 #include <prometheus/registry.h>
 
 #include "flamingoloom/base/time.h"
+#include "flamingoloom/scheduler/waiting_report.h"
 
 namespace flamingoloom::event_loop {
 
@@ -43,6 +44,10 @@
   // Sets the number of open connections to the store and to servers.
   void SetOpenConnections(int aCount);
 
+  // Sets the numbers of servers and accelerators as the leader knows them; all
+  // are 0 on other instances.
+  void SetFleet(const scheduler::FleetSummary& aSummary);
+
   // Returns all metrics in the Prometheus text exposition format.
   std::string Text() const;
 
@@ -53,6 +58,8 @@
   prometheus::Gauge& mConfigurationVersion;
   prometheus::Gauge& mConfigurationAge;
   prometheus::Gauge& mOpenConnections;
+  prometheus::Family<prometheus::Gauge>& mServers;
+  prometheus::Family<prometheus::Gauge>& mAccelerators;
   std::map<std::string, prometheus::Counter*> mEventCounters;
   std::map<std::string, prometheus::Histogram*> mCallHistograms;
 };
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -59,6 +59,11 @@
          IsStoreReachable();
 }
 
+scheduler::FleetSummary Instance::Fleet() const
+{
+  return mLeader ? mLeader->Fleet() : scheduler::FleetSummary{};
+}
+
 void Instance::CheckReadiness()
 {
   ChooseOperatorSource();
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -70,6 +70,9 @@
   {
     return mOperators.mConfiguration;
   }
+  // The servers as this instance knows them while it is the leader; empty
+  // otherwise.
+  scheduler::FleetSummary Fleet() const;
   // How long ago the active configuration was certainly the newest one.
   base::Duration ConfigurationAge() const;
 
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -116,6 +116,7 @@
   const Time now = mPorts.mLoop->Now();
   const auto unixMs = mPorts.mLoop->UnixMs();
   mLastPass = now;
+  LogFencing();
   mScheduler.Schedule(now, unixMs);
   mPassCooldown = (mPorts.mLoop->Now() - now) * mTiming.mPassCooldownFactor;
   SendCommands();
@@ -131,6 +132,31 @@
   });
 }
 
+void Leader::LogFencing()
+{
+  // Servers that are gone or silent do not respond at all.
+  constexpr base::Duration kMaxWait = std::chrono::seconds(3);
+  if (mFencingLogged) {
+    return;
+  }
+  int listed = 0;
+  int fenced = 0;
+  for (const auto& [id, server] : mScheduler.ServerFleet().Servers()) {
+    listed += server.mListed ? 1 : 0;
+    fenced += server.mListed && server.mFenced ? 1 : 0;
+  }
+  const auto elapsed = mPorts.mLoop->Now() - mStartedAt;
+  if ((listed == 0 || fenced < listed) && elapsed < kMaxWait) {
+    return;
+  }
+  mFencingLogged = true;
+  mPorts.mLog->Write(
+    "servers_fenced",
+    { { "servers", std::to_string(listed) },
+      { "fenced", std::to_string(fenced) },
+      { "after_ms", std::to_string(base::ToMilliseconds(elapsed)) } });
+}
+
 void Leader::CommitNext()
 {
   if (mCommitting || mPhase != Phase::eScheduling || !mScheduler.HasChanges()) {
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -75,6 +75,8 @@
   // nullopt until the stored jobs are restored, and after Stop.
   std::optional<jobs::QueueLengths> QueueLengths() const;
 
+  const scheduler::FleetSummary& Fleet() const { return mScheduler.Summary(); }
+
 private:
   enum class Phase
   {
@@ -115,6 +117,9 @@
   // Identifies the current batch among those of all epochs.
   std::string BatchName() const;
   void SendCommands();
+  // Logs once how long it took until the listed servers had responded to this
+  // epoch, so that tasks may start on them.
+  void LogFencing();
   void RequestReports();
   void LoseLeadership(const char* aReason);
   void CollectGarbage();
@@ -134,6 +139,7 @@
   const std::function<void()> mOnLost;
   Phase mPhase = Phase::eLoading;
   base::Time mStartedAt;
+  bool mFencingLogged = false;
   base::Duration mCommitBackoff;
   scheduler::Scheduler mScheduler;
   std::map<base::ServerId, std::shared_ptr<ServerSession>> mSessions;
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -101,6 +101,9 @@
   // Whether the tasks could fit near their data, as of mLocalFitCheckedAt.
   bool mCouldFitLocally = true;
   base::Time mLocalFitCheckedAt;
+  // Since when no task of the step runs although it is ready, by the waiting
+  // reports.
+  std::optional<base::Time> mWaitingSince;
   // Whether the step has a row in the store, or is about to.
   bool mHasRow = false;
   bool mDirty = false;
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -13,6 +13,12 @@
 // A check visits every running task. Reports of a server come every 2 s.
 constexpr base::Duration kStragglerCheckInterval =
   std::chrono::milliseconds(200);
+constexpr base::Duration kWaitingReportInterval = std::chrono::seconds(1);
+// Steps that wait for less time are not logged: most wait for their start to be
+// stored and sent.
+constexpr base::Duration kMinLoggedWait = std::chrono::seconds(1);
+// Bounds the lines of one report; the rest is counted.
+constexpr std::size_t kMaxLoggedAccounts = 10;
 
 } // namespace
 
@@ -328,6 +334,78 @@
   return next;
 }
 
+void Scheduler::ReportWaiting(Time aNow)
+{
+  if (aNow - mWaitingReportedAt < kWaitingReportInterval) {
+    return;
+  }
+  mWaitingReportedAt = aNow;
+  const WaitingReport report(
+    mFleet, mOutOfServiceDataCentres, mActiveJobs, aNow);
+  mSummary = report.Summary();
+  auto accounts = report.Accounts();
+  std::erase_if(accounts, [](const WaitingAccountReport& aAccount) {
+    return aAccount.mLongest.mWaited < kMinLoggedWait;
+  });
+  if (accounts.empty()) {
+    return;
+  }
+  std::sort(accounts.begin(),
+            accounts.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.mLongest.mWaited > aRight.mLongest.mWaited;
+            });
+  Log("fleet",
+      "",
+      { { "servers", std::to_string(mSummary.mServers) },
+        { "usable", std::to_string(mSummary.mUsable) },
+        { "quarantined", std::to_string(mSummary.mQuarantined) },
+        { "silent", std::to_string(mSummary.mSilent) },
+        { "unfenced", std::to_string(mSummary.mUnfenced) },
+        { "draining", std::to_string(mSummary.mDraining) },
+        { "out_of_service", std::to_string(mSummary.mOutOfService) },
+        { "accelerators", std::to_string(mSummary.mUsableAccelerators) },
+        { "free", std::to_string(mSummary.mFreeAccelerators) },
+        { "planned", std::to_string(mSummary.mPlannedAccelerators) },
+        { "waiting_accounts", std::to_string(accounts.size()) } });
+  accounts.resize(std::min(accounts.size(), kMaxLoggedAccounts));
+  for (const auto& account : accounts) {
+    LogWaiting(account);
+  }
+}
+
+void Scheduler::LogWaiting(const WaitingAccountReport& aAccount)
+{
+  const auto& longest = aAccount.mLongest;
+  const StepState& step = *longest.mStep;
+  std::string reasons;
+  for (const auto& [reason, steps] : aAccount.mSteps) {
+    reasons += reasons.empty() ? "" : ",";
+    reasons += WaitReasonName(reason) + (":" + std::to_string(steps));
+  }
+  int attempts = 0;
+  for (const Task& task : step.mTasks) {
+    attempts = std::max(attempts, task.mAttemptNumber);
+  }
+  Log("waiting",
+      step.mJob->mSpec.mId,
+      { { "account", aAccount.mAccount.Value() },
+        { "steps", reasons },
+        { "step",
+          std::to_string(step.mOccurrence) + "." + std::to_string(step.mStep) },
+        { "priority", std::to_string(step.mJob->mSpec.mRules.mPriority) },
+        { "waited_ms", std::to_string(base::ToMilliseconds(longest.mWaited)) },
+        { "reason", WaitReasonName(longest.mReason) },
+        { "tasks", std::to_string(step.mWaitingTasks) },
+        { "gang", step.Spec().mGang ? "1" : "0" },
+        { "attempts", std::to_string(attempts) },
+        { "near", std::to_string(longest.mRoom.mNear) },
+        { "free", std::to_string(longest.mRoom.mFree) },
+        { "unplanned", std::to_string(longest.mRoom.mUnplanned) },
+        { "quarantined", std::to_string(longest.mRoom.mQuarantined) },
+        { "unusable", std::to_string(longest.mRoom.mUnusable) } });
+}
+
 void Scheduler::Schedule(Time aNow, std::int64_t aUnixMs)
 {
   RequeueFromLostServers(aNow);
@@ -337,6 +415,7 @@
   }
   MigrateFromDrainingServers(aNow);
   CreateDueOccurrences(aNow, aUnixMs);
+  ReportWaiting(aNow);
   const auto waitingSteps = WaitingStepsInOrder(aNow);
   if (waitingSteps.empty()) {
     return;
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -37,6 +37,7 @@
 #include "flamingoloom/scheduler/job_progress.h"
 #include "flamingoloom/scheduler/placement.h"
 #include "flamingoloom/scheduler/server.h"
+#include "flamingoloom/scheduler/waiting_report.h"
 
 namespace flamingoloom::scheduler {
 
@@ -187,6 +188,9 @@
   // Removes some of the jobs that became final before aStoreMs on the store's
   // steady clock, and returns them.
   std::vector<ExpiredJob> TakeExpiredJobs(std::int64_t aStoreMs);
+  // Returns the state of the fleet as of the last report of waiting work, which
+  // passes make once a second.
+  const FleetSummary& Summary() const { return mSummary; }
   // Returns the number of jobs of which no task has started, by queue.
   jobs::QueueLengths QueueLengths() const;
 
@@ -271,6 +275,10 @@
   void MigrateFromDrainingServers(base::Time aNow);
   void MigrateStragglers(base::Time aNow, StepState& aStep);
   void CreateDueOccurrences(base::Time aNow, std::int64_t aUnixMs);
+  // Logs the state of the fleet, and for each account the step that has waited
+  // for the longest time. Does so once a second while a step waits.
+  void ReportWaiting(base::Time aNow);
+  void LogWaiting(const WaitingAccountReport& aAccount);
   // Marks the steps as ready of which all dependencies are done.
   void UpdateReady(base::Time aNow, Occurrence& aOccurrence);
   // Returns the steps with waiting tasks in the order of their placement: first
@@ -327,6 +335,8 @@
   // Servers with completions that are not stored yet.
   std::set<base::ServerId> mServersToAcknowledge;
   base::Time mStragglersCheckedAt;
+  base::Time mWaitingReportedAt;
+  FleetSummary mSummary;
   std::set<base::DataCentreId> mOutOfServiceDataCentres;
   std::map<base::AccountId, std::int64_t> mGuarantees;
   // Accounts whose jobs of priority 0 use more than their guarantee.
