--- a/testing/platform_world/cluster_simulation.cpp
+++ b/testing/platform_world/cluster_simulation.cpp
@@ -95,6 +95,8 @@
   std::unique_ptr<StoreConnection> mStore;
   std::unique_ptr<ServersConnection> mServers;
   std::unique_ptr<node::Instance> mInstance;
+  // It was told to stop and is not started again yet.
+  bool mEnding = false;
 };
 
 ClusterSimulation::ClusterSimulation(SimulationOptions aOptions)
@@ -327,6 +329,68 @@
   }
 }
 
+void ClusterSimulation::Submit(const jobs::JobSpec& aJob)
+{
+  mJobs[aJob.mId] = aJob;
+  CallSubmit(aJob, 1);
+}
+
+void ClusterSimulation::RemoveEntryLater(const ServerId& aServer)
+{
+  // Three heartbeats.
+  constexpr auto kEntryLifetime = milliseconds(4500);
+  mClock.After(kEntryLifetime, [this, aServer] {
+    if (mServers.IsUnreachable(aServer)) {
+      mStore.Put("members", aServer.Value(), std::nullopt);
+    }
+  });
+}
+
+void ClusterSimulation::LoseServer(const ServerId& aServer)
+{
+  mServers.SetUnreachable(aServer, true);
+  mServers.Crash(aServer);
+  RemoveEntryLater(aServer);
+}
+
+void ClusterSimulation::CutServer(const ServerId& aServer, Duration aDuration)
+{
+  mServers.SetUnreachable(aServer, true);
+  RemoveEntryLater(aServer);
+  mClock.After(aDuration, [this, aServer] {
+    mServers.SetUnreachable(aServer, false);
+    mStore.Put("members", aServer.Value(), "entry");
+  });
+}
+
+bool ClusterSimulation::EndLeader(bool aPlanned)
+{
+  const auto rows = mStore.Read(node::kLeaderTable,
+                                jobs::kSchedulerPartition,
+                                node::kRenewalKey,
+                                std::string(node::kRenewalKey) + '\0');
+  const auto holder =
+    rows.mRows.empty() ? "" : rows.mRows.front().mValue.value_or("");
+  for (auto& member : mMembers) {
+    if (member->mEnding || holder.rfind(member->mName + "-", 0) != 0) {
+      continue;
+    }
+    member->mEnding = true;
+    if (aPlanned) {
+      member->mInstance->StepDown();
+    }
+    // A planned stop leaves time for the calls in flight.
+    mClock.After(aPlanned ? milliseconds(100) : milliseconds(0),
+                 [this, &member] { KillInstance(*member); });
+    mClock.After(seconds(1), [this, &member] {
+      member->mEnding = false;
+      StartInstance(*member);
+    });
+    return true;
+  }
+  return false;
+}
+
 void ClusterSimulation::Run()
 {
   const auto start = mClock.Now() + seconds(2);
--- a/testing/platform_world/cluster_simulation.h
+++ b/testing/platform_world/cluster_simulation.h
@@ -41,6 +41,19 @@
   ~ClusterSimulation();
 
   void Run();
+
+  // For tests that play their own course of events instead of Run.
+  void RunFor(base::Duration aDuration) { mClock.RunFor(aDuration); }
+  base::Time Now() const { return mClock.Now(); }
+  void Submit(const jobs::JobSpec& aJob);
+  // The server and all that runs there is lost for good.
+  void LoseServer(const base::ServerId& aServer);
+  // The server works on, but nobody reaches it, nor it the store, for
+  // aDuration.
+  void CutServer(const base::ServerId& aServer, base::Duration aDuration);
+  // Ends the leader, with or without releasing its lease, and starts another
+  // instance a second later. Returns false if there is no leader.
+  bool EndLeader(bool aPlanned);
   const InvariantChecker& Invariants() const { return mChecker; }
   const FakeStore& Store() const { return mStore; }
 
@@ -57,6 +70,8 @@
   void QueryStates();
   void InjectFault();
   void StoreServerList();
+  // Removes the entry of the server, unless it is reachable again by then.
+  void RemoveEntryLater(const base::ServerId& aServer);
   Member* RandomMember();
 
   const SimulationOptions mOptions;
--- a/testing/platform_world/invariant_checker.cpp
+++ b/testing/platform_world/invariant_checker.cpp
@@ -27,6 +27,7 @@
                                const jobs::TaskAttempt& aAttempt)
 {
   ++mStarts;
+  mLastStarts[aAttempt.mTask.mJob] = aNow;
   const auto& name = aAttempt.mTask;
   auto& servers = mRunning[name];
   if (!servers.empty()) {
@@ -110,6 +111,25 @@
   }
 }
 
+std::set<std::string> InvariantChecker::ServersOf(const std::string& aJob) const
+{
+  std::set<std::string> all;
+  for (const auto& [task, servers] : mRunning) {
+    if (task.mJob == aJob) {
+      all.insert(servers.begin(), servers.end());
+    }
+  }
+  return all;
+}
+
+std::optional<base::Time> InvariantChecker::LastStart(
+  const std::string& aJob) const
+{
+  const auto start = mLastStarts.find(aJob);
+  return start == mLastStarts.end() ? std::nullopt
+                                    : std::optional(start->second);
+}
+
 std::vector<std::string> InvariantChecker::Unfinished() const
 {
   std::vector<std::string> jobs;
--- a/testing/platform_world/invariant_checker.h
+++ b/testing/platform_world/invariant_checker.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -48,6 +49,10 @@
   std::vector<std::string> Unfinished() const;
   const std::vector<std::string>& Violations() const { return mViolations; }
   int Starts() const { return mStarts; }
+  // The servers on which tasks of the job run now.
+  std::set<std::string> ServersOf(const std::string& aJob) const;
+  // When the last attempt of the job has started.
+  std::optional<base::Time> LastStart(const std::string& aJob) const;
 
 private:
   void AddViolation(const std::string& aText) { mViolations.push_back(aText); }
@@ -62,6 +67,7 @@
   std::set<jobs::TaskName> mDone;
   std::set<std::string> mCompleted;
   std::vector<std::string> mViolations;
+  std::map<std::string, base::Time> mLastStarts;
   int mStarts = 0;
 };
 
