A change of leader does not prolong the wait for work of lost servers

Callers saw accepted jobs of which nothing ran for up to 16 s and more, beside room; each member of a gang on a lost server holds its whole gang.

Cause: work of a server that does not respond is started again when every lease there has ended. The leader that granted the leases knows when that is, 4 to 6 s after the loss. Its successor did not: it reckoned with 12.2 s from its own start, the longest that a leader without the store may go on granting leases, and kept that bound also for servers that had responded to it since, and begun anew with each change. Class of fault: what a process knew of a time limit is lost with it, and its successor begins the worst case anew.

Change: the leader leaves what it knows in the row `leases` of its table, by the store's clock: when it steps down, a bound for all servers and one for each that did not respond; with its renewals, bounds of silent servers without an entry, which get no lease while the row has them. The first response of a server to an epoch bounds its earlier leases by the longest lease that a leader grants.

--- a/flamingoloom/node/election.cpp
+++ b/flamingoloom/node/election.cpp
@@ -8,10 +8,6 @@
 namespace flamingoloom::node {
 namespace {
 
-// Monotonic clocks of machines and of the store may differ by this factor in
-// rate.
-constexpr double kClockSlack = 1.02;
-
 // The row kEpochKey holds "EPOCH HOLDER". The row kRenewalKey holds "HOLDER
 // EXPIRY", with the expiry of the lease by the store's clock in milliseconds,
 // or only "HOLDER" if the holder does not know that clock yet, or nothing once
@@ -107,13 +103,8 @@
   Transaction transaction{ jobs::kSchedulerPartition, {}, {} };
   transaction.mConditions = { EpochCondition() };
   std::string value = mSelf.Value();
-  if (mStoreMs > 0) {
-    // When the lease expires, the store's clock is at most this far past
-    // mStoreMs.
-    const auto elapsed = std::chrono::duration<double, std::milli>(
-      (aSentAt - mStoreMsSentAt + mTiming.mLease) * kClockSlack);
-    value += ' ' + std::to_string(
-                     mStoreMs + static_cast<std::int64_t>(elapsed.count()) + 1);
+  if (const auto expiry = StoreMsAtLatest(aSentAt + mTiming.mLease)) {
+    value += ' ' + std::to_string(*expiry);
   }
   transaction.mChanges = {
     { kLeaderTable, kRenewalKey, std::move(value), mRenewalVersion }
@@ -121,6 +112,16 @@
   return transaction;
 }
 
+std::optional<std::int64_t> Election::StoreMsAtLatest(base::Time aTime) const
+{
+  if (mStoreMs == 0) {
+    return std::nullopt;
+  }
+  const auto elapsed = std::chrono::duration<double, std::milli>(
+    (aTime - mStoreMsSentAt) * kClockSlack);
+  return mStoreMs + static_cast<std::int64_t>(elapsed.count()) + 1;
+}
+
 Transaction Election::Release() const
 {
   Transaction transaction{ jobs::kSchedulerPartition, {}, {} };
--- a/flamingoloom/node/election.h
+++ b/flamingoloom/node/election.h
@@ -28,6 +28,9 @@
 inline constexpr const char* kLeaderTable = "lead";
 inline constexpr const char* kEpochKey = "epoch";
 inline constexpr const char* kRenewalKey = "renewal";
+// Monotonic clocks of machines and of the store may differ by this factor in
+// rate.
+inline constexpr double kClockSlack = 1.02;
 // The holder writes this row with its renewals; see jobs::QueueLengths.
 inline constexpr const char* kQueueLengthsKey = "queues";
 
@@ -88,6 +91,9 @@
   std::int64_t Epoch() const { return mEpoch; }
   // The condition that makes a write fail once the epoch has changed.
   RowCondition EpochCondition() const;
+  // Returns what the store's clock shows at aTime at the latest; nullopt while
+  // that clock is not known.
+  std::optional<std::int64_t> StoreMsAtLatest(base::Time aTime) const;
   // Expiry of the lease that this instance holds, by its own clock.
   base::Time ValidUntil() const { return mValidUntil; }
   const base::InstanceId& Holder() const { return mHolder; }
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -218,14 +218,26 @@
         EncodeConfirmation({ *snapshot, LeaderReading() }),
         std::nullopt });
   }
+  const auto bounds = mLeader->ChangedLeaseBounds(
+    [this](Time aTime) { return mElection.StoreMsAtLatest(aTime); });
+  if (bounds) {
+    mLeader->OnLeaseBoundsSent(*bounds);
+    renewal.mChanges.push_back({ kLeaderTable,
+                                 kLeaseBoundsKey,
+                                 EncodeLeaseBounds(*bounds),
+                                 std::nullopt });
+  }
   mPorts.mStore->Commit(
     renewal,
     kClaimTimeout,
-    [this, sentAt](base::Expected<CommitResult> aResult) {
+    [this, sentAt, bounds](base::Expected<CommitResult> aResult) {
       --mRenewalsInFlight;
       if (!mLeader) {
         return;
       }
+      if (aResult && aResult->mApplied && bounds) {
+        mLeader->OnLeaseBoundsStored(*bounds);
+      }
       if (aResult && !mElection.OnRenewed(sentAt, *aResult)) {
         EndLeadership();
         return;
@@ -258,11 +270,19 @@
   }
   mPorts.mLog->Write("lead_released", {});
   mLeader->Stop();
+  auto release = mElection.Release();
+  if (const auto bounds = mLeader->FinalLeaseBounds(
+        [this](Time aTime) { return mElection.StoreMsAtLatest(aTime); })) {
+    release.mChanges.push_back({ kLeaderTable,
+                                 kLeaseBoundsKey,
+                                 EncodeLeaseBounds(*bounds),
+                                 std::nullopt });
+  }
   mLeader.reset();
   mReplica->StopPublishing();
   mElection.OnLost();
   mPorts.mStore->Commit(
-    mElection.Release(),
+    release,
     kClaimTimeout,
     [log = mPorts.mLog](const base::Expected<CommitResult>& aResult) {
       if (!aResult) {
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -9,6 +9,19 @@
 using base::Time;
 using std::chrono::milliseconds;
 
+namespace {
+
+scheduler::SchedulerSettings WithMaxLease(
+  scheduler::SchedulerSettings aSettings,
+  const LeaderTiming& aTiming)
+{
+  aSettings.mMaxLease = std::chrono::duration_cast<base::Duration>(
+    aTiming.mSession.mLease / aTiming.mSession.mMinClockRate);
+  return aSettings;
+}
+
+} // namespace
+
 Leader::Leader(Ports aPorts,
                LeaderTiming aTiming,
                scheduler::SchedulerSettings aSettings,
@@ -24,7 +37,8 @@
   , mOnLost(std::move(aOnLost))
   , mStartedAt(aPorts.mLoop->Now())
   , mCommitBackoff(aTiming.mCommitRetryDelay)
-  , mScheduler(aSettings,
+  , mEarlierLeases(EarlierLeasesExpireBy())
+  , mScheduler(WithMaxLease(aSettings, aTiming),
                [log = aPorts.mLog](const scheduler::Decision& aDecision) {
                  EventLog::Fields fields;
                  fields.reserve(aDecision.mFields.size() + 1);
@@ -39,18 +53,9 @@
 {
 }
 
-Time Leader::EarlierLeasesExpireBy() const
-{
-  // A lease lasts longer by this instance's clock if the server's clock is
-  // slow, which may be by 2%.
-  const auto bound = std::chrono::duration_cast<base::Duration>(
-    mTiming.mLeaseBeyondLeadership / mTiming.mSession.mMinClockRate);
-  return mStartedAt + bound;
-}
-
 void Leader::Start()
 {
-  Load(0, "");
+  LoadLeaseBounds();
 }
 
 void Leader::Stop()
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -9,11 +9,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "flamingoloom/node/configuration.h"
 #include "flamingoloom/node/election.h"
+#include "flamingoloom/node/lease_bounds.h"
 #include "flamingoloom/node/ports.h"
 #include "flamingoloom/node/server_session.h"
 #include "flamingoloom/node/table_watch.h"
@@ -75,6 +77,20 @@
   // nullopt until the stored jobs are restored, and after Stop.
   std::optional<jobs::QueueLengths> QueueLengths() const;
 
+  // The row kLeaseBoundsKey that is to be stored with the next renewal; nullopt
+  // if the stored one still holds. aToStoreMs returns what the store's clock
+  // shows at a time at the latest. The row is to be sent once
+  // OnLeaseBoundsSent has returned.
+  using ToStoreMs = std::function<std::optional<std::int64_t>(base::Time)>;
+  std::optional<LeaseBounds> ChangedLeaseBounds(const ToStoreMs& aToStoreMs);
+  void OnLeaseBoundsSent(const LeaseBounds& aBounds);
+  void OnLeaseBoundsStored(const LeaseBounds& aBounds);
+  // The row to store when leadership is released; nullopt if the stored jobs
+  // were not restored before. Stop must have been called: no lease may be
+  // granted any more.
+  std::optional<LeaseBounds> FinalLeaseBounds(
+    const ToStoreMs& aToStoreMs) const;
+
   const scheduler::FleetSummary& Fleet() const { return mScheduler.Summary(); }
 
 private:
@@ -85,6 +101,8 @@
     eStopped,
   };
 
+  // Reads what the predecessor has left about leases, then loads the tables.
+  void LoadLeaseBounds();
   void Load(std::size_t aTableIndex, const std::string& aFrom);
   void FinishLoading();
   void OnJobRows(const std::vector<Row>& aRows);
@@ -128,7 +146,8 @@
   void CommitRemovals(std::vector<Transaction> aTransactions,
                       std::size_t aNext);
   std::int64_t StoreNowMs() const;
-  // Time by which every lease that an earlier epoch granted has expired.
+  // Time by which every lease that an earlier epoch granted has expired if
+  // nothing is known of its end.
   base::Time EarlierLeasesExpireBy() const;
 
   const Ports mPorts;
@@ -141,6 +160,13 @@
   base::Time mStartedAt;
   bool mFencingLogged = false;
   base::Duration mCommitBackoff;
+  scheduler::EarlierLeases mEarlierLeases;
+  // The stored jobs are restored, so all attempts are known.
+  bool mRestored = false;
+  // The row of lease bounds that is stored, and the servers of all rows that
+  // may be stored. These get no lease.
+  std::optional<LeaseBounds> mStoredLeaseBounds;
+  std::set<base::ServerId> mServersWithoutLease;
   scheduler::Scheduler mScheduler;
   std::map<base::ServerId, std::shared_ptr<ServerSession>> mSessions;
   // The decoded entries of the server list, by key, as of this version of the
--- a/flamingoloom/node/leader_recovery.cpp
+++ b/flamingoloom/node/leader_recovery.cpp
@@ -133,7 +133,7 @@
       const auto step = jobs::DecodeStep(row.mValue.value_or(""));
       if (step) {
         if (!mScheduler.RestoreStep(
-              jobs::JobOfKey(row.mKey), *step, EarlierLeasesExpireBy()) &&
+              jobs::JobOfKey(row.mKey), *step, mEarlierLeases) &&
             stored.count(jobs::JobOfKey(row.mKey)) == 0) {
           mOrphanedRows.push_back(
             { jobs::kStepTable, row.mKey, std::nullopt, std::nullopt });
@@ -154,6 +154,7 @@
     mLoadedStates.clear();
     mLoadedSteps.clear();
     mPhase = Phase::eScheduling;
+    mRestored = true;
     PollServerList();
     CollectGarbage();
   }
--- a/flamingoloom/node/leader_servers.cpp
+++ b/flamingoloom/node/leader_servers.cpp
@@ -146,8 +146,8 @@
   for (const auto& [key, info] : mListedServers) {
     servers.push_back(info);
   }
-  const auto added = mScheduler.UpdateServers(
-    mPorts.mLoop->Now(), servers, EarlierLeasesExpireBy());
+  const auto added =
+    mScheduler.UpdateServers(mPorts.mLoop->Now(), servers, mEarlierLeases);
   for (const auto& info : servers) {
     const auto session = mSessions.find(info.mId);
     if (session != mSessions.end()) {
@@ -235,8 +235,10 @@
     const auto* server = mScheduler.ServerFleet().Find(aServer);
     return server != nullptr && !server->mUnstoredCompletions.empty();
   };
-  events.mLeaseLimit = [this] {
-    return mLeadershipValidUntil() + mTiming.mLeaseBeyondLeadership;
+  events.mLeaseLimit = [this, aServer] {
+    return mServersWithoutLease.count(aServer) > 0
+             ? Time()
+             : mLeadershipValidUntil() + mTiming.mLeaseBeyondLeadership;
   };
   return events;
 }
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -15,7 +15,7 @@
 {
   // Duration of the leases that are granted. Tasks survive a change of leader,
   // which takes less than 4 s; tasks lost with a server are started again after
-  // this time.
+  // this time. A new leader relies on the length that its predecessor uses.
   base::Duration mLease = std::chrono::milliseconds(8000);
   // How long a server may hold a report back until a task completes. 2 s is the
   // longest wait that the platform accepts, and it charges for each report.
--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -72,7 +72,7 @@
 std::vector<base::ServerId> Fleet::Update(
   base::Time aNow,
   const std::vector<ServerInfo>& aListed,
-  base::Time aLeasesExpireBy)
+  const EarlierLeases& aLeases)
 {
   std::vector<base::ServerId> serversToPoll;
   for (auto& [id, server] : mServers) {
@@ -82,7 +82,7 @@
     const auto [entry, added] = mServers.try_emplace(info.mId);
     ServerState& server = entry->second;
     if (added) {
-      server.mLeasesExpireBy = aLeasesExpireBy;
+      server.mLeasesExpireBy = aLeases.ExpireBy(info.mId);
       serversToPoll.push_back(info.mId);
     } else if (server.mIncarnation != 0 &&
                info.mStartedMs > server.mIncarnation && server.mFenced) {
--- a/flamingoloom/scheduler/fleet.h
+++ b/flamingoloom/scheduler/fleet.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "flamingoloom/scheduler/earlier_leases.h"
 #include "flamingoloom/scheduler/server.h"
 
 namespace flamingoloom::scheduler {
@@ -59,12 +60,12 @@
 public:
   // Replaces the list of servers by aListed, the entries in the store at aNow.
   // A server that is no longer listed is kept while attempts may still run on
-  // it. aLeasesExpireBy is an upper bound of the expiry of leases on servers
-  // that were not known before. Returns the servers to poll for a
-  // report: those that are new or have restarted since the last call.
+  // it. aLeases bounds the leases of servers that were not known before.
+  // Returns the servers to poll for a report: those that are new or have
+  // restarted since the last call.
   std::vector<base::ServerId> Update(base::Time aNow,
                                      const std::vector<ServerInfo>& aListed,
-                                     base::Time aLeasesExpireBy);
+                                     const EarlierLeases& aLeases);
 
   ServerState* Find(const base::ServerId& aId);
   const ServerState* Find(const base::ServerId& aId) const;
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -86,7 +86,7 @@
 
 bool Scheduler::RestoreStep(const std::string& aJob,
                             const jobs::StepRecord& aStep,
-                            Time aLeasesExpireBy)
+                            const EarlierLeases& aLeases)
 {
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end() || aStep.mStep < 0 ||
@@ -109,7 +109,8 @@
     if (task.mPhase != TaskPhase::eUnresolved) {
       continue;
     }
-    ServerState& server = mFleet.FindOrAdd(task.mServer, aLeasesExpireBy);
+    ServerState& server =
+      mFleet.FindOrAdd(task.mServer, aLeases.ExpireBy(task.mServer));
     server.mAttempts.insert(
       { step.Name(static_cast<int>(i)), task.mAttemptNumber });
     server.mUsed += step.Spec().Footprint();
@@ -241,9 +242,9 @@
 std::vector<ServerId> Scheduler::UpdateServers(
   Time aNow,
   const std::vector<ServerInfo>& aListed,
-  Time aLeasesExpireBy)
+  const EarlierLeases& aLeases)
 {
-  return mFleet.Update(aNow, aListed, aLeasesExpireBy);
+  return mFleet.Update(aNow, aListed, aLeases);
 }
 
 void Scheduler::SetOutOfServiceDataCentres(
@@ -264,6 +265,29 @@
   return server == nullptr ? 0 : server->mAcknowledgedThrough;
 }
 
+EarlierLeases Scheduler::LeasesAtRelease(Time aNow,
+                                         std::size_t aMaxServers) const
+{
+  Time others = aNow;
+  std::vector<const ServerState*> notReached;
+  for (const auto& [id, server] : mFleet.Servers()) {
+    if (server.mAttempts.empty()) {
+      continue;
+    }
+    const bool reached = server.mFenced && server.mResponsive;
+    if (reached || notReached.size() >= aMaxServers) {
+      others = std::max(others, server.mLeasesExpireBy);
+    } else {
+      notReached.push_back(&server);
+    }
+  }
+  EarlierLeases leases(others);
+  for (const auto* server : notReached) {
+    leases.SetExpiry(server->mInfo.mId, server->mLeasesExpireBy);
+  }
+  return leases;
+}
+
 bool Scheduler::NeedsReports(const ServerId& aServer) const
 {
   const ServerState* server = mFleet.Find(aServer);
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -33,6 +33,7 @@
 #include <utility>
 #include <vector>
 
+#include "flamingoloom/scheduler/earlier_leases.h"
 #include "flamingoloom/scheduler/fleet.h"
 #include "flamingoloom/scheduler/job_progress.h"
 #include "flamingoloom/scheduler/placement.h"
@@ -48,6 +49,8 @@
   double mRemoteSlowdown = 3.0;
   // Maximum time that a server takes to stop a task.
   base::Duration mMaxStopTime = std::chrono::milliseconds(200);
+  // Leases that any leader grants have expired after this time.
+  base::Duration mMaxLease = std::chrono::milliseconds(8200);
 };
 
 // A row to write, or to remove if mValue is empty.
@@ -111,19 +114,19 @@
   bool RestoreState(const std::string& aJob, const jobs::StateRecord& aState);
   bool RestoreStep(const std::string& aJob,
                    const jobs::StepRecord& aStep,
-                   base::Time aLeasesExpireBy);
+                   const EarlierLeases& aLeases);
   // Ends the recovery: derives the remaining state from the restored rows.
   void Resume(base::Time aNow);
   // Cancels a job and stops its tasks. Returns false for an unknown job.
   bool Cancel(const std::string& aJob);
 
-  // Servers. Replaces the list of servers. aLeasesExpireBy is an upper bound of
-  // the expiry of leases that a previous leader may have granted on servers
-  // that were not known before. Returns the servers to poll for a report.
+  // Servers. Replaces the list of servers. aLeases bounds the leases that a
+  // previous leader may have granted on servers that were not known before.
+  // Returns the servers to poll for a report.
   std::vector<base::ServerId> UpdateServers(
     base::Time aNow,
     const std::vector<ServerInfo>& aListed,
-    base::Time aLeasesExpireBy);
+    const EarlierLeases& aLeases);
   void SetOutOfServiceDataCentres(std::set<base::DataCentreId> aDataCentres);
   // Sets the number of accelerators that is guaranteed to each account for its
   // jobs of priority 0.
@@ -154,6 +157,11 @@
   // the latest.
   void RecordLease(const base::ServerId& aServer, base::Time aExpiresBy);
 
+  // Returns until when leases may last on servers with attempts if none is
+  // granted from aNow on, with a bound of its own for each server that did not
+  // respond last; at most aMaxServers of them.
+  EarlierLeases LeasesAtRelease(base::Time aNow, std::size_t aMaxServers) const;
+
   // Runs a scheduling pass. aUnixMs is the time of day in Unix milliseconds.
   void Schedule(base::Time aNow, std::int64_t aUnixMs);
 
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -276,6 +276,11 @@
         { { "server", aServer.Value() },
           { "running", std::to_string(aReport.mRunning.size()) } });
   }
+  if (!server->mFenced) {
+    // It takes no lease of an earlier leader from now on.
+    server->mLeasesExpireBy =
+      std::min(server->mLeasesExpireBy, aNow + mSettings.mMaxLease);
+  }
   server->mResponsive = server->mFenced = true;
   const bool restarted =
     server->mIncarnation != 0 && server->mIncarnation != aReport.mStartedMs;
--- /dev/null
+++ b/testing/scheduler_load/leaving_servers_test.cpp
@@ -0,0 +1,25 @@
+#include <doctest/doctest.h>
+
+#include "testing/scheduler_load/scheduler_load.h"
+
+namespace flamingoloom::testing::scheduler_load {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("Changes of leader beside servers that leave let no job stand still")
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    LoadOptions options{ .mSeed = seed };
+    options.mDrainInterval = milliseconds(200);
+    options.mHandOverInterval = seconds(5);
+    SchedulerLoad load(options);
+    load.Run();
+    CHECK(load.Standstills().empty());
+  }
+}
+
+} // namespace
+} // namespace flamingoloom::testing::scheduler_load
--- a/testing/scheduler_load/scheduler_load.cpp
+++ b/testing/scheduler_load/scheduler_load.cpp
@@ -212,6 +212,9 @@
 {
   if (mNow >= mNextHandOver) {
     mNextHandOver = mNow + mOptions.mHandOverInterval;
+    if (mScheduler) {
+      mLeasesLeft = mScheduler->LeasesAtRelease(mNow, mJobs.size());
+    }
     mScheduler.reset();
     mRestoreAt = mNow + mOptions.mRecoveryTime;
   }
@@ -238,8 +241,9 @@
     mScheduler->RestoreState(key, *jobs::DecodeState(value));
   }
   for (const auto& [key, value] : mStepRows) {
-    mScheduler->RestoreStep(
-      jobs::JobOfKey(key), *jobs::DecodeStep(value), mNow + kEarlierLeases);
+    mScheduler->RestoreStep(jobs::JobOfKey(key),
+                            *jobs::DecodeStep(value),
+                            mLeasesLeft.value_or(mNow + kEarlierLeases));
   }
   mScheduler->Resume(mNow);
   for (const auto& id : mCancelSent) {
@@ -260,7 +264,8 @@
       infos.push_back(server.mInfo);
     }
   }
-  mScheduler->UpdateServers(mNow, infos, mNow + kEarlierLeases);
+  mScheduler->UpdateServers(
+    mNow, infos, mLeasesLeft.value_or(mNow + kEarlierLeases));
 }
 
 void SchedulerLoad::PassReports()
--- a/testing/scheduler_load/scheduler_load.h
+++ b/testing/scheduler_load/scheduler_load.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -105,6 +106,8 @@
   // Null from the end of a leader until its successor has restored the rows.
   std::unique_ptr<scheduler::Scheduler> mScheduler;
   base::Time mRestoreAt;
+  // What the last leader has left to its successor.
+  std::optional<scheduler::EarlierLeases> mLeasesLeft;
   base::Time mNextHandOver;
   base::Time mNextDrain;
   base::Time mNextFailing;
