Steps leave the rack of their data while others are idle

Cause: between its objective less the time elsewhere and its objective less the time near its data, a step that wants the rack of its data, or a gang that wants one rack, neither ran there nor went elsewhere, however much was idle elsewhere.

Change: after the local wait a step also goes elsewhere if two fifths of the service's capacity are idle, of what the step needs, there is room for twice its tasks, and no local room is expected within 2 s of waiting beside such room. After these 2 s it goes elsewhere whatever is expected. While the fleet is busier it waits as before. The expected completions of a server are computed when a search first needs them, not for all servers at once.

--- a/flamingoloom/scheduler/job_progress.cpp
+++ b/flamingoloom/scheduler/job_progress.cpp
@@ -28,6 +28,11 @@
   return mJob->mSpec.mSteps[static_cast<std::size_t>(mStep)];
 }
 
+bool StepState::WantsOneRack() const
+{
+  return !Spec().mDataRack.empty() || (Spec().mGang && Spec().mSameRack);
+}
+
 jobs::TaskName StepState::Name(int aIndex) const
 {
   return { mJob->mSpec.mId, mOccurrence, mStep, aIndex };
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -101,11 +101,17 @@
   // Whether the tasks could fit near their data, as of mLocalFitCheckedAt.
   bool mCouldFitLocally = true;
   base::Time mLocalFitCheckedAt;
+  // Since when the tasks have waited for capacity near their data while other
+  // racks had plenty; nothing if they do not.
+  std::optional<base::Time> mIdleElsewhereSince;
   // Whether the step has a row in the store, or is about to.
   bool mHasRow = false;
   bool mDirty = false;
 
   const jobs::StepSpec& Spec() const;
+  // Returns whether the tasks take longer outside the rack of their data or, in
+  // a same-rack gang, on several racks.
+  bool WantsOneRack() const;
   jobs::TaskName Name(int aIndex) const;
   jobs::StepRecord Record() const;
 };
--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -33,7 +33,8 @@
       !server.mInfo.mDraining && server.mQuarantinedUntil <= aNow &&
       aOutOfServiceDataCentres.count(server.mInfo.mDataCentre) == 0;
     if (usable) {
-      mCandidates.push_back({ &server, server.FreeCapacity(), {}, {} });
+      mCandidates.push_back(
+        { &server, server.FreeCapacity(), {}, std::nullopt });
     }
   }
   for (Candidate& candidate : mCandidates) {
@@ -211,7 +212,7 @@
   const auto need = aStep.Spec().Footprint();
   Assignment assignment;
   const auto take = [&](int aIndex, Room& aRoom) {
-    aRoom.mCandidate->mFree -= need;
+    Take(*aRoom.mCandidate, need);
     --aRoom.mTasks;
     assignment.emplace_back(aIndex, aRoom.mCandidate->mServer->mInfo.mId);
   };
@@ -347,16 +348,9 @@
   const StepState& aStep,
   const std::vector<int>& aIndices,
   bool aAllowRemote,
-  const std::function<std::vector<ExpectedCompletion>(const ServerState&)>&
-    aExpectedCompletions,
+  const ExpectedCompletionsOf& aExpectedCompletions,
   base::Duration& aWait)
 {
-  if (!mExpectedCompletionsKnown) {
-    mExpectedCompletionsKnown = true;
-    for (Candidate& candidate : mCandidates) {
-      candidate.mExpectedCompletions = aExpectedCompletions(*candidate.mServer);
-    }
-  }
   // What does not fit on future capacity says nothing about the present one, so
   // mUnplaceable is set aside during the search.
   const auto unplaceable = std::exchange(mUnplaceable, {});
@@ -364,7 +358,8 @@
   base::Duration previousHorizon = base::Duration::min();
   for (const auto horizon : kReservationHorizons) {
     for (Candidate& candidate : mCandidates) {
-      for (const auto& completion : candidate.mExpectedCompletions) {
+      for (const auto& completion :
+           CompletionsOn(candidate, aExpectedCompletions)) {
         if (completion.mAfter > previousHorizon &&
             completion.mAfter <= horizon) {
           candidate.mFree += completion.mFreed;
@@ -379,7 +374,7 @@
     }
   }
   for (Candidate& candidate : mCandidates) {
-    for (const auto& completion : candidate.mExpectedCompletions) {
+    for (const auto& completion : *candidate.mExpectedCompletions) {
       if (completion.mAfter <= previousHorizon) {
         candidate.mFree -= completion.mFreed;
       }
@@ -389,32 +384,11 @@
   return assignment;
 }
 
-bool Placement::CouldFitLocally(const StepState& aStep,
-                                const std::vector<int>& aIndices)
-{
-  const auto& spec = aStep.Spec();
-  if (spec.mDataRack.empty() && !(spec.mGang && spec.mSameRack)) {
-    return true;
-  }
-  const auto fitsIn = [&](const std::vector<Candidate*>& aCandidates) {
-    return HasRoomFor(RoomsFor(aStep, aCandidates, true, true),
-                      aIndices.size());
-  };
-  const auto& racks = CandidatesByRack();
-  if (!spec.mDataRack.empty()) {
-    const auto rack = racks.find(spec.mDataRack);
-    return rack != racks.end() && fitsIn(rack->second);
-  }
-  return std::any_of(racks.begin(), racks.end(), [&](const auto& aRack) {
-    return fitsIn(aRack.second);
-  });
-}
-
 void Placement::Deduct(const base::ServerId& aServer,
                        const jobs::Resources& aNeed)
 {
   if (Candidate* candidate = Find(aServer)) {
-    candidate->mFree -= aNeed;
+    Take(*candidate, aNeed);
   }
 }
 
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -39,6 +39,10 @@
   jobs::Resources mFreed;
 };
 
+// Returns the capacity that running attempts on a server will free, and when.
+using ExpectedCompletionsOf =
+  std::function<std::vector<ExpectedCompletion>(const ServerState&)>;
+
 class Placement
 {
 public:
@@ -71,16 +75,13 @@
     std::vector<Victim>& aChosen);
 
   // Like PlaceAll, but on the capacity that is expected to be free within a
-  // limited time. aExpectedCompletions returns the capacity that running
-  // attempts on a server will free, and when. On success the capacity is
-  // deducted at once, and aWait is set to the time after which all of it should
-  // be free.
+  // limited time. On success the capacity is deducted at once, and aWait is set
+  // to the time after which all of it should be free.
   std::optional<Assignment> PlaceOnExpectedCapacity(
     const StepState& aStep,
     const std::vector<int>& aIndices,
     bool aAllowRemote,
-    const std::function<std::vector<ExpectedCompletion>(const ServerState&)>&
-      aExpectedCompletions,
+    const ExpectedCompletionsOf& aExpectedCompletions,
     base::Duration& aWait);
 
   // Returns whether the tasks aIndices would fit near the data, or within one
@@ -88,6 +89,17 @@
   // point in waiting for local capacity.
   bool CouldFitLocally(const StepState& aStep,
                        const std::vector<int>& aIndices);
+  // Returns whether tasks of the step that run elsewhere take nothing from
+  // others: of what such tasks need, much of the service's capacity is free,
+  // and there is room for twice the tasks.
+  bool HasIdleCapacity(const StepState& aStep, std::size_t aTasks);
+  // Returns whether the tasks aIndices should fit near the data, or within one
+  // rack for a same-rack gang, after aWithin.
+  bool IsLocalCapacityExpected(
+    const StepState& aStep,
+    const std::vector<int>& aIndices,
+    base::Duration aWithin,
+    const ExpectedCompletionsOf& aExpectedCompletions);
 
   // Deducts aNeed from the server's free capacity in this pass, which may
   // become negative.
@@ -106,7 +118,7 @@
     jobs::Resources mFree;
     std::vector<Victim> mVictims;
     // Filled when the pass first needs them.
-    std::vector<ExpectedCompletion> mExpectedCompletions;
+    std::optional<std::vector<ExpectedCompletion>> mExpectedCompletions;
   };
 
   // An assignment that requires preemption, and the tasks to preempt.
@@ -172,8 +184,19 @@
   Candidate* Find(const base::ServerId& aServer);
 
   using Racks = std::map<std::string, std::vector<Candidate*>>;
+  // Deducts aNeed from the candidate's free capacity and from its service's.
+  void Take(Candidate& aCandidate, const jobs::Resources& aNeed);
   // Computed once, since most passes do not need it.
   const Racks& CandidatesByRack();
+  // Returns whether aFits holds for the candidates of the rack of the step's
+  // data; without such a rack, for those of any rack.
+  bool AnyLocalRack(
+    const StepState& aStep,
+    const std::function<bool(const std::vector<Candidate*>&)>& aFits);
+  // Returns the completions on the candidate's server, computed once.
+  static const std::vector<ExpectedCompletion>& CompletionsOn(
+    Candidate& aCandidate,
+    const ExpectedCompletionsOf& aExpectedCompletions);
 
   // Returns whether aTasks more tasks of the step may fit on the fleet, on any
   // rack, by what did not fit earlier in this pass.
@@ -195,7 +218,14 @@
     mUnplaceable;
   // Empty until CandidatesByRack is called.
   Racks mRacks;
-  bool mExpectedCompletionsKnown = false;
+  // Capacity of a service's candidates.
+  struct Totals
+  {
+    jobs::Resources mCapacity;
+    jobs::Resources mFree;
+  };
+  // By service, from the first call of HasIdleCapacity for it in this pass.
+  std::map<std::string, Totals> mTotals;
 };
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/placement_preemption.cpp
+++ b/flamingoloom/scheduler/placement_preemption.cpp
@@ -148,7 +148,7 @@
     return std::nullopt;
   }
   for (const auto& [index, server] : best->mAssignment) {
-    Find(server)->mFree -= aStep.Spec().Footprint();
+    Take(*Find(server), aStep.Spec().Footprint());
   }
   aChosen = std::move(best->mVictims);
   return std::move(best->mAssignment);
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -304,8 +304,12 @@
   void ExecutePlan(base::Time aNow, StepState& aStep, Placement& aPlacement);
   // Returns whether the step may use racks other than that of its data: it has
   // waited for local capacity and can still meet its objective remotely, or
-  // cannot meet it at all.
-  bool MayPlaceRemotely(base::Time aNow, const StepState& aStep) const;
+  // cannot meet it at all, or others have plenty of idle capacity and none is
+  // expected locally in time. Call this in each pass in which tasks wait.
+  bool MayPlaceRemotely(base::Time aNow,
+                        StepState& aStep,
+                        const std::vector<int>& aIndices,
+                        Placement& aPlacement);
   // Returns the tasks on a server that aPreemptor may preempt, with their
   // costs. These are tasks of less urgent jobs and, if aIncludeOverGuarantee is
   // true, of accounts that exceed their guarantee.
--- a/flamingoloom/scheduler/scheduler_placement.cpp
+++ b/flamingoloom/scheduler/scheduler_placement.cpp
@@ -39,6 +39,10 @@
 // A task takes a multiple of its run time away from its data. In most cases it
 // is faster to wait up to this long for capacity in the right rack.
 constexpr base::Duration kMaxLocalWait = std::chrono::milliseconds(1500);
+// Work must not stand beside plenty of idle capacity for 3 s. Storing and
+// starting it takes the rest.
+constexpr base::Duration kMaxWaitBesideIdleCapacity =
+  std::chrono::milliseconds(2000);
 
 std::vector<int> WaitingIndices(const StepState& aStep)
 {
@@ -147,16 +151,37 @@
   return guarantee == mGuarantees.end() ? -1 : guarantee->second;
 }
 
-bool Scheduler::MayPlaceRemotely(Time aNow, const StepState& aStep) const
+bool Scheduler::MayPlaceRemotely(Time aNow,
+                                 StepState& aStep,
+                                 const std::vector<int>& aIndices,
+                                 Placement& aPlacement)
 {
+  if (!aStep.WantsOneRack() ||
+      !aPlacement.HasIdleCapacity(aStep, aIndices.size())) {
+    aStep.mIdleElsewhereSince.reset();
+  } else if (!aStep.mIdleElsewhereSince) {
+    aStep.mIdleElsewhereSince = aNow;
+  }
+  if (aNow - aStep.mReadyAt < kMaxLocalWait) {
+    return false;
+  }
   const Job& job = *aStep.mJob;
   const auto remote = std::chrono::duration_cast<base::Duration>(
     aStep.Spec().mEstimate * mSettings.mRemoteSlowdown);
-  if (aNow - aStep.mReadyAt < kMaxLocalWait) {
+  if (aNow + remote <= job.mObjective ||
+      aNow + aStep.Spec().mEstimate > job.mObjective) {
+    return true;
+  }
+  if (!aStep.mIdleElsewhereSince) {
     return false;
   }
-  return aNow + remote <= job.mObjective ||
-         aNow + aStep.Spec().mEstimate > job.mObjective;
+  const auto waitLeft =
+    *aStep.mIdleElsewhereSince + kMaxWaitBesideIdleCapacity - aNow;
+  return waitLeft.count() <= 0 ||
+         !aPlacement.IsLocalCapacityExpected(
+           aStep, aIndices, waitLeft, [&](const ServerState& aServer) {
+             return ExpectedCompletions(aServer, aNow);
+           });
 }
 
 void Scheduler::ReservePlannedCapacity(Time aNow,
@@ -216,8 +241,8 @@
   }
   const bool reclaimAnywhere =
     aWaitingStep.mGuaranteed && aNow - step.mReadyAt >= kReclaimAnywhereDelay;
-  const bool remote =
-    reclaimAnywhere || MayPlaceRemotely(aNow, step) || !step.mCouldFitLocally;
+  const bool remote = MayPlaceRemotely(aNow, step, indices, aPlacement) ||
+                      reclaimAnywhere || !step.mCouldFitLocally;
   Assignment assignment;
   if (step.Spec().mGang) {
     assignment =
@@ -232,6 +257,7 @@
   indices = WaitingIndices(step);
   if (indices.empty()) {
     step.mPlan.clear();
+    step.mIdleElsewhereSince.reset();
     return;
   }
   // Capacity often becomes free without preemption, so wait half of the time
