A caller whose cancellation may be stored is told so

Cause: JobApi answered a cancellation whose first call had an unknown outcome and whose next one was rejected with "retry later", which means that nothing was done.

Change: MarkCancelled remembers unknown outcomes, as StoreJob does, and answers eUnknown.

Measured: the new case of lost_answer_test failed for all 5 kinds of loss before the change; it passes after it.

--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -394,12 +394,13 @@
       }
       const bool known = aState.has_value();
       // Unknown jobs are marked too: their submission may still be in flight.
-      MarkCancelled(job, until, 1, [known, aThen](CallerResponse aResponse) {
-        if (aResponse.mCallerStatus == CallerStatus::eCancelled && !known) {
-          aResponse.mCallerStatus = CallerStatus::eNoSuchJob;
-        }
-        aThen(aResponse);
-      });
+      MarkCancelled(
+        job, until, 1, false, [known, aThen](CallerResponse aResponse) {
+          if (aResponse.mCallerStatus == CallerStatus::eCancelled && !known) {
+            aResponse.mCallerStatus = CallerStatus::eNoSuchJob;
+          }
+          aThen(aResponse);
+        });
     },
     aThen);
 }
@@ -407,6 +408,7 @@
 void JobApi::MarkCancelled(const std::string& aJob,
                            Time aUntil,
                            int aCallAttempt,
+                           bool aUnknown,
                            Callback aThen)
 {
   const Transaction transaction{
@@ -417,22 +419,26 @@
   mPorts.mStore->Commit(
     transaction,
     CallTimeout(aUntil),
-    [this, aJob, aUntil, aCallAttempt, then = std::move(aThen)](
+    [this, aJob, aUntil, aCallAttempt, aUnknown, then = std::move(aThen)](
       base::Expected<CommitResult> aResult) {
       if (aResult && aResult->mApplied) {
         mPorts.mLog->Write("cancel_stored", { { "job", aJob } });
         then(MakeResponse(CallerStatus::eCancelled));
         return;
       }
+      const bool unknown =
+        aUnknown ||
+        (!aResult && aResult.error().mCode == ErrorCode::eOutcomeUnknown);
       // Writing the cancellation marker again has no further effect.
       if (MayRetry(aUntil, aCallAttempt, false)) {
-        mPorts.mLoop->After(
-          mTiming.mRetryDelay, [this, aJob, aUntil, aCallAttempt, then] {
-            MarkCancelled(aJob, aUntil, aCallAttempt + 1, then);
-          });
+        mPorts.mLoop->After(mTiming.mRetryDelay,
+                            [this, aJob, aUntil, aCallAttempt, unknown, then] {
+                              MarkCancelled(
+                                aJob, aUntil, aCallAttempt + 1, unknown, then);
+                            });
         return;
       }
-      then(RetryLater());
+      then(unknown ? MakeResponse(CallerStatus::eUnknown) : RetryLater());
     });
 }
 
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -26,10 +26,11 @@
   eNoSuchJob,
   eUnknownKey,
   eMalformed,
-  // The job was certainly not accepted; the caller may retry later.
+  // The job was certainly not accepted, or not cancelled; the caller may retry
+  // later.
   eRetryLater,
-  // The job may have been accepted; a retry with the same id shows whether it
-  // was.
+  // The job may have been accepted, or cancelled; a retry with the same id
+  // shows whether it was.
   eUnknown,
 };
 
@@ -147,6 +148,7 @@
   void MarkCancelled(const std::string& aJob,
                      base::Time aUntil,
                      int aCallAttempt,
+                     bool aUnknown,
                      Callback aThen);
   // Passes the state of a job to aFound, or nullopt if there is no such job. If
   // it cannot be read, responds through aThen instead.
--- a/testing/platform_world/lost_answer_test.cpp
+++ b/testing/platform_world/lost_answer_test.cpp
@@ -183,5 +183,34 @@
   }
 }
 
+TEST_CASE(
+  "A caller whose cancellation may be stored is not told that it was not")
+{
+  for (const auto& loss : LostAnswers()) {
+    INFO(ToText(loss));
+    SmallCluster cluster({});
+    cluster.RunFor(seconds(2));
+    cluster.Submit(0, 0, { 1, seconds(5) });
+    cluster.RunFor(milliseconds(500));
+    REQUIRE(cluster.Answer(0) == CallerStatus::eAccepted);
+    bool lost = false;
+    cluster.StoreOf(1).SetDisturbance(
+      [&](const auto& aTransaction) -> std::optional<Disturbance> {
+        if (lost || !WritesJob(aTransaction)) {
+          return std::nullopt;
+        }
+        lost = true;
+        cluster.Clock().After(milliseconds(5), [&] {
+          cluster.Connection(1).SetFault(StoreFault::eRejectsCalls);
+        });
+        return loss;
+      });
+    cluster.Cancel(1, 0);
+    cluster.RunFor(seconds(8));
+    REQUIRE(lost);
+    CHECK(cluster.Answer(0) == CallerStatus::eUnknown);
+  }
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
