A job is not stored after the caller's time has ended

Cause: StoreJob checked the time that is left, then waited 40 ms and called the store again. If the process stood still meanwhile, the job was stored seconds after the caller had gone, by a key that may be withdrawn.

Change: the time is checked again before the retry.

--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -175,20 +175,9 @@
      then = std::move(aThen)](base::Expected<CommitResult> aResult) {
       mStoreBreaker.RecordCall(
         mPorts.mLoop->Now(), sentAt, aResult.has_value());
-      const auto respond = [&](CallerStatus aStatus, const char* aOutcome) {
-        mPorts.mLog->Write(
-          "job_submitted",
-          { { "job", job.mId },
-            { "account", job.mAccount.Value() },
-            { "queue", job.mRules.mQueue },
-            { "outcome", aOutcome },
-            { "tries", std::to_string(aCallAttempt) },
-            { "config", std::to_string(mConfiguration->mVersion) } });
-        then(aStatus == CallerStatus::eRetryLater ? RetryLater()
-                                                  : MakeResponse(aStatus));
-      };
       if (aResult && aResult->mApplied) {
-        respond(CallerStatus::eAccepted, "accepted");
+        RespondToSubmit(
+          job, aCallAttempt, CallerStatus::eAccepted, "accepted", then);
         return;
       }
       if (aResult) {
@@ -200,25 +189,62 @@
         }
         // Stored by an earlier call of the caller or of this instance, or
         // cancelled before it arrived.
-        respond(stored ? CallerStatus::eAccepted : CallerStatus::eRetryLater,
-                stored ? "already_stored" : "cancelled_before");
+        RespondToSubmit(job,
+                        aCallAttempt,
+                        stored ? CallerStatus::eAccepted
+                               : CallerStatus::eRetryLater,
+                        stored ? "already_stored" : "cancelled_before",
+                        then);
         return;
       }
       const bool unknown =
         aUnknown || aResult.error().mCode == ErrorCode::eOutcomeUnknown;
-      if (MayRetry(aUntil, aCallAttempt, unknown)) {
-        mPorts.mLoop->After(mTiming.mRetryDelay,
-                            [this, job, aUntil, aCallAttempt, unknown, then] {
-                              StoreJob(
-                                job, aUntil, aCallAttempt + 1, unknown, then);
-                            });
+      if (!MayRetry(aUntil, aCallAttempt, unknown)) {
+        GiveUpSubmit(job, aCallAttempt, unknown, then);
         return;
       }
-      respond(unknown ? CallerStatus::eUnknown : CallerStatus::eRetryLater,
-              unknown ? "unknown" : "store_refused");
+      mPorts.mLoop->After(
+        mTiming.mRetryDelay, [this, job, aUntil, aCallAttempt, unknown, then] {
+          // The process may have stood still meanwhile.
+          if (MayRetry(aUntil, aCallAttempt, unknown)) {
+            StoreJob(job, aUntil, aCallAttempt + 1, unknown, then);
+          } else {
+            GiveUpSubmit(job, aCallAttempt, unknown, then);
+          }
+        });
     });
 }
 
+void JobApi::GiveUpSubmit(const jobs::JobSpec& aJob,
+                          int aCallAttempt,
+                          bool aUnknown,
+                          const Callback& aThen)
+{
+  RespondToSubmit(aJob,
+                  aCallAttempt,
+                  aUnknown ? CallerStatus::eUnknown : CallerStatus::eRetryLater,
+                  aUnknown ? "unknown" : "store_refused",
+                  aThen);
+}
+
+void JobApi::RespondToSubmit(const jobs::JobSpec& aJob,
+                             int aCallAttempt,
+                             CallerStatus aStatus,
+                             const char* aOutcome,
+                             const Callback& aThen)
+{
+  mPorts.mLog->Write(
+    "job_submitted",
+    { { "job", aJob.mId },
+      { "account", aJob.mAccount.Value() },
+      { "queue", aJob.mRules.mQueue },
+      { "outcome", aOutcome },
+      { "tries", std::to_string(aCallAttempt) },
+      { "config", std::to_string(mConfiguration->mVersion) } });
+  aThen(aStatus == CallerStatus::eRetryLater ? RetryLater()
+                                             : MakeResponse(aStatus));
+}
+
 void JobApi::ReadRow(
   const char* aTable,
   const std::string& aPartition,
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -145,6 +145,18 @@
                 int aCallAttempt,
                 bool aUnknown,
                 Callback aThen);
+  // Responds that the job was not stored, or may have been if aUnknown is set.
+  void GiveUpSubmit(const jobs::JobSpec& aJob,
+                    int aCallAttempt,
+                    bool aUnknown,
+                    const Callback& aThen);
+  // Responds and logs aOutcome.
+  void RespondToSubmit(const jobs::JobSpec& aJob,
+                       int aCallAttempt,
+                       CallerStatus aStatus,
+                       const char* aOutcome,
+                       const Callback& aThen);
+  // aUnknown is whether an earlier call may have stored the marker.
   void MarkCancelled(const std::string& aJob,
                      base::Time aUntil,
                      int aCallAttempt,
--- a/testing/platform_world/paused_instance_test.cpp
+++ b/testing/platform_world/paused_instance_test.cpp
@@ -22,6 +22,7 @@
 // Later than the server has taken the start.
 constexpr auto kStartTakes = milliseconds(40);
 constexpr auto kSweepStep = milliseconds(4);
+constexpr auto kNetworkDelay = milliseconds(2);
 
 struct Moment
 {
@@ -128,5 +129,33 @@
 // The platform allows an age of 2 s. The length that waited for the loop may be
 // older, though the configuration may still be used.
 // Between the first call to the store, which rejects it, and the next one.
+TEST_CASE("A job is not stored after the caller's time when the instance stood "
+          "still")
+{
+  for (const auto order : kWakeOrders) {
+    for (milliseconds at(0); at < milliseconds(60); at += kSweepStep) {
+      INFO("paused after " << at.count() << " ms, order "
+                           << static_cast<int>(order));
+      SmallCluster cluster({});
+      cluster.Configure(2, { "key", "withdrawn" });
+      cluster.RunFor(seconds(3));
+      const auto paused = 1 - cluster.Leader();
+      cluster.Connection(paused).SetFault(StoreFault::eRejectsCalls);
+      cluster.Submit(paused, 0, { 1, milliseconds(300), "withdrawn" });
+      cluster.RunFor(at);
+      cluster.Connection(paused).SetFault(StoreFault::eNone);
+      const bool stored = cluster.HasJobRow(0);
+      cluster.Loop(paused).Pause();
+      cluster.RunFor(kNetworkDelay * 2);
+      const bool inTime = stored || cluster.HasJobRow(0);
+      cluster.Configure(3, { "key" });
+      cluster.RunFor(seconds(9));
+      cluster.Loop(paused).Resume(order);
+      cluster.RunFor(seconds(3));
+      CHECK(cluster.HasJobRow(0) == inTime);
+    }
+  }
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
