A queue's length that waited for the process counts from when it was sent

Cause: the length of a queue counted as new when its response was handled. After a pause of 2.0 to 2.4 s, within the validity of the configuration, an instance told a length older than the 2 s that the platform allows.

Change: the length counts from the last contact of the watch, which does not include the time that the response waited.

--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -102,7 +102,8 @@
     }
     auto lengths = jobs::DecodeQueueLengths(row.mValue.value_or(""));
     if (lengths) {
-      mApi.SetQueueLengths(mPorts.mLoop->Now(), std::move(*lengths));
+      // The rows may have waited for this process.
+      mApi.SetQueueLengths(mLeaderWatch->LastContact(), std::move(*lengths));
     } else {
       mPorts.mLog->Write(
         "row_unreadable",
--- a/testing/platform_world/paused_instance_test.cpp
+++ b/testing/platform_world/paused_instance_test.cpp
@@ -128,6 +128,40 @@
 
 // The platform allows an age of 2 s. The length that waited for the loop may be
 // older, though the configuration may still be used.
+TEST_CASE("An instance that stood still does not tell an old queue length")
+{
+  for (const auto order : kWakeOrders) {
+    for (milliseconds at(0); at < milliseconds(500); at += milliseconds(20)) {
+      for (const auto pause :
+           { milliseconds(2020), milliseconds(2200), milliseconds(9000) }) {
+        INFO("paused after " << at.count() << " ms for " << pause.count()
+                             << " ms, order " << static_cast<int>(order));
+        // No server, so that jobs stay in the queue.
+        SmallCluster cluster({ 2, 0 });
+        cluster.RunFor(seconds(3) + at);
+        const auto paused = 1 - cluster.Leader();
+        cluster.Loop(paused).Pause();
+        // After a renewal, whose length waits for the loop.
+        cluster.RunFor(milliseconds(250));
+        for (int job = 0; job < 4; ++job) {
+          cluster.Submit(1 - paused, job);
+        }
+        cluster.RunFor(pause);
+        cluster.Loop(paused).Resume(order);
+        for (int i = 0; i < 20; ++i) {
+          const auto response = cluster.QueryLength(paused);
+          if (response.mCallerStatus == CallerStatus::eFound) {
+            CHECK(response.mPendingJobs == 4);
+          }
+          cluster.RunFor(milliseconds(i < 10 ? 0 : 1));
+        }
+        cluster.RunFor(seconds(3));
+        CHECK(cluster.QueryLength(paused).mPendingJobs == 4);
+      }
+    }
+  }
+}
+
 // Between the first call to the store, which rejects it, and the next one.
 TEST_CASE("A job is not stored after the caller's time when the instance stood "
           "still")
