A leader that stood still asks its servers before it gives their work up

Cause: after a pause of 14 s all timers of reports ended at once. The servers counted as unresponsive, their leases as expired, and the work was started again before the next report showed that it had been done.

Change: a timer of a report that ends more than 500 ms late shows that the process stood still. The server is asked again at once, without a lease, before it counts as unresponsive.

--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -97,9 +97,10 @@
   const Time sentAt = mPorts.mLoop->Now();
   const auto number = ++mLastRequest;
   const auto timeout = request.mWait + mTiming.mResponseTimeout;
-  mPorts.mLoop->After(timeout, [self = shared_from_this(), number] {
-    self->OnReportOverdue(number);
-  });
+  mPorts.mLoop->After(
+    timeout, [self = shared_from_this(), number, dueAt = sentAt + timeout] {
+      self->OnReportOverdue(number, dueAt);
+    });
   mPorts.mServers->Report(
     mServer,
     request,
@@ -140,12 +141,18 @@
   });
 }
 
-void ServerSession::OnReportOverdue(std::uint64_t aRequest)
+void ServerSession::OnReportOverdue(std::uint64_t aRequest, Time aDueAt)
 {
   if (mClosed || !mRequestInFlight || aRequest != mLastRequest) {
     return;
   }
   mRequestInFlight = false;
+  if (mPorts.mLoop->Now() > aDueAt + mTiming.mMaxTimerDelay) {
+    // This process stood still, so the response may have arrived and its call
+    // may have ended unread.
+    SendReportRequest(Duration(0), false);
+    return;
+  }
   RecordFailure();
 }
 
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -30,6 +30,8 @@
   // How much longer the response may still arrive. It shows completions whose
   // tasks would be started again when their leases have expired.
   base::Duration mLateResponseTime = std::chrono::milliseconds(5000);
+  // A timer that ends later than this shows that the process stood still.
+  base::Duration mMaxTimerDelay = std::chrono::milliseconds(500);
   base::Duration mCommandTimeout = std::chrono::milliseconds(600);
   // Delay after a failed call.
   base::Duration mRetryDelay = std::chrono::milliseconds(300);
@@ -90,7 +92,8 @@
 private:
   void RequestReportAfter(base::Duration aDelay);
   void SendReportRequest(base::Duration aWait, bool aGrantLease);
-  void OnReportOverdue(std::uint64_t aRequest);
+  // aDueAt is when the timer for the response had to end.
+  void OnReportOverdue(std::uint64_t aRequest, base::Time aDueAt);
   void OnReportResponse(std::uint64_t aRequest,
                         base::Time aSentAt,
                         std::int64_t aAckSent,
--- a/testing/platform_world/paused_instance_test.cpp
+++ b/testing/platform_world/paused_instance_test.cpp
@@ -88,6 +88,22 @@
 }
 
 // The work was done before its leases expired on the server.
+TEST_CASE(
+  "The only instance that stood still does not count work as lost that is done")
+{
+  for (const auto& moment : Moments()) {
+    INFO(moment.Text());
+    SmallCluster cluster({ 1, 2 });
+    cluster.RunFor(seconds(2));
+    cluster.Submit(0, 0, { 2, milliseconds(800) });
+    Pause(cluster, 0, moment);
+    cluster.RunFor(seconds(5));
+    CHECK(cluster.AllDone());
+    CHECK(cluster.Invariants().Violations() == std::vector<std::string>());
+    CHECK(cluster.Invariants().Starts() == 2);
+  }
+}
+
 TEST_CASE("An instance that stood still does not answer callers by an old "
           "configuration")
 {
