An instance that steps down while it claims releases the lease

Cause: a claim that was applied after StepDown gave the lease to an instance that no longer schedules. It was not released, so nobody scheduled until it ran out.

Change: the lease is released when the claim's answer arrives.

Measured: the new case of handover_test failed before the change (no other leader within 400 ms; the lease is 1.5 s); it passes after it. A claim without an answer is not released: its lease runs out.

--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -157,7 +157,13 @@
       if (aResult && aResult->mApplied) {
         mElection.OnClaimed(sentAt, *aResult);
       }
-      if (mSteppingDown || !mElection.IsLeading()) {
+      if (mSteppingDown) {
+        if (mElection.IsLeading()) {
+          ReleaseLease(mElection.Release());
+        }
+        return;
+      }
+      if (!mElection.IsLeading()) {
         // Another claim was applied first, or the outcome is unknown and the
         // watch will show it. If the watch reports no change, the claim is
         // retried.
@@ -281,9 +287,14 @@
   }
   mLeader.reset();
   mReplica->StopPublishing();
+  ReleaseLease(release);
+}
+
+void Instance::ReleaseLease(const Transaction& aRelease)
+{
   mElection.OnLost();
   mPorts.mStore->Commit(
-    release,
+    aRelease,
     kClaimTimeout,
     [log = mPorts.mLog](const base::Expected<CommitResult>& aResult) {
       if (!aResult) {
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -109,6 +109,8 @@
   void TryClaim();
   void Renew();
   void EndLeadership();
+  // Gives leadership up in the store by aRelease. There must be no leader here.
+  void ReleaseLease(const Transaction& aRelease);
   void CheckReadiness();
   // Passes what is known of the store's availability to the API.
   void UpdateApi();
--- a/testing/platform_world/handover_test.cpp
+++ b/testing/platform_world/handover_test.cpp
@@ -182,5 +182,33 @@
   }
 }
 
+// The lease would have to run out first, with nobody to schedule meanwhile.
+TEST_CASE("An instance that steps down while it claims releases the lease")
+{
+  for (const auto delay : { milliseconds(0), milliseconds(20) }) {
+    INFO("claim late by " << delay.count() << " ms");
+    SmallCluster cluster({ 3, 2 });
+    cluster.RunFor(seconds(2));
+    const auto leader = cluster.Leader();
+    const auto claimant = leader == 0 ? std::size_t{ 1 } : std::size_t{ 0 };
+    bool claims = false;
+    cluster.StoreOf(claimant).SetDisturbance(
+      [&](const auto& aTransaction) -> std::optional<Disturbance> {
+        if (claims || !IsClaim(aTransaction)) {
+          return std::nullopt;
+        }
+        claims = true;
+        cluster.Clock().After(kNetworkDelay, [&cluster, claimant] {
+          cluster.Instance(claimant).StepDown();
+        });
+        return Disturbance{ delay, true };
+      });
+    cluster.Instance(leader).StepDown();
+    cluster.RunFor(milliseconds(400));
+    REQUIRE(claims);
+    CHECK(cluster.Leader() == 3 - leader - claimant);
+  }
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
