--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -106,7 +106,8 @@
     }
     auto lengths = jobs::DecodeQueueLengths(row.mValue.value_or(""));
     if (lengths) {
-      mApi.SetQueueLengths(mPorts.mLoop->Now(), std::move(*lengths));
+      // The rows may have waited for this process.
+      mApi.SetQueueLengths(mLeaderWatch->LastContact(), std::move(*lengths));
     } else {
       mPorts.mLog->Write(
         "row_unreadable",
@@ -160,13 +161,14 @@
       if (aResult && aResult->mApplied) {
         mElection.OnClaimed(sentAt, *aResult);
       }
-      if (mSteppingDown && mElection.IsLeading()) {
-        // This instance was told to step down meanwhile, and has granted no
-        // lease.
-        Release(InheritedLeaseBounds());
+      if (mSteppingDown) {
+        if (mElection.IsLeading()) {
+          // No lease was granted.
+          Release(InheritedLeaseBounds());
+        }
         return;
       }
-      if (mSteppingDown || !mElection.IsLeading()) {
+      if (!mElection.IsLeading()) {
         // Another claim was applied first, or the outcome is unknown and the
         // watch will show it. If the watch reports no change, the claim is
         // retried.
