A data centre that lost half of its places for a gang moves waiting gangs

Cause: a waiting request moves to another data centre after 10 s if at most half of the servers may get new work. With 1 of 4 servers lost or draining, 3 are left, so nothing moved, but only one of the two aligned pairs that a render of two whole servers needs was left.

Change: the rule also counts the aligned ranges of servers that the kind needs, in service against configured.

--- a/flamingoloom/control/accelerator_table.cpp
+++ b/flamingoloom/control/accelerator_table.cpp
@@ -275,6 +275,27 @@
   }
 }
 
+int AcceleratorTable::ServersInRange(const config::JobKind& aKind) const
+{
+  int perServer = std::max(mCapacity.mAcceleratorsPerServer, 1);
+  return aKind.mAdjacent && aKind.Accelerators() > perServer
+           ? placement::ShapeOf(aKind.Accelerators()) / perServer
+           : 1;
+}
+
+int AcceleratorTable::CountUsableRanges(int aServers) const
+{
+  int count = 0;
+  for (int first = 0; first + aServers <= ServerCount(); first += aServers) {
+    int found = 0;
+    while (found < aServers && mInService.contains(first + found)) {
+      ++found;
+    }
+    count += found == aServers ? 1 : 0;
+  }
+  return count;
+}
+
 bool AcceleratorTable::CouldFit(const config::JobKind& aKind) const
 {
   int perServer = std::max(mCapacity.mAcceleratorsPerServer, 1);
@@ -282,22 +303,15 @@
   if (aKind.Accelerators() > inService) {
     return false;
   }
-  if (!aKind.mAdjacent || aKind.Accelerators() <= perServer) {
-    return true;
-  }
-  // The job needs an aligned range of whole servers.
-  int servers = placement::ShapeOf(aKind.Accelerators()) / perServer;
-  int serverCount = mCapacity.mRacks * mCapacity.mServersPerRack;
-  for (int first = 0; first + servers <= serverCount; first += servers) {
-    int found = 0;
-    while (found < servers && mInService.contains(first + found)) {
-      ++found;
-    }
-    if (found == servers) {
-      return true;
-    }
-  }
-  return false;
+  int servers = ServersInRange(aKind);
+  return servers == 1 || CountUsableRanges(servers) > 0;
+}
+
+bool AcceleratorTable::HasLostHalfOfPlaces(const config::JobKind& aKind) const
+{
+  int servers = ServersInRange(aKind);
+  return servers > 1 &&
+         2 * CountUsableRanges(servers) <= ServerCount() / servers;
 }
 
 void AcceleratorTable::Finish(const base::RequestId& aRequest)
--- a/flamingoloom/control/accelerator_table.h
+++ b/flamingoloom/control/accelerator_table.h
@@ -52,6 +52,11 @@
   // work were empty.
   bool CouldFit(const config::JobKind& aKind) const;
 
+  // Returns true if at most half of the places for an adjacent job of the kind
+  // that the configuration provides consist of servers that may get new work.
+  // Always false for kinds that need no range of several whole servers.
+  bool HasLostHalfOfPlaces(const config::JobKind& aKind) const;
+
   // Allocates accelerators to waiting jobs in the given order, with a
   // reservation for the first large gang that must wait.
   std::vector<PlacedJob> Decide(const std::vector<placement::Job>& aWaiting,
@@ -74,6 +79,16 @@
   std::optional<platform::Member> ServerAt(int aServerIndex) const;
 
 private:
+  // The number of servers in the aligned range that an adjacent job of the kind
+  // needs; 1 if it needs no range.
+  int ServersInRange(const config::JobKind& aKind) const;
+  // The number of aligned ranges of this many servers that may all get new
+  // work.
+  int CountUsableRanges(int aServers) const;
+  int ServerCount() const
+  {
+    return mCapacity.mRacks * mCapacity.mServersPerRack;
+  }
   int IndexFor(const platform::Member& aServer);
   bool HasAllocations(int aServerIndex) const;
   std::optional<placement::Allocation> ToAllocation(const RunningJob& aRunning,
--- a/flamingoloom/control/data_centre_jobs.h
+++ b/flamingoloom/control/data_centre_jobs.h
@@ -235,7 +235,7 @@
   static constexpr base::Duration kUnplaceableRelocationDelay =
     std::chrono::seconds(5);
   // A waiting job is relocated after this time if the data centre has lost half
-  // of its servers.
+  // of its servers, or half of its places for such a job.
   static constexpr base::Duration kWaitingRelocationDelay =
     std::chrono::seconds(10);
   static constexpr std::size_t kMaxAnswerBytesInRow = 4096;
@@ -499,11 +499,10 @@
       return;
     } else if (mContext.Now() - aJob->mWaitingSince >
                  kUnplaceableRelocationDelay &&
-               (CanNeverRun(*kind) ||
-                (HasLostHalfOfServers() && !aJob->mRunner &&
-                 aJob->mPlacements.empty() &&
-                 mContext.Now() - aJob->mWaitingSince >
-                   kWaitingRelocationDelay))) {
+               (CanNeverRun(*kind) || (HasLostHalfOf(*kind) && !aJob->mRunner &&
+                                       aJob->mPlacements.empty() &&
+                                       mContext.Now() - aJob->mWaitingSince >
+                                         kWaitingRelocationDelay))) {
       aJob->mWaitingSince = mContext.Now();
       RelocateJob(aJob);
     } else if (kind->mAcceleratorsPerTask == 0) {
@@ -522,10 +521,15 @@
     }
   }
 
-  // Returns true if at most half of the configured servers may get new work.
-  // Waiting jobs are then likely to start sooner in another data centre.
-  bool HasLostHalfOfServers() const
+  // Returns true if at most half of the configured servers, or of the places
+  // for an adjacent gang of this kind, may get new work: one lost server can
+  // take away a place of several. Waiting jobs are then likely to start sooner
+  // in another data centre.
+  bool HasLostHalfOf(const config::JobKind& aKind) const
   {
+    if (mAccelerators.HasLostHalfOfPlaces(aKind)) {
+      return true;
+    }
     const config::DataCentre* dataCentre =
       mContext.mConfig->FindDataCentre(mOwnership.Name());
     return dataCentre && 2 * mUsableServers <=
