A new owner of running work searches for claims without a deficit

Cause: CoverWorkWithClaims tried two orders of candidates, and each order without one of the first 63.

Change: of blocks with the same share in use, those with fewer parts come first; then the orders are tried without each one of the applied candidates, without each two, and so on, until nothing is missing, all combinations were tried or a bounded number of attempts is used up.

Both cases of the new test fail on a scratch copy with the old search.

--- a/flamingoloom/placement/claim_cover.cpp
+++ b/flamingoloom/placement/claim_cover.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,8 @@
   int mAccount = 0;
   // Accelerators of the block that this work holds.
   int mUsed = 0;
+  // Blocks that this work holds inside of the block.
+  int mParts = 0;
 
   friend auto operator<=>(const Candidate&, const Candidate&) = default;
 };
@@ -30,13 +33,15 @@
   std::vector<Candidate> mApplied;
 };
 
-// Maximum number of variants to evaluate for each order: all candidates, then
-// all but one. The first variant succeeds unless nearly all capacity is
-// guaranteed.
-constexpr std::size_t kMaxVariantsPerOrder = 64;
+// Maximum number of attempts to apply a candidate, in one search: the larger of
+// a fixed number and a number for each candidate. The first order succeeds
+// unless nearly all capacity is guaranteed.
+constexpr std::size_t kMaxAttempts = 16384;
+constexpr std::size_t kMaxAttemptsPerCandidate = 128;
 
-// Orders candidates by falling share of the block that is in use, then by
-// falling size.
+// Orders candidates by falling share of the block that is in use, then by the
+// number of parts, because a block with one part is more likely to have been
+// claimed than one that only encloses several claims, then by falling size.
 bool HasHigherUse(const Candidate& aLeft, const Candidate& aRight)
 {
   const int left = aLeft.mUsed * aRight.mBlock.Size();
@@ -44,8 +49,10 @@
   if (left != right) {
     return left > right;
   }
-  return std::pair(-aLeft.mBlock.mLevel, aLeft.mBlock.mPosition) <
-         std::pair(-aRight.mBlock.mLevel, aRight.mBlock.mPosition);
+  return std::tuple(
+           aLeft.mParts, -aLeft.mBlock.mLevel, aLeft.mBlock.mPosition) <
+         std::tuple(
+           aRight.mParts, -aRight.mBlock.mLevel, aRight.mBlock.mPosition);
 }
 
 bool IsLarger(const Candidate& aLeft, const Candidate& aRight)
@@ -103,12 +110,13 @@
           continue;
         }
         const Block enclosing = held.mBlock.Enclosing(level);
+        const auto parts = HeldWithin(aTable, enclosing, entry.mAccount);
         int used = 0;
-        for (const auto& [owner, block] :
-             HeldWithin(aTable, enclosing, entry.mAccount)) {
+        for (const auto& [owner, block] : parts) {
           used += block.Size();
         }
-        candidates.insert({ enclosing, entry.mAccount, used });
+        candidates.insert(
+          { enclosing, entry.mAccount, used, static_cast<int>(parts.size()) });
       }
     }
   }
@@ -129,16 +137,18 @@
   });
 }
 
-void ApplyCandidate(const Candidate& aCandidate,
+// Claims the block of the candidate if possible. Returns whether it did.
+bool ApplyCandidate(const Candidate& aCandidate,
                     const AllocationTable& aTable,
                     Cover& aCover)
 {
-  const auto& [enclosing, account, used] = aCandidate;
+  const Block& enclosing = aCandidate.mBlock;
+  const int account = aCandidate.mAccount;
   const auto held = HeldWithin(aTable, enclosing, account);
   if (aCover.mCapacity.Outstanding(account)[enclosing.mLevel] == 0 ||
       OverlapsClaim(aCover.mCapacity, enclosing) ||
       !IsRestUnclaimed(aCover.mCapacity, enclosing, held)) {
-    return;
+    return false;
   }
   std::vector<Block> blocks;
   blocks.reserve(held.size());
@@ -149,56 +159,99 @@
   updated.AddClaimForHeldBlocks(account, enclosing, blocks);
   // The total is compared because a claim may move the deficit to another
   // shape, which a later claim covers.
-  if (MissingAccelerators(updated) <= MissingAccelerators(aCover.mCapacity)) {
-    aCover.mCapacity = std::move(updated);
-    aCover.mApplied.push_back(aCandidate);
+  if (MissingAccelerators(updated) > MissingAccelerators(aCover.mCapacity)) {
+    return false;
   }
+  aCover.mCapacity = std::move(updated);
+  aCover.mApplied.push_back(aCandidate);
+  return true;
 }
 
-// Applies the candidates in their order, except for the one at the index
-// aExcluded.
-Cover ApplyInOrder(const std::vector<Candidate>& aCandidates,
-                   std::size_t aExcluded,
-                   const AllocationTable& aTable,
-                   const CapacityState& aCapacity)
+// Searches for the cover with the fewest missing accelerators: applies the
+// candidates in each order, then again without each applied candidate, without
+// each two of them, and so on, until nothing is missing, all combinations were
+// tried or the attempts are used up.
+class CoverSearch
 {
-  Cover cover{ aCapacity, {} };
-  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    if (i != aExcluded) {
-      ApplyCandidate(aCandidates[i], aTable, cover);
+public:
+  CoverSearch(const AllocationTable& aTable, const CapacityState& aCapacity)
+    : mTable(aTable)
+    , mCandidates(FindCandidates(aTable, aCapacity))
+    , mAttemptsLeft(
+        std::max(kMaxAttempts, kMaxAttemptsPerCandidate * mCandidates.size()))
+    , mBest{ aCapacity, {} }
+  {
+  }
+
+  Cover Run()
+  {
+    const Cover empty = mBest;
+    std::ranges::sort(mCandidates, HasHigherUse);
+    for (const Candidate& candidate : mCandidates) {
+      ApplyCandidate(candidate, mTable, mBest);
+    }
+    mIsComplete = false;
+    for (int omitted = 0; !IsDone(); ++omitted) {
+      mIsComplete = true;
+      for (const auto order : { HasHigherUse, IsLarger }) {
+        std::ranges::sort(mCandidates, order);
+        Visit(0, empty, omitted);
+      }
     }
+    return std::move(mBest);
   }
-  return cover;
-}
 
-Cover FindCover(const AllocationTable& aTable, const CapacityState& aCapacity)
-{
-  std::vector<Candidate> candidates = FindCandidates(aTable, aCapacity);
-  std::ranges::sort(candidates, HasHigherUse);
-  const std::size_t all = candidates.size();
-  Cover best = ApplyInOrder(candidates, all, aTable, aCapacity);
-  for (const auto order : { HasHigherUse, IsLarger }) {
-    std::ranges::sort(candidates, order);
-    const std::size_t variants = std::min(all + 1, kMaxVariantsPerOrder);
-    for (std::size_t i = 0;
-         i < variants && MissingAccelerators(best.mCapacity) > 0;
-         ++i) {
-      const std::size_t excluded = i == 0 ? all : i - 1;
-      Cover cover = ApplyInOrder(candidates, excluded, aTable, aCapacity);
-      if (MissingAccelerators(cover.mCapacity) <
-          MissingAccelerators(best.mCapacity)) {
-        best = std::move(cover);
+private:
+  bool IsDone() const
+  {
+    return mIsComplete || mAttemptsLeft == 0 ||
+           MissingAccelerators(mBest.mCapacity) == 0;
+  }
+
+  // Applies the candidates from aNext on, except for aOmitted of those that can
+  // be applied.
+  void Visit(std::size_t aNext, Cover aCover, int aOmitted)
+  {
+    for (std::size_t i = aNext; i < mCandidates.size(); ++i) {
+      if (mAttemptsLeft == 0) {
+        return;
       }
+      --mAttemptsLeft;
+      if (aOmitted == 0) {
+        ApplyCandidate(mCandidates[i], mTable, aCover);
+        continue;
+      }
+      Cover without = aCover;
+      if (ApplyCandidate(mCandidates[i], mTable, aCover)) {
+        Visit(i + 1, std::move(without), aOmitted - 1);
+        if (MissingAccelerators(mBest.mCapacity) == 0) {
+          return;
+        }
+      }
+    }
+    if (aOmitted > 0) {
+      return;
+    }
+    mIsComplete = false;
+    if (MissingAccelerators(aCover.mCapacity) <
+        MissingAccelerators(mBest.mCapacity)) {
+      mBest = std::move(aCover);
     }
   }
-  return best;
-}
+
+  const AllocationTable& mTable;
+  std::vector<Candidate> mCandidates;
+  std::size_t mAttemptsLeft;
+  Cover mBest;
+  // No combination with the last number of omitted candidates exists.
+  bool mIsComplete = false;
+};
 
 } // namespace
 
 void CoverWorkWithClaims(AllocationTable& aTable, CapacityState& aCapacity)
 {
-  Cover cover = FindCover(aTable, aCapacity);
+  Cover cover = CoverSearch(aTable, aCapacity).Run();
   aCapacity = std::move(cover.mCapacity);
   for (const Candidate& applied : cover.mApplied) {
     for (const auto& [index, block] :
--- a/flamingoloom/placement/claim_cover.h
+++ b/flamingoloom/placement/claim_cover.h
@@ -13,8 +13,9 @@
 // Claims, for outstanding shapes of each client account, blocks whose
 // non-preemptible work is beyond the guarantee and belongs only to that
 // account. A claim is added only if it does not raise the total number of
-// accelerators in the deficit. Several orders of claims are evaluated until the
-// deficit is zero; the best one is applied to both arguments.
+// accelerators in the deficit. Combinations of claims are evaluated until the
+// deficit is zero or a bounded effort is spent; the best one is applied to both
+// arguments.
 void CoverWorkWithClaims(AllocationTable& aTable, CapacityState& aCapacity);
 
 } // namespace flamingoloom::placement
--- a/flamingoloom/placement/placement_test.cpp
+++ b/flamingoloom/placement/placement_test.cpp
@@ -1,6 +1,8 @@
 #include "flamingoloom/placement/placement.h"
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -158,6 +160,49 @@
         base::ErrorCode::eInvalid);
 }
 
+// Guards against a new owner that claims one large block where the old owner
+// had claims for the smaller blocks in it, and so reports a deficit.
+TEST_CASE("a new owner finds claims that cover all running work")
+{
+  const DataCentreCapacity capacity{ base::DataCentreId("a"), 2, 4, 4 };
+  const auto running = [](const char* aKey, std::vector<Range> aBlocks) {
+    Allocation allocation;
+    allocation.mRequest = { AccountId("x"), aKey };
+    allocation.mBlocks = std::move(aBlocks);
+    return allocation;
+  };
+  SUBCASE("several claims form a block of another guaranteed shape")
+  {
+    Placement newOwner(capacity);
+    newOwner.SetGuarantees(std::vector<Demand>{ { AccountId("x"), 4, 2 },
+                                                { AccountId("x"), 8, 1 },
+                                                { AccountId("x"), 16, 1 } });
+    REQUIRE(newOwner.Adopt(std::vector{
+      running("1", { { 16, 16 } }),
+      running("2", { { 8, 8 } }),
+      running("3", { { 0, 4 }, { 4, 4 } }),
+    }));
+    CHECK(newOwner.DeficitNow() == LevelCounts{});
+  }
+  SUBCASE("work beyond the guarantees leaves no spare capacity")
+  {
+    Placement newOwner(capacity);
+    newOwner.SetGuarantees(std::vector<Demand>{ { AccountId("x"), 2, 2 },
+                                                { AccountId("x"), 4, 1 },
+                                                { AccountId("x"), 8, 1 },
+                                                { AccountId("z"), 2, 1 } });
+    Allocation other = running("1", { { 16, 8 } });
+    other.mRequest.mAccount = AccountId("y");
+    REQUIRE(newOwner.Adopt(std::vector{
+      other,
+      running("2", { { 0, 1 }, { 1, 1 }, { 2, 1 }, { 3, 1 } }),
+      running("3", { { 28, 4 } }),
+      running("4", { { 8, 4 }, { 12, 4 }, { 4, 4 } }),
+    }));
+    CHECK(newOwner.DeficitNow() == LevelCounts{});
+  }
+}
+
 // Guards against a deficit that is still computed from the previous guarantees
 // after a change of the configuration.
 TEST_CASE("new guarantees apply to running work")
