An instance lists its own change of a data centre at once

Cause: an instance that wrote an operator's change learned of it only by its watch, once a second, unless it owned the data centre itself.

Change: the instance applies the row that it wrote, or read to find the writer of a conflict, before it answers. An older row never replaces a newer one. The fakes serve the listing of data centres for the test.

--- a/flamingoloom/control/control_test.cpp
+++ b/flamingoloom/control/control_test.cpp
@@ -251,6 +251,31 @@
   CHECK((**back)->mDataCentre == base::DataCentreId("a"));
 }
 
+// Guards against an instance that lists a version older than the one that it
+// has just reported, so that the operator's next change is rejected.
+TEST_CASE("an instance lists its own change of a data centre at once")
+{
+  Fixture test;
+  std::uint64_t version = 0;
+  // The changes are made at different times within the watch interval.
+  for (int i = 0; i < 10; ++i) {
+    std::uint64_t changed = 0;
+    std::uint64_t listed = 0;
+    test.At("c1").ChangeDataCentre(
+      { base::DataCentreId("a"), DataCentreState::eInService, "olga", version },
+      [&](const auto& aView) {
+        REQUIRE(aView);
+        changed = aView->mVersion;
+        test.At("c1").DataCentres(
+          [&](const auto& aViews) { listed = aViews->front().mVersion; });
+      });
+    test.Run(2100ms);
+    CHECK(changed > version);
+    CHECK(listed == changed);
+    version = changed;
+  }
+}
+
 // Guards against an operator who is not told that a concurrent change of
 // another operator took effect instead.
 TEST_CASE("of two concurrent changes of a data centre one is rejected and "
--- a/flamingoloom/control/data_centre_operations.h
+++ b/flamingoloom/control/data_centre_operations.h
@@ -104,16 +104,16 @@
                                         change.mOperator,
                                         aCall->mNonce };
     std::string key = ownership::DataCentreKey(change.mDataCentre);
+    std::string value = ownership::Encode(record);
     platform::Transaction transaction;
-    transaction.mWrites = {
-      { key, change.mExpectedVersion, ownership::Encode(record) }
-    };
+    transaction.mWrites = { { key, change.mExpectedVersion, value } };
     mContext.mPorts.Commit(
       transaction,
-      [this,
-       aCall](const base::Expected<platform::TransactionResult>& aOutcome) {
+      [this, aCall, key, value](
+        const base::Expected<platform::TransactionResult>& aOutcome) {
         if (aOutcome && aOutcome->Committed()) {
           aCall->mVersion = aOutcome->mVersions.front().mVersion;
+          Observe(aCall, { key, aCall->mVersion, value });
           AwaitAcknowledgement(aCall);
         } else if (aOutcome) {
           ReadBack(aCall, {});
@@ -123,6 +123,17 @@
       });
   }
 
+  // Applies a row that this call wrote or read, so that the instance does not
+  // list an older version afterwards, with which the operator's next change
+  // would be rejected.
+  void Observe(const CallPtr& aCall, const platform::Row& aRow)
+  {
+    if (aRow.mVersion > 0) {
+      mManagedDataCentres.at(aCall->mChange.mDataCentre)
+        ->mOwnership.ObserveDataCentre(aRow);
+    }
+  }
+
   // Reads the row to find its writer: this call, if the response was lost, or
   // another operator.
   void ReadBack(const CallPtr& aCall, const base::Error& aCause)
@@ -137,6 +148,7 @@
           return;
         }
         platform::Row row = aRows->empty() ? platform::Row{} : aRows->front();
+        Observe(aCall, row);
         auto record = ownership::DecodeDataCentre(row.mValue)
                         .value_or(ownership::DataCentreRecord{});
         if (record.mNonce == aCall->mNonce) {
--- a/flamingoloom/control/data_centre_ownership.h
+++ b/flamingoloom/control/data_centre_ownership.h
@@ -59,6 +59,14 @@
     DetectChange();
   }
 
+  // Applies the data centre row alone, which this instance has written or read
+  // outside of Read(), and does what is due then.
+  void ObserveDataCentre(const platform::Row& aDataCentre)
+  {
+    mLease.ObserveDataCentre(aDataCentre);
+    OnTick();
+  }
+
   // Reads the rows, renews or acquires the lease and fences servers, as far as
   // that is due. Must be called at each tick.
   void OnTick()
--- a/flamingoloom/ownership/lease.cpp
+++ b/flamingoloom/ownership/lease.cpp
@@ -20,18 +20,7 @@
                     const std::optional<platform::Row>& aLease,
                     const std::optional<platform::Row>& aDataCentre)
 {
-  std::uint64_t dataCentreVersion = aDataCentre ? aDataCentre->mVersion : 0;
-  if (dataCentreVersion >= mDataCentreVersion) {
-    mDataCentreVersion = dataCentreVersion;
-    mDataCentre = {};
-    if (aDataCentre) {
-      // A row that cannot be decoded counts as out of service, so that no work
-      // is started.
-      mDataCentre = DecodeDataCentre(aDataCentre->mValue)
-                      .value_or(DataCentreRecord{ true, "unreadable row", "" });
-    }
-  }
-
+  ObserveDataCentre(aDataCentre);
   std::uint64_t version = aLease ? aLease->mVersion : 0;
   // Responses may arrive out of order; versions only rise, so a lower version
   // is older.
@@ -52,6 +41,21 @@
   }
 }
 
+void Lease::ObserveDataCentre(const std::optional<platform::Row>& aDataCentre)
+{
+  std::uint64_t dataCentreVersion = aDataCentre ? aDataCentre->mVersion : 0;
+  if (dataCentreVersion >= mDataCentreVersion) {
+    mDataCentreVersion = dataCentreVersion;
+    mDataCentre = {};
+    if (aDataCentre) {
+      // A row that cannot be decoded counts as out of service, so that no work
+      // is started.
+      mDataCentre = DecodeDataCentre(aDataCentre->mValue)
+                      .value_or(DataCentreRecord{ true, "unreadable row", "" });
+    }
+  }
+}
+
 void Lease::Reconcile(const platform::Row& aRow, const LeaseRecord& aRecord)
 {
   if (mHeld && aRow.mVersion == mHeld->mRowVersion) {
--- a/flamingoloom/ownership/lease.h
+++ b/flamingoloom/ownership/lease.h
@@ -86,6 +86,10 @@
                const std::optional<platform::Row>& aLease,
                const std::optional<platform::Row>& aDataCentre);
 
+  // Applies the data centre's row alone; an older one than the newest known is
+  // ignored.
+  void ObserveDataCentre(const std::optional<platform::Row>& aDataCentre);
+
   // Returns the write that is due now, if any. The caller must have no other
   // write of this lease in flight. aNonce must be unique to this call.
   std::optional<LeaseWrite> NextWrite(base::Time aNow,
--- a/testing/fakes/dummy_instance.h
+++ b/testing/fakes/dummy_instance.h
@@ -115,6 +115,11 @@
     Await(aRequest, {}, std::move(aDone));
   }
 
+  void DataCentres(platform::Done<std::vector<control::DataCentreView>> aDone)
+  {
+    aDone(std::vector<control::DataCentreView>{});
+  }
+
   void ChangeDataCentre(control::DataCentreChange aChange,
                         control::DataCentreDone aDone)
   {
--- a/testing/fakes/system_under_test.h
+++ b/testing/fakes/system_under_test.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "flamingoloom/control/api.h"
 #include "flamingoloom/platform/ports.h"
@@ -34,6 +35,8 @@
   aInstance.Cancel(base::RequestId{}, aDone);
   aInstance.ChangeDataCentre(control::DataCentreChange{},
                              control::DataCentreDone{});
+  aInstance.DataCentres(
+    platform::Done<std::vector<control::DataCentreView>>{});
   aInstance.PutConfiguration(std::uint64_t{}, config::Configuration{},
                              control::ConfigDone{});
   aInstance.Shutdown(aStopped);
@@ -75,6 +78,8 @@
   virtual void Cancel(base::RequestId aRequest, control::AnswerDone aDone) = 0;
   virtual void ChangeDataCentre(control::DataCentreChange aChange,
                                 control::DataCentreDone aDone) = 0;
+  virtual void DataCentres(
+    platform::Done<std::vector<control::DataCentreView>> aDone) = 0;
   virtual void PutConfiguration(std::uint64_t aExpectedVersion,
                                 config::Configuration aConfiguration,
                                 control::ConfigDone aDone) = 0;
@@ -131,6 +136,11 @@
   {
     mInstance.ChangeDataCentre(std::move(aChange), std::move(aDone));
   }
+  void DataCentres(
+    platform::Done<std::vector<control::DataCentreView>> aDone) override
+  {
+    mInstance.DataCentres(std::move(aDone));
+  }
   void PutConfiguration(std::uint64_t aExpectedVersion,
                         config::Configuration aConfiguration,
                         control::ConfigDone aDone) override
