--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -164,6 +164,8 @@
   base::Duration mCommitBackoff;
   scheduler::EarlierLeases mEarlierLeases;
   bool mLeaseBoundsLoaded = false;
+  // Some of the stored steps could not be decoded.
+  bool mRowsUnreadable = false;
   // The stored jobs are restored, so all attempts are known.
   bool mRestored = false;
   // The row of lease bounds that is stored, and the servers of all rows that
--- a/flamingoloom/node/leader_leases.cpp
+++ b/flamingoloom/node/leader_leases.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr auto kReadRetryDelay = std::chrono::milliseconds(150);
-// Keeps the row well below the store's limit of 64 KiB.
-constexpr std::size_t kMaxServers = 500;
+// Keeps the row below the store's limit of 64 KiB, with ids of 200 bytes.
+constexpr std::size_t kMaxServers = 200;
 
 } // namespace
 
@@ -135,6 +135,10 @@
     return aInherited;
   }
   // Before the jobs are restored no lease is granted.
+  if (mRowsUnreadable) {
+    // Attempts that are not known may hold leases.
+    return std::nullopt;
+  }
   const auto leases =
     mRestored ? mScheduler.LeasesAtRelease(mPorts.mLoop->Now(), kMaxServers)
               : mEarlierLeases;
--- a/flamingoloom/node/leader_recovery.cpp
+++ b/flamingoloom/node/leader_recovery.cpp
@@ -139,6 +139,7 @@
             { jobs::kStepTable, row.mKey, std::nullopt, std::nullopt });
         }
       } else {
+        mRowsUnreadable = true;
         mPorts.mLog->Write(
           "row_unreadable",
           { { "key", row.mKey }, { "error", step.error().ToString() } });
--- a/testing/scheduler_load/scheduler_load.cpp
+++ b/testing/scheduler_load/scheduler_load.cpp
@@ -212,7 +212,7 @@
 {
   if (mNow >= mNextHandOver) {
     mNextHandOver = mNow + mOptions.mHandOverInterval;
-    if (mScheduler) {
+    if (mScheduler && !mOptions.mLeadersKilled) {
       mLeasesLeft = mScheduler->LeasesAtRelease(mNow, mJobs.size());
     }
     mScheduler.reset();
--- a/testing/scheduler_load/scheduler_load.h
+++ b/testing/scheduler_load/scheduler_load.h
@@ -31,8 +31,10 @@
   base::Duration mTraffic = std::chrono::seconds(40);
   // Play goes on for this long after the traffic.
   base::Duration mFinish = std::chrono::seconds(20);
-  // Interval between planned changes of leader; 0 for none.
+  // Interval between changes of leader; 0 for none.
   base::Duration mHandOverInterval{ 0 };
+  // The leader is killed and leaves nothing, rather than stepping down.
+  bool mLeadersKilled = false;
   // From the end of a leader until its successor has restored the rows.
   base::Duration mRecoveryTime = std::chrono::milliseconds(700);
   // Interval after which one more server drains, leaves, and is replaced; 0 for
