real_cluster judges jobs that stand still beside free capacity

Accepted jobs that stood still beside free servers were seen by users and not by real_cluster: it asked only for final states, its servers knew no several steps, racks, long-running work or draining, and none left for good.

Servers of its own, a judge from the callers' and the servers' side with tests, jobs with several steps, data racks, gangs for one rack and long-running tasks, and the troubles gone, drain, lead and succession (the leader is stopped while servers are lost). LOAD scales the traffic.

--- a/testing/real_cluster/instance_processes.cpp
+++ b/testing/real_cluster/instance_processes.cpp
@@ -100,6 +100,11 @@
   }
 }
 
+const std::string& InstanceProcesses::Name(std::size_t aIndex) const
+{
+  return mProcesses.at(aIndex).mName;
+}
+
 const std::string& InstanceProcesses::CallerAddress(std::size_t aIndex) const
 {
   return mProcesses.at(aIndex).mCallers;
--- a/testing/real_cluster/instance_processes.h
+++ b/testing/real_cluster/instance_processes.h
@@ -41,6 +41,7 @@
   InstanceProcesses& operator=(const InstanceProcesses&) = delete;
 
   std::size_t Count() const { return mProcesses.size(); }
+  const std::string& Name(std::size_t aIndex) const;
   const std::string& CallerAddress(std::size_t aIndex) const;
   const std::string& ReadinessAddress(std::size_t aIndex) const;
   InstanceState State(std::size_t aIndex) const;
--- a/testing/real_cluster/main.cpp
+++ b/testing/real_cluster/main.cpp
@@ -2,7 +2,7 @@
 // outside, and judges whether anything that was accepted is lost:
 //
 //   real_cluster SETTINGS PROGRAM FOLDER SEED SECONDS INSTANCES SERVERS
-//   TROUBLES
+//   TROUBLES [LOAD]
 //
 // SETTINGS is a file with the platform's settings of one instance. TROUBLES is
 // a list like "grey,term"; see kTroubles. FOLDER gets the logs and a record.
@@ -10,13 +10,16 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <optional>
 #include <string>
 
 #include <fmt/format.h>
 
 #include "review/standins/store.h"
-#include "review/standins/worker.h"
+#include "testing/real_cluster/backend_servers.h"
 #include "testing/real_cluster/instance_processes.h"
+#include "testing/real_cluster/leader_stop.h"
+#include "testing/real_cluster/still_judge.h"
 #include "testing/real_cluster/traffic.h"
 
 namespace flamingoloom::testing::real_cluster {
@@ -80,8 +83,10 @@
 {
   review::Runtime& mRuntime;
   review::Store& mStore;
-  review::Fleet& mFleet;
+  BackendFleet& mFleet;
   InstanceProcesses& mInstances;
+  LeaderStop& mLeaderStop;
+  StillJudge& mJudge;
   std::vector<std::string> mDataCentres;
   std::mt19937_64 mRandom;
   int mVersion = 1;
@@ -103,48 +108,83 @@
 {
   const char* mName;
   double mEveryMs;
+  // How long it disturbs, for the judge; planned work doesn't.
+  std::optional<double> mHarmMs;
   void (*mBegin)(Cluster&);
 };
 
 void FailStarts(Cluster& aCluster)
 {
   aCluster.ForShare(
-    aCluster.mFleet.Workers().size(), 0.085, [&](std::size_t aServer) {
-      auto* server = aCluster.mFleet.Workers()[aServer].get();
-      server->SetFault(review::Fault::eErrors);
-      aCluster.mRuntime.After(
-        6500, [server] { server->SetFault(review::Fault::eNone); });
+    aCluster.mFleet.Servers().size(), 0.085, [&](std::size_t aServer) {
+      auto* server = aCluster.mFleet.Servers()[aServer].get();
+      server->SetFailsStarts(true);
+      aCluster.mRuntime.After(6500,
+                              [server] { server->SetFailsStarts(false); });
     });
 }
 
 void CrashServers(Cluster& aCluster, double aShare, double aDownMs)
 {
   aCluster.ForShare(
-    aCluster.mFleet.Workers().size(), aShare, [&](std::size_t aServer) {
-      auto* server = aCluster.mFleet.Workers()[aServer].get();
-      if (server->IsUp()) {
+    aCluster.mFleet.Servers().size(), aShare, [&](std::size_t aServer) {
+      auto* server = aCluster.mFleet.Servers()[aServer].get();
+      if (server->IsSound()) {
         server->Crash();
-        aCluster.mRuntime.After(aDownMs, [server] { server->Restart("a"); });
+        aCluster.mRuntime.After(aDownMs, [server] { server->Restart(); });
       }
     });
 }
 
 const Trouble kTroubles[] = {
-  { "grey", 9000, FailStarts },
+  { "grey", 9000, 6500, FailStarts },
+  { "gone",
+    15000,
+    0,
+    [](Cluster& aCluster) {
+      aCluster.mFleet.LoseForGood(aCluster.mRandom, 0.02, 20000);
+    } },
+  { "drain",
+    500,
+    {},
+    [](Cluster& aCluster) {
+      aCluster.mFleet.DrainOne(aCluster.mRandom, 7000, 20000);
+    } },
+  { "lead",
+    15000,
+    {},
+    [](Cluster& aCluster) {
+      aCluster.mLeaderStop.Stop(aCluster.mInstances, 2000);
+    } },
+  // Servers are lost while the leader hands over.
+  { "succession",
+    15000,
+    0,
+    [](Cluster& aCluster) {
+      std::uniform_real_distribution<double> waitMs(1000, 6000);
+      aCluster.mFleet.LoseForGood(aCluster.mRandom, 0.02, 20000);
+      aCluster.mRuntime.After(waitMs(aCluster.mRandom), [&aCluster] {
+        aCluster.mLeaderStop.Stop(aCluster.mInstances, 2000);
+      });
+    } },
   { "crash",
     15000,
+    4500,
     [](Cluster& aCluster) { CrashServers(aCluster, 0.14, 4500); } },
   { "flap",
     2800,
+    1400,
     [](Cluster& aCluster) { CrashServers(aCluster, 0.02, 1400); } },
   { "term",
     1300,
+    {},
     [](Cluster& aCluster) {
       aCluster.mInstances.Terminate(
         aCluster.mRandom() % aCluster.mInstances.Count(), 2000);
     } },
   { "kill",
     4000,
+    3500,
     [](Cluster& aCluster) {
       aCluster.ForShare(
         aCluster.mInstances.Count(), 0.08, [&](std::size_t aInstance) {
@@ -153,6 +193,7 @@
     } },
   { "pause",
     7000,
+    3500,
     [](Cluster& aCluster) {
       aCluster.ForShare(
         aCluster.mInstances.Count(), 0.11, [&](std::size_t aInstance) {
@@ -161,6 +202,7 @@
     } },
   { "hangup",
     3000,
+    {},
     [](Cluster& aCluster) {
       aCluster.ForShare(
         aCluster.mInstances.Count(), 0.3, [&](std::size_t aInstance) {
@@ -169,12 +211,14 @@
     } },
   { "config",
     3000,
+    {},
     [](Cluster& aCluster) {
       aCluster.mStore.Put(
         "op", "config", MakeConfiguration(++aCluster.mVersion));
     } },
   { "evacuate",
     16000,
+    8000,
     [](Cluster& aCluster) {
       const auto dataCentre =
         aCluster
@@ -186,6 +230,7 @@
     } },
   { "slow",
     15000,
+    4500,
     [](Cluster& aCluster) {
       aCluster.mStore.SetSlow(true);
       aCluster.mRuntime.After(4500,
@@ -193,6 +238,7 @@
     } },
   { "down",
     19000,
+    4500,
     [](Cluster& aCluster) {
       aCluster.mStore.SetDown(true);
       aCluster.mRuntime.After(4500,
@@ -207,13 +253,23 @@
   aCluster.mRuntime.After(wait, [&aCluster, &aTrouble, aUntilMs] {
     if (aCluster.mRuntime.NowMs() < aUntilMs) {
       aCluster.mRuntime.Record(std::string("trouble: ") + aTrouble.mName);
+      if (aTrouble.mHarmMs) {
+        aCluster.mJudge.Disrupt(aCluster.mRuntime.NowMs() + *aTrouble.mHarmMs);
+      }
       aTrouble.mBegin(aCluster);
       Repeat(aCluster, aTrouble, aUntilMs);
     }
   });
 }
 
-int Play(char** aArguments)
+void LookRegularly(review::Runtime& aRuntime, BackendFleet& aFleet)
+{
+  constexpr double kLookMs = 100;
+  aFleet.ShowToJudge();
+  aRuntime.After(kLookMs, [&] { LookRegularly(aRuntime, aFleet); });
+}
+
+int Play(char** aArguments, double aLoad)
 {
   const std::string program = aArguments[2];
   const std::string folder = aArguments[3];
@@ -223,7 +279,8 @@
   const auto troubles = "," + std::string(aArguments[8]) + ",";
   review::Runtime runtime(folder + "/record.txt");
   review::Store store(runtime);
-  review::Fleet fleet(runtime, store);
+  StillJudge judge(kMaxAttempts);
+  BackendFleet fleet(runtime, store, judge, ServerBounds::From(settings));
   store.Put("op", "config", MakeConfiguration(1));
   InstanceProcesses instances(runtime,
                               settings,
@@ -243,16 +300,17 @@
       { fmt::format("s-{:04}", i),
         kService,
         dataCentres[static_cast<std::size_t>(rack) % dataCentres.size()],
-        "a",
         fmt::format("r-{}", rack),
-        128000,
-        262144,
-        8 });
+        { 128000, 262144, 8 } });
   }
-  Cluster cluster{ runtime,   store,       fleet,
-                   instances, dataCentres, std::mt19937_64(seed) };
-  Traffic traffic(runtime, instances, fleet, seed + 1);
-  runtime.After(kStartMs, [&] { traffic.Start(LargeTraffic(), untilMs); });
+  LeaderStop leaderStop(runtime, store.Address());
+  Cluster cluster{ runtime,    store, fleet,       instances,
+                   leaderStop, judge, dataCentres, std::mt19937_64(seed) };
+  Traffic traffic(runtime, instances, fleet, judge, seed + 1);
+  runtime.After(kStartMs,
+                [&] { traffic.Start(LargeTraffic(), aLoad, untilMs); });
+  runtime.After(untilMs, [&] { judge.EndTraffic(untilMs); });
+  runtime.After(kStartMs, [&] { LookRegularly(runtime, fleet); });
   constexpr double kCalmMs = 4000;
   for (const auto& trouble : kTroubles) {
     if (troubles.find("," + std::string(trouble.mName) + ",") !=
@@ -266,11 +324,15 @@
                 [&] { traffic.AskForAll(untilMs + kFinishMs); });
   runtime.After(untilMs + kFinishMs + 4000, [&] { runtime.Loop().stop(); });
   runtime.Loop().run();
+  judge.Finish(runtime.NowMs());
   const int lost = traffic.Judge() + instances.UnexpectedEnds();
-  std::printf("seed %llu, %s: %d lost, %d instances ended by themselves\n",
+  std::printf("seed %llu, %s: %d lost (%d stood still, %zu beside trouble), "
+              "%d instances ended by themselves\n",
               seed,
               aArguments[8],
               lost,
+              judge.Broken(),
+              judge.Stills().size() - static_cast<std::size_t>(judge.Broken()),
               instances.UnexpectedEnds());
   return lost > 0 ? 1 : 0;
 }
@@ -282,11 +344,12 @@
 {
   constexpr int kArguments = 9;
   std::signal(SIGPIPE, SIG_IGN);
-  if (aCount != kArguments) {
+  if (aCount != kArguments && aCount != kArguments + 1) {
     std::fputs("usage: real_cluster SETTINGS PROGRAM FOLDER SEED SECONDS "
-               "INSTANCES SERVERS TROUBLES\n",
+               "INSTANCES SERVERS TROUBLES [LOAD]\n",
                stderr);
     return 2;
   }
-  return flamingoloom::testing::real_cluster::Play(aArguments);
+  return flamingoloom::testing::real_cluster::Play(
+    aArguments, aCount > kArguments ? std::stod(aArguments[kArguments]) : 1);
 }
--- a/testing/real_cluster/traffic.cpp
+++ b/testing/real_cluster/traffic.cpp
@@ -30,27 +30,36 @@
 
 std::string JobOfTask(const std::string& aTask)
 {
-  return aTask.substr(0, aTask.find('.'));
+  return ParseTaskName(aTask).mJob;
 }
 
 } // namespace
 
 std::vector<QueueTraffic> LargeTraffic()
 {
-  return {
-    { "survey", 1, 3.19, 10, 60, 6800, 52000, 140000, true, 0.02, 0.05 },
-    { "booking", 0, 7.61, 4.7, 28, 2500, 15000, 22000, true, 0.02, 0 },
-    { "match", 2, 3.14, 30, 180, 6100, 11000, 16000, false, 0.05, 0.15 },
-  };
+  QueueTraffic survey{ "survey", 1,      3.19, 10,   60,  6800,
+                       52000,    140000, true, 0.02, 0.05 };
+  QueueTraffic booking{ "booking", 0,     7.61, 4.7,  28, 2500,
+                        15000,     22000, true, 0.02, 0 };
+  QueueTraffic match{ "match", 2,     3.14,  30,   180, 6100,
+                      11000,   16000, false, 0.05, 0.15 };
+  match.mMoreStepsShare = 0.3;
+  for (auto* queue : { &survey, &booking, &match }) {
+    queue->mDataRackShare = 0.2;
+    queue->mSameRackShare = 0.6;
+  }
+  return { survey, booking, match };
 }
 
 Traffic::Traffic(review::Runtime& aRuntime,
                  const InstanceProcesses& aInstances,
-                 review::Fleet& aFleet,
+                 BackendFleet& aFleet,
+                 StillJudge& aJudge,
                  std::uint64_t aSeed)
   : mRuntime(aRuntime)
   , mInstances(aInstances)
   , mFleet(aFleet)
+  , mJudge(aJudge)
   , mRandom(aSeed)
   , mPoller(aRuntime.Loop(), {}, Now)
   , mMissedPolls(aInstances.Count(), 0)
@@ -93,11 +102,18 @@
            : rotation[mRandom() % rotation.size()];
 }
 
-void Traffic::Start(const std::vector<QueueTraffic>& aQueues, double aUntilMs)
+void Traffic::Start(const std::vector<QueueTraffic>& aQueues,
+                    double aLoad,
+                    double aUntilMs)
 {
-  for (const auto& queue : aQueues) {
+  constexpr int kLastingJobs = 6;
+  for (auto queue : aQueues) {
+    queue.mJobsPerSecond *= aLoad;
     SubmitNext(queue, aUntilMs);
   }
+  for (int i = 0; i < kLastingJobs; ++i) {
+    SubmitLasting(aQueues.back());
+  }
 }
 
 void Traffic::SubmitNext(const QueueTraffic& aQueue, double aUntilMs)
@@ -111,41 +127,79 @@
   });
 }
 
-void Traffic::Submit(const QueueTraffic& aQueue)
+std::string Traffic::PickRack()
 {
+  const auto& servers = mFleet.Servers();
+  return servers[mRandom() % servers.size()]->Spec().mRack;
+}
+
+JobStep Traffic::DrawStep(const QueueTraffic& aQueue)
+{
+  constexpr int kGpuChoices[] = { 1, 2, 4, 8, 8 };
   std::exponential_distribution<double> width(1 / aQueue.mMeanWidth);
   std::uniform_real_distribution<double> uniform(0, 1);
-  const int tasks =
+  JobStep step;
+  step.mCount =
     std::clamp(static_cast<int>(width(mRandom)) + 1, 1, aQueue.mMaxWidth);
-  const int ms = static_cast<int>(aQueue.mMeanMs * (0.6 + uniform(mRandom)));
-  const bool gang = aQueue.mGang && tasks > 1;
-  const int gpuChoices[] = { 1, 2, 4, 8, 8 };
-  Json step{ { "count", tasks },
-             { "cpu", aQueue.mCpuMilli },
-             { "requested-memory-mb", aQueue.mMemoryMb },
-             { "gpus", aQueue.mGang ? gpuChoices[mRandom() % 5] : 1 },
-             { "estimated-duration-ms", ms } };
-  auto specification = fmt::format("ms={}", ms);
-  if (gang) {
-    step["gang"] = true;
-    specification += fmt::format(" gang={}", tasks);
-  } else {
-    specification += " spread=900";
+  step.mMs = std::floor(aQueue.mMeanMs * (0.6 + uniform(mRandom)));
+  step.mNeed = { aQueue.mCpuMilli,
+                 aQueue.mMemoryMb,
+                 aQueue.mGang ? kGpuChoices[mRandom() % std::size(kGpuChoices)]
+                              : 1 };
+  step.mGang = aQueue.mGang && step.mCount > 1;
+  step.mSameRack = step.mGang && uniform(mRandom) < aQueue.mSameRackShare;
+  if (uniform(mRandom) < aQueue.mDataRackShare) {
+    step.mDataRack = PickRack();
+  }
+  return step;
+}
+
+void Traffic::Submit(const QueueTraffic& aQueue)
+{
+  std::uniform_real_distribution<double> uniform(0, 1);
+  JobSteps steps{ DrawStep(aQueue) };
+  while (uniform(mRandom) < aQueue.mMoreStepsShare) {
+    const int last = static_cast<int>(steps.size()) - 1;
+    steps.push_back(DrawStep(aQueue));
+    steps.back().mAfter = { last };
   }
-  const auto id = fmt::format("{:016x}", 0x5c0e7a2100000000ULL + mJobs.size());
-  mJobs[id] = { aQueue.mName, gang, false, std::nullopt, "", false };
+  const auto id = SubmitSteps(aQueue, steps);
   mErrorShares[id] = aQueue.mErrorShare;
-  mFleet.SetNeed(id, step);
-  Post(id,
-       Json{ { "specification", specification },
-             { "steps", Json::array({ step }) } }
-         .dump(),
-       1);
   if (uniform(mRandom) < aQueue.mCancelShare) {
-    mRuntime.After(uniform(mRandom) * ms, [this, id] { Cancel(id, 1); });
+    mRuntime.After(uniform(mRandom) * steps.front().mMs,
+                   [this, id] { Cancel(id, 1); });
   }
 }
 
+void Traffic::SubmitLasting(const QueueTraffic& aQueue)
+{
+  constexpr int kTasks = 6;
+  auto step = DrawStep(aQueue);
+  step.mCount = kTasks;
+  step.mLasts = true;
+  step.mDataRack.clear();
+  SubmitSteps(aQueue, { step });
+}
+
+std::string Traffic::SubmitSteps(const QueueTraffic& aQueue,
+                                 const JobSteps& aSteps)
+{
+  auto id = fmt::format("{:016x}", 0x5c0e7a2100000000ULL + mJobs.size());
+  auto& job = mJobs[id];
+  job.mQueue = aQueue.mName;
+  job.mGang = aSteps.front().mGang;
+  job.mLasts = aSteps.front().mLasts;
+  mFleet.SetSteps(id, aSteps);
+  mJudge.Submit(id, aSteps);
+  Json steps = Json::array();
+  for (const auto& step : aSteps) {
+    steps.push_back(step.ToJson());
+  }
+  mRuntime.Record(fmt::format("job {}: {}", id, steps.dump()));
+  Post(id, Json{ { "specification", id }, { "steps", steps } }.dump(), 1);
+  return id;
+}
+
 void Traffic::Call(const char* aMethod,
                    const std::string& aId,
                    const std::string& aBody,
@@ -220,6 +274,7 @@
   Call("POST", aId, aBody, [this, aId, aBody, aAttempt](int aStatus, auto&) {
     if (aStatus == 200) {
       mJobs[aId].mAcceptedMs = mRuntime.NowMs();
+      mJudge.Accept(aId, mRuntime.NowMs());
       mRuntime.After(kQueryMs, [this, aId] { Query(aId); });
     } else if (aAttempt < kMaxPostAttempts) {
       mRuntime.After(kRetryMs, [this, aId, aBody, aAttempt] {
@@ -232,6 +287,7 @@
 void Traffic::Cancel(const std::string& aId, int aAttempt)
 {
   mJobs[aId].mCancelled = true;
+  mJudge.Forget(aId);
   Call("DELETE", aId, "", [this, aId, aAttempt](int aStatus, auto&) {
     if (aStatus != 200 && aStatus != 410 && aAttempt < kMaxPostAttempts) {
       mRuntime.After(kRetryMs,
@@ -251,6 +307,9 @@
     job.mState = aStatus == 200
                    ? Json::parse(aBody).at("state").get<std::string>()
                    : std::to_string(aStatus);
+    if (job.mState == "completed" || job.mState == "failed") {
+      mJudge.Forget(aId);
+    }
   });
 }
 
@@ -284,10 +343,10 @@
     }
     mRuntime.After(
       uniform(mRandom) * kMaxMs,
-      [this, task = start.mTask, run = start.mRun, server = start.mWorker] {
-        for (const auto& worker : mFleet.Workers()) {
-          if (worker->Spec().mId == server && worker->IsUp()) {
-            worker->EndRun(task, run, "failed");
+      [this, task = start.mTask, run = start.mRun, id = start.mServer] {
+        for (const auto& server : mFleet.Servers()) {
+          if (server->Spec().mId == id && server->IsUp()) {
+            server->EndRun(task, run, "failed");
           }
         }
       });
@@ -330,11 +389,14 @@
       if (failed < kMaxAttempts) {
         report(id, fmt::format("failed after {} failed attempts", failed));
       }
-    } else if (job.mState != "completed") {
+    } else if (job.mState != (job.mLasts ? "running" : "completed")) {
       report(id, "last answer " + job.mState);
     }
   }
-  lost += mUnansweredWithoutCause;
+  for (const auto& line : mJudge.Lines()) {
+    mRuntime.Record(line);
+  }
+  lost += mUnansweredWithoutCause + mJudge.Broken();
   auto summary = fmt::format("{} jobs:", mJobs.size());
   for (const auto& [state, count] : states) {
     summary += fmt::format(" {} {},", count, state);
@@ -342,7 +404,12 @@
   for (const auto& [cause, count] : mUnanswered) {
     summary += fmt::format(" {} unanswered by instances {},", count, cause);
   }
-  mRuntime.Record(fmt::format("{} {} lost", summary, lost));
+  mRuntime.Record(fmt::format("{} {} stood still, {} beside trouble, {} lost",
+                              summary,
+                              mJudge.Broken(),
+                              mJudge.Stills().size() -
+                                static_cast<std::size_t>(mJudge.Broken()),
+                              lost));
   return lost;
 }
 
--- a/testing/real_cluster/traffic.h
+++ b/testing/real_cluster/traffic.h
@@ -11,8 +11,9 @@
 #include <vector>
 
 #include "flamingoloom/http/client.h"
-#include "review/standins/worker.h"
+#include "testing/real_cluster/backend_servers.h"
 #include "testing/real_cluster/instance_processes.h"
+#include "testing/real_cluster/still_judge.h"
 
 namespace flamingoloom::testing::real_cluster {
 
@@ -30,6 +31,11 @@
   // Share of the tasks that fail by a fault of their own.
   double mErrorShare = 0;
   double mCancelShare = 0;
+  // Share of the jobs that have one step more; of these, one more, and so on.
+  double mMoreStepsShare = 0;
+  // Share of the steps with a data rack, and of the gangs for one rack.
+  double mDataRackShare = 0;
+  double mSameRackShare = 0;
 };
 
 // Three queues of a deployment with 350 servers, two of them with gangs.
@@ -41,13 +47,18 @@
 class Traffic
 {
 public:
+  // Precondition: the references outlive the object and the runtime's loop.
   Traffic(review::Runtime& aRuntime,
           const InstanceProcesses& aInstances,
-          review::Fleet& aFleet,
+          BackendFleet& aFleet,
+          StillJudge& aJudge,
           std::uint64_t aSeed);
 
-  // Submits jobs of aQueues until aUntilMs.
-  void Start(const std::vector<QueueTraffic>& aQueues, double aUntilMs);
+  // Submits jobs of aQueues until aUntilMs, at aLoad times their rates, and a
+  // few long-running jobs.
+  void Start(const std::vector<QueueTraffic>& aQueues,
+             double aLoad,
+             double aUntilMs);
   // Asks for the state of each accepted job until it is final, or for the last
   // time at aUntilMs.
   void AskForAll(double aUntilMs);
@@ -59,6 +70,7 @@
   {
     std::string mQueue;
     bool mGang = false;
+    bool mLasts = false;
     bool mCancelled = false;
     std::optional<double> mAcceptedMs;
     // The state in the last answer, or its status.
@@ -68,6 +80,10 @@
 
   void SubmitNext(const QueueTraffic& aQueue, double aUntilMs);
   void Submit(const QueueTraffic& aQueue);
+  JobStep DrawStep(const QueueTraffic& aQueue);
+  std::string PickRack();
+  void SubmitLasting(const QueueTraffic& aQueue);
+  std::string SubmitSteps(const QueueTraffic& aQueue, const JobSteps& aSteps);
   void Post(const std::string& aId, const std::string& aBody, int aAttempt);
   void Query(const std::string& aId);
   void Cancel(const std::string& aId, int aAttempt);
@@ -92,7 +108,8 @@
 
   review::Runtime& mRuntime;
   const InstanceProcesses& mInstances;
-  review::Fleet& mFleet;
+  BackendFleet& mFleet;
+  StillJudge& mJudge;
   std::mt19937_64 mRandom;
   http::Client mPoller;
   // Each has connections of its own, which it keeps.
