real_cluster takes a job that runs for unfinished, not for lost

Steps that run elsewhere than their data take three times as long, so a job with several of them may still be at work when the callers ask for the last time. Such a job was reported as lost. Now a job whose last answer is 'running' is lost unless a task of it is at a server; one that is shown as running while nothing runs is still lost. The finder of the leader read rows of a document that was already gone, and never found one.

--- a/testing/real_cluster/leader_stop.cpp
+++ b/testing/real_cluster/leader_stop.cpp
@@ -69,7 +69,8 @@
           (aRows ? std::to_string(aRows->mStatus) : aRows.error().ToString()));
         return;
       }
-      for (const auto& row : review::Json::parse(aRows->mBody).at("rows")) {
+      const auto body = review::Json::parse(aRows->mBody);
+      for (const auto& row : body.at("rows")) {
         for (std::size_t i = 0; i < aInstances.Count(); ++i) {
           if (row.at("key") == "renewal" &&
               IsHolder(DecodeBase64(row.at("value")), aInstances.Name(i))) {
--- a/testing/real_cluster/still_judge.cpp
+++ b/testing/real_cluster/still_judge.cpp
@@ -225,6 +225,17 @@
   }
 }
 
+bool StillJudge::IsRunning(const std::string& aJob) const
+{
+  const auto& steps = mJobs.at(aJob).mSteps;
+  return std::any_of(steps.begin(), steps.end(), [](const Step& aStep) {
+    return std::any_of(
+      aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
+        return !aTask.mRunning.empty();
+      });
+  });
+}
+
 int StillJudge::Broken() const
 {
   return static_cast<int>(
--- a/testing/real_cluster/still_judge.h
+++ b/testing/real_cluster/still_judge.h
@@ -80,6 +80,8 @@
   // Ends all spans. Nothing is told to the judge after this.
   void Finish(double aNowMs);
 
+  // Whether a task of the job is at a server.
+  bool IsRunning(const std::string& aJob) const;
   const std::vector<Still>& Stills() const { return mStills; }
   // Spans that are calm, or at the end: these break the rule.
   int Broken() const;
--- a/testing/real_cluster/traffic.cpp
+++ b/testing/real_cluster/traffic.cpp
@@ -188,7 +188,6 @@
   auto& job = mJobs[id];
   job.mQueue = aQueue.mName;
   job.mGang = aSteps.front().mGang;
-  job.mLasts = aSteps.front().mLasts;
   mFleet.SetSteps(id, aSteps);
   mJudge.Submit(id, aSteps);
   Json steps = Json::array();
@@ -389,7 +388,8 @@
       if (failed < kMaxAttempts) {
         report(id, fmt::format("failed after {} failed attempts", failed));
       }
-    } else if (job.mState != (job.mLasts ? "running" : "completed")) {
+    } else if (job.mState != "completed" &&
+               (job.mState != "running" || !mJudge.IsRunning(id))) {
       report(id, "last answer " + job.mState);
     }
   }
--- a/testing/real_cluster/traffic.h
+++ b/testing/real_cluster/traffic.h
@@ -70,7 +70,6 @@
   {
     std::string mQueue;
     bool mGang = false;
-    bool mLasts = false;
     bool mCancelled = false;
     std::optional<double> mAcceptedMs;
     // The state in the last answer, or its status.
