real_cluster tells which jobs that stood still ran later

A span that ended because room or use changed was written as never moving, though its job ran a second later. A later run now counts.

still_judge_test: 12 of 12 cases pass.

--- a/testing/real_cluster/still_judge.cpp
+++ b/testing/real_cluster/still_judge.cpp
@@ -33,7 +33,7 @@
 {
   auto& job = mJobs.at(aJob);
   job.mOver = true;
-  CloseSpans(job, false, mNowMs);
+  CloseSpans(job, mNowMs);
 }
 
 StillJudge::Task* StillJudge::Find(const TaskName& aName)
@@ -52,8 +52,14 @@
     task->mRunning.insert(aRun);
     ++task->mRuns;
     task->mLastRunMs = aNowMs;
-    Follow(task->mSpan, std::nullopt, true, aNowMs);
-    Follow(mJobs.at(name.mJob).mSpan, std::nullopt, true, aNowMs);
+    Follow(task->mSpan, std::nullopt, aNowMs);
+    Follow(mJobs.at(name.mJob).mSpan, std::nullopt, aNowMs);
+    for (auto& still : mStills) {
+      const auto& step = mJobs.at(still.mJob).mSteps[still.mStep].mShape;
+      const TaskName stood{ still.mJob, still.mStep, still.mIndex };
+      still.mMoved = still.mMoved || stood == name ||
+                     (still.mJob == name.mJob && !step.mLasts);
+    }
   }
 }
 
@@ -168,7 +174,7 @@
           alone =
             Still{ aId, s, static_cast<int>(i), aNowMs, aNowMs, task.mRuns };
         }
-        Follow(task.mSpan, alone, false, aNowMs);
+        Follow(task.mSpan, alone, aNowMs);
       }
     }
     if (ready && !stands && !running && !step.mShape.mLasts) {
@@ -177,17 +183,15 @@
       }
     }
   }
-  Follow(aJob.mSpan, running ? std::nullopt : stands, false, aNowMs);
+  Follow(aJob.mSpan, running ? std::nullopt : stands, aNowMs);
 }
 
 void StillJudge::Follow(std::optional<Still>& aSpan,
                         const std::optional<Still>& aStands,
-                        bool aMoved,
                         double aNowMs)
 {
   if (!aStands) {
     if (aSpan) {
-      aSpan->mMoved = aMoved;
       if (aSpan->mToMs - aSpan->mFromMs >= kMaxStillMs) {
         mStills.push_back(*aSpan);
       }
@@ -208,12 +212,12 @@
     aSpan->mAtEnd || (mTrafficEndMs && aNowMs >= *mTrafficEndMs + kEndMs);
 }
 
-void StillJudge::CloseSpans(Job& aJob, bool aMoved, double aNowMs)
+void StillJudge::CloseSpans(Job& aJob, double aNowMs)
 {
-  Follow(aJob.mSpan, std::nullopt, aMoved, aNowMs);
+  Follow(aJob.mSpan, std::nullopt, aNowMs);
   for (auto& step : aJob.mSteps) {
     for (auto& task : step.mTasks) {
-      Follow(task.mSpan, std::nullopt, aMoved, aNowMs);
+      Follow(task.mSpan, std::nullopt, aNowMs);
     }
   }
 }
@@ -221,7 +225,7 @@
 void StillJudge::Finish(double aNowMs)
 {
   for (auto& [id, job] : mJobs) {
-    CloseSpans(job, false, aNowMs);
+    CloseSpans(job, aNowMs);
   }
 }
 
--- a/testing/real_cluster/still_judge.h
+++ b/testing/real_cluster/still_judge.h
@@ -38,7 +38,7 @@
   bool mCalm = false;
   // The span reaches over kEndMs after the end of the traffic.
   bool mAtEnd = false;
-  // It ran again.
+  // It ran afterwards.
   bool mMoved = false;
 
   bool operator==(const Still&) const = default;
@@ -121,14 +121,13 @@
   Task* Find(const TaskName& aName);
   bool HasTurn(const Job& aJob, const Step& aStep) const;
   void LookAt(const std::string& aId, Job& aJob, double aNowMs);
-  // Extends or ends a span. aTask is what could run, if there is any.
+  // Extends or ends a span. aStands says what could run, if there is any.
   void Follow(std::optional<Still>& aSpan,
               const std::optional<Still>& aStands,
-              bool aMoved,
               double aNowMs);
   // The index of a task of aStep that could run, if there is room twice over.
   std::optional<int> CouldRun(const Step& aStep) const;
-  void CloseSpans(Job& aJob, bool aMoved, double aNowMs);
+  void CloseSpans(Job& aJob, double aNowMs);
   bool HasRoom(const Capacity& aNeed, long aTasks) const;
 
   const int mMaxAttempts;
--- a/testing/real_cluster/still_judge_test.cpp
+++ b/testing/real_cluster/still_judge_test.cpp
@@ -67,6 +67,19 @@
         "run (0 runs so far; 0 more stand so, 0 move later) calm");
 }
 
+TEST_CASE("a job moves later also if its room went in between")
+{
+  World world;
+  world.Submit("a", { Step() });
+  world.Pass(4000);
+  world.mRooms = {};
+  world.Pass(1000);
+  REQUIRE(world.mJudge.Stills().size() == 1);
+  CHECK_FALSE(world.mJudge.Stills()[0].mMoved);
+  world.mJudge.Start("a.0.0.0", 1, world.mNowMs);
+  CHECK(world.mJudge.Stills()[0].mMoved);
+}
+
 TEST_CASE("a job that starts within 3 s is not reported")
 {
   World world;
