--- a/testing/real_cluster/still_judge.cpp
+++ b/testing/real_cluster/still_judge.cpp
@@ -229,14 +229,15 @@
   }
 }
 
-bool StillJudge::IsRunning(const std::string& aJob) const
+bool StillJudge::HasRunSince(const std::string& aJob, double aSinceMs) const
 {
   const auto& steps = mJobs.at(aJob).mSteps;
-  return std::any_of(steps.begin(), steps.end(), [](const Step& aStep) {
-    return std::any_of(
-      aStep.mTasks.begin(), aStep.mTasks.end(), [](const Task& aTask) {
-        return !aTask.mRunning.empty();
-      });
+  const auto ran = [aSinceMs](const Task& aTask) {
+    return !aTask.mRunning.empty() ||
+           (aTask.mRuns > 0 && aTask.mLastRunMs >= aSinceMs);
+  };
+  return std::any_of(steps.begin(), steps.end(), [&ran](const Step& aStep) {
+    return std::any_of(aStep.mTasks.begin(), aStep.mTasks.end(), ran);
   });
 }
 
--- a/testing/real_cluster/still_judge.h
+++ b/testing/real_cluster/still_judge.h
@@ -80,8 +80,8 @@
   // Ends all spans. Nothing is told to the judge after this.
   void Finish(double aNowMs);
 
-  // Whether a task of the job is at a server.
-  bool IsRunning(const std::string& aJob) const;
+  // Whether a task of the job has been at a server since aSinceMs.
+  bool HasRunSince(const std::string& aJob, double aSinceMs) const;
   const std::vector<Still>& Stills() const { return mStills; }
   // Spans that are calm, or at the end: these break the rule.
   int Broken() const;
--- a/testing/real_cluster/still_judge_test.cpp
+++ b/testing/real_cluster/still_judge_test.cpp
@@ -102,9 +102,10 @@
   world.mJudge.End("a.0.0.0", 1, "lost", world.mNowMs);
   world.Pass(5000);
   CHECK(world.mJudge.Stills().empty());
-  CHECK(world.mJudge.IsRunning("a"));
+  CHECK(world.mJudge.HasRunSince("a", world.mNowMs));
   world.mJudge.End("a.0.0.1", 1, "broken", world.mNowMs);
-  CHECK_FALSE(world.mJudge.IsRunning("a"));
+  CHECK(world.mJudge.HasRunSince("a", world.mNowMs));
+  CHECK_FALSE(world.mJudge.HasRunSince("a", world.mNowMs + 1));
   world.Pass(5000);
   REQUIRE(world.Broken() == 1);
   CHECK(world.mJudge.Stills()[0].mRuns == 2);
--- a/testing/real_cluster/traffic.cpp
+++ b/testing/real_cluster/traffic.cpp
@@ -299,6 +299,7 @@
 {
   Call("GET", aId, "", [this, aId](int aStatus, const std::string& aBody) {
     JobRecord& job = mJobs[aId];
+    job.mAnsweredMs = mRuntime.NowMs();
     if (aStatus == 410 && !job.mGone) {
       job.mGone = true;
       mRuntime.Record(fmt::format("GONE {} is answered 410", aId));
@@ -389,7 +390,8 @@
         report(id, fmt::format("failed after {} failed attempts", failed));
       }
     } else if (job.mState != "completed" &&
-               (job.mState != "running" || !mJudge.IsRunning(id))) {
+               (job.mState != "running" ||
+                !mJudge.HasRunSince(id, job.mAnsweredMs))) {
       report(id, "last answer " + job.mState);
     }
   }
--- a/testing/real_cluster/traffic.h
+++ b/testing/real_cluster/traffic.h
@@ -74,6 +74,7 @@
     std::optional<double> mAcceptedMs;
     // The state in the last answer, or its status.
     std::string mState;
+    double mAnsweredMs = 0;
     bool mGone = false;
   };
 
