--- a/testing/real_cluster/backend_servers.cpp
+++ b/testing/real_cluster/backend_servers.cpp
@@ -95,7 +95,7 @@
     mFleet.BreakGang(task, run.mRun);
   }
   for (const auto& end : std::exchange(mEnds, {})) {
-    if (end.mEnd.mHow == "done") {
+    if (end.mEnd.mHow == "done" && !end.mListed) {
       mFleet.mJudge.Undo(end.mEnd.mTask);
     }
   }
@@ -157,9 +157,6 @@
 void BackendServer::WatchLease()
 {
   if (!mRuns.empty() && ClockMs() > mLeaseUntilMs) {
-    for (auto& end : mEnds) {
-      end.mLapsed = true;
-    }
     const auto runs = mRuns;
     for (const auto& [task, run] : runs) {
       EndRun(task, run.mRun, "lapsed");
@@ -343,7 +340,7 @@
   return Reply(200, Json::object());
 }
 
-Response BackendServer::Lists() const
+Response BackendServer::Lists()
 {
   constexpr int kAllPercent = 100;
   Json running = Json::array();
@@ -359,10 +356,11 @@
     running.push_back({ task, run.mRun, "", percent });
   }
   Json finished = Json::array();
-  for (const auto& [number, end, lapsed] : mEnds) {
+  for (auto& [number, end, listed] : mEnds) {
     if (finished.size() == kMaxListedEnds) {
       break;
     }
+    listed = true;
     finished.push_back({ number, end.mTask, end.mRun, end.mHow, "" });
   }
   return Reply(200, { { "running-tasks", running }, { "finished", finished } });
@@ -373,9 +371,6 @@
   ExtendLease(aBody);
   const auto through = aBody.value("acked-through", std::int64_t{ 0 });
   while (!mEnds.empty() && mEnds.front().mNumber <= through) {
-    if (mEnds.front().mLapsed && mEnds.front().mEnd.mHow == "done") {
-      mFleet.mJudge.Undo(mEnds.front().mEnd.mTask);
-    }
     mEnds.pop_front();
   }
   const auto waitMs = aBody.value("wait-ms", 0);
--- a/testing/real_cluster/backend_servers.h
+++ b/testing/real_cluster/backend_servers.h
@@ -97,7 +97,8 @@
   {
     std::int64_t mNumber = 0;
     TaskEnd mEnd;
-    bool mLapsed = false;
+    // Somebody may know of it.
+    bool mListed = false;
   };
 
   std::int64_t ClockMs() const;
@@ -113,7 +114,7 @@
   review::Response Start(const review::Json& aBody);
   review::Response Stop(const review::Json& aBody);
   void Hold(const review::Json& aBody, const review::Responder& aRespond);
-  review::Response Lists() const;
+  review::Response Lists();
   review::Response Reply(int aStatus, review::Json aBody) const;
   void ExtendLease(const review::Json& aBody);
   bool IsFenced(const review::Json& aBody);
--- a/testing/real_cluster/still_judge.h
+++ b/testing/real_cluster/still_judge.h
@@ -67,7 +67,7 @@
            int aRun,
            const std::string& aHow,
            double aNowMs);
-  // An end "done" was lost with its server before the system took note of it.
+  // An end "done" was lost with its server before anybody was told.
   void Undo(const std::string& aTask);
   // Unplanned trouble, from now to aUntilMs.
   void Disrupt(double aUntilMs);
