real_cluster plays links to the store and processor limits

Cause: an instance of real_cluster reached the store without delay and had whole cores; nothing cut it off while it lived.

"quota" among the troubles gives the first two instances of a data centre half a core and the others 0.12, by ProcessorQuotas; an instance that is paused isn't continued by it. Looks at the quotas that come late are recorded. The table of troubles has a file of its own.

--- a/testing/real_cluster/instance_processes.cpp
+++ b/testing/real_cluster/instance_processes.cpp
@@ -48,17 +48,35 @@
   return "127.0.0.1:" + std::to_string(aPort);
 }
 
+// Of each data centre the first two instances are large.
+Json LimitsOf(int aIndex, std::size_t aDataCentres)
+{
+  constexpr std::size_t kLargeInDataCentre = 2;
+  const bool large =
+    static_cast<std::size_t>(aIndex) < kLargeInDataCentre * aDataCentres;
+  return { { "cpu-share", large ? 0.5 : 0.12 },
+           { "cores", 1 },
+           { "memory-mb", large ? 512 : 160 },
+           { "file-descriptors", large ? 8192 : 4100 },
+           { "link-mbps", large ? 200.0 : 10.0 },
+           { "disk-mb", 0 } };
+}
+
 } // namespace
 
 InstanceProcesses::InstanceProcesses(review::Runtime& aRuntime,
                                      const Json& aSettingsTemplate,
-                                     const std::string& aStoreAddress,
+                                     StoreLinks& aLinks,
                                      const std::string& aProgram,
                                      const std::string& aFolder,
-                                     int aCount)
+                                     int aCount,
+                                     bool aLimited)
   : mRuntime(aRuntime)
   , mProgram(aProgram)
 {
+  if (aLimited) {
+    mQuotas.emplace(aRuntime.Loop());
+  }
   std::vector<std::string> dataCentres;
   for (const auto& [dataCentre, region] :
        aSettingsTemplate.at("zones").items()) {
@@ -82,7 +100,12 @@
                                      { "readiness", process.mReadiness } };
     settings["internal-port-range"] = { internalPort, internalPort };
     settings["seed-nodes"] = Json::array();
-    settings["platform"]["address"] = aStoreAddress;
+    settings["platform"]["address"] =
+      aLinks.Add(settings["region"].get<std::string>());
+    if (aLimited) {
+      settings["limits"] = LimitsOf(i, dataCentres.size());
+      process.mProcessorShare = settings["limits"]["cpu-share"];
+    }
     std::ofstream(process.mFiles + ".json") << settings.dump(2);
     Launch(process);
     mProcesses.push_back(std::move(process));
@@ -125,6 +148,7 @@
   const pid_t id = fork();
   if (id != 0) {
     aProcess.mId = id;
+    Limit(aProcess);
     return;
   }
   // No process outlives this one.
@@ -186,6 +210,7 @@
     });
     return;
   }
+  EndLimit(process.mId);
   process.mId = 0;
   Change(process, InstanceState::eLeft, "has ended");
   LaunchAfter(aIndex, aDownMs);
@@ -199,6 +224,7 @@
   }
   kill(process.mId, SIGKILL);
   waitpid(process.mId, nullptr, 0);
+  EndLimit(process.mId);
   process.mId = 0;
   Change(process, InstanceState::eDown, "is killed");
   LaunchAfter(aIndex, aDownMs);
@@ -210,11 +236,13 @@
   if (process.mState != InstanceState::eRunning) {
     return;
   }
+  EndLimit(process.mId);
   kill(process.mId, SIGSTOP);
   Change(process, InstanceState::eDown, "is paused");
   mRuntime.After(aMs, [this, aIndex] {
     Process& paused = mProcesses[aIndex];
     kill(paused.mId, SIGCONT);
+    Limit(paused);
     Change(paused, InstanceState::eRunning, "goes on");
   });
 }
@@ -227,6 +255,20 @@
   }
 }
 
+void InstanceProcesses::Limit(const Process& aProcess)
+{
+  if (mQuotas) {
+    mQuotas->Add(aProcess.mId, aProcess.mProcessorShare);
+  }
+}
+
+void InstanceProcesses::EndLimit(pid_t aProcess)
+{
+  if (mQuotas) {
+    mQuotas->Remove(aProcess);
+  }
+}
+
 void InstanceProcesses::CheckProcesses()
 {
   for (std::size_t i = 0; i < mProcesses.size(); ++i) {
@@ -234,11 +276,21 @@
     if (process.mState == InstanceState::eRunning &&
         waitpid(process.mId, nullptr, WNOHANG) != 0) {
       ++mUnexpectedEnds;
+      EndLimit(process.mId);
       process.mId = 0;
       Change(process, InstanceState::eDown, "HAS ENDED BY ITSELF");
       LaunchAfter(i, 0);
     }
   }
+  constexpr std::chrono::milliseconds kLateLook{ 30 };
+  if (mQuotas) {
+    const auto gap = mQuotas->TakeLongestGap();
+    if (gap > kLateLook) {
+      mRuntime.Record(
+        fmt::format("LATE: processors were not looked at for {:.0f} ms",
+                    std::chrono::duration<double, std::milli>(gap).count()));
+    }
+  }
   mRuntime.After(kProcessCheckMs, [this] { CheckProcesses(); });
 }
 
--- a/testing/real_cluster/instance_processes.h
+++ b/testing/real_cluster/instance_processes.h
@@ -6,10 +6,13 @@
 #include <sys/types.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "review/standins/runtime.h"
+#include "testing/real_cluster/processor_quotas.h"
+#include "testing/real_cluster/store_links.h"
 
 namespace flamingoloom::testing::real_cluster {
 
@@ -29,13 +32,16 @@
 {
 public:
   // Starts aCount processes of aProgram, with their settings and logs in
-  // aFolder.
+  // aFolder, and adds a link to the store for each to aLinks. With aLimited
+  // each has limits like those of a deployment with 41 instances, and keeps to
+  // its processor share.
   InstanceProcesses(review::Runtime& aRuntime,
                     const review::Json& aSettingsTemplate,
-                    const std::string& aStoreAddress,
+                    StoreLinks& aLinks,
                     const std::string& aProgram,
                     const std::string& aFolder,
-                    int aCount);
+                    int aCount,
+                    bool aLimited);
   ~InstanceProcesses();
   InstanceProcesses(const InstanceProcesses&) = delete;
   InstanceProcesses& operator=(const InstanceProcesses&) = delete;
@@ -68,6 +74,8 @@
     std::string mReadiness;
     // Path of its settings and its log, without their suffixes.
     std::string mFiles;
+    // In cores.
+    double mProcessorShare = 0;
     InstanceState mState = InstanceState::eRunning;
     double mChangedMs = 0;
   };
@@ -77,10 +85,14 @@
   void AwaitEnd(std::size_t aIndex, double aKillAtMs, double aDownMs);
   void LaunchAfter(std::size_t aIndex, double aMs);
   void CheckProcesses();
+  void Limit(const Process& aProcess);
+  // Before others stop the process, and once its end was waited for.
+  void EndLimit(pid_t aProcess);
 
   review::Runtime& mRuntime;
   const std::string mProgram;
   std::vector<Process> mProcesses;
+  std::optional<ProcessorQuotas> mQuotas;
   int mUnexpectedEnds = 0;
 };
 
--- a/testing/real_cluster/main.cpp
+++ b/testing/real_cluster/main.cpp
@@ -5,7 +5,8 @@
 //   TROUBLES
 //
 // SETTINGS is a file with the platform's settings of one instance. TROUBLES is
-// a list like "grey,term"; see kTroubles. FOLDER gets the logs and a record.
+// a list like "grey,term"; see troubles.cpp. "quota" in it holds each instance
+// to the processor share of its settings. FOLDER gets the logs and a record.
 // Exits with 1 if something was lost, 0 if not, 2 if it could not run.
 #include <csignal>
 #include <cstdio>
@@ -17,202 +18,19 @@
 #include "review/standins/store.h"
 #include "review/standins/worker.h"
 #include "testing/real_cluster/instance_processes.h"
+#include "testing/real_cluster/store_links.h"
 #include "testing/real_cluster/traffic.h"
+#include "testing/real_cluster/troubles.h"
 
 namespace flamingoloom::testing::real_cluster {
 namespace {
 
 using review::Json;
 
-constexpr const char* kService = "desk";
 // The instances elect a leader and find the servers.
 constexpr double kStartMs = 14000;
 constexpr double kFinishMs = 30000;
 
-// The configuration, with a queue of its own for each version after the first.
-Json MakeConfiguration(int aVersion)
-{
-  Json routes = Json::array();
-  const auto add = [&routes](const std::string& aName, int aPriority) {
-    routes.push_back({ { "name", aName },
-                       { "host", kHost },
-                       { "path-prefix", "/" + aName + "/" },
-                       { "kind", "non_idempotent" },
-                       { "timeout-ms", 3000 },
-                       { "target-latency-ms", aPriority == 0 ? 500 : 1200 },
-                       { "priority", aPriority },
-                       { "service", kService },
-                       { "max-attempts", kMaxAttempts },
-                       { "stretch", aPriority == 0 ? 1.5 : 3.0 },
-                       { "public", false },
-                       { "allowed-regions", Json::array() } });
-  };
-  for (const auto& queue : LargeTraffic()) {
-    add(queue.mName, queue.mPriority);
-  }
-  if (aVersion > 1) {
-    add("v" + std::to_string(aVersion), 2);
-  }
-  return { { "version", aVersion },
-           { "routes", std::move(routes) },
-           { "services",
-             { { { "name", kService },
-                 { "health-check-path", "/health" },
-                 { "max-connections", 64 },
-                 { "protocol", "h1" },
-                 { "tls", false },
-                 { "admission-check", true },
-                 { "standby", false } } } },
-           { "limits",
-             { { "max-header-bytes", 16384 },
-               { "max-body-bytes", 262144 },
-               { "header-timeout-ms", 3000 },
-               { "idle-timeout-ms", 15000 } } },
-           { "tenants",
-             { { { "name", "shop" },
-                 { "api-keys", { kKey } },
-                 { "priority", 1 },
-                 { "guaranteed", { { "gpus", 400 } } },
-                 { "allowed-regions", Json::array() } } } } };
-}
-
-struct Cluster
-{
-  review::Runtime& mRuntime;
-  review::Store& mStore;
-  review::Fleet& mFleet;
-  InstanceProcesses& mInstances;
-  std::vector<std::string> mDataCentres;
-  std::mt19937_64 mRandom;
-  int mVersion = 1;
-
-  // Calls aAction for a random share of 0 to aCount - 1.
-  void ForShare(std::size_t aCount,
-                double aShare,
-                const std::function<void(std::size_t)>& aAction)
-  {
-    for (std::size_t i = 0; i < aCount; ++i) {
-      if (std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare) {
-        aAction(i);
-      }
-    }
-  }
-};
-
-struct Trouble
-{
-  const char* mName;
-  double mEveryMs;
-  void (*mBegin)(Cluster&);
-};
-
-void FailStarts(Cluster& aCluster)
-{
-  aCluster.ForShare(
-    aCluster.mFleet.Workers().size(), 0.085, [&](std::size_t aServer) {
-      auto* server = aCluster.mFleet.Workers()[aServer].get();
-      server->SetFault(review::Fault::eErrors);
-      aCluster.mRuntime.After(
-        6500, [server] { server->SetFault(review::Fault::eNone); });
-    });
-}
-
-void CrashServers(Cluster& aCluster, double aShare, double aDownMs)
-{
-  aCluster.ForShare(
-    aCluster.mFleet.Workers().size(), aShare, [&](std::size_t aServer) {
-      auto* server = aCluster.mFleet.Workers()[aServer].get();
-      if (server->IsUp()) {
-        server->Crash();
-        aCluster.mRuntime.After(aDownMs, [server] { server->Restart("a"); });
-      }
-    });
-}
-
-const Trouble kTroubles[] = {
-  { "grey", 9000, FailStarts },
-  { "crash",
-    15000,
-    [](Cluster& aCluster) { CrashServers(aCluster, 0.14, 4500); } },
-  { "flap",
-    2800,
-    [](Cluster& aCluster) { CrashServers(aCluster, 0.02, 1400); } },
-  { "term",
-    1300,
-    [](Cluster& aCluster) {
-      aCluster.mInstances.Terminate(
-        aCluster.mRandom() % aCluster.mInstances.Count(), 2000);
-    } },
-  { "kill",
-    4000,
-    [](Cluster& aCluster) {
-      aCluster.ForShare(
-        aCluster.mInstances.Count(), 0.08, [&](std::size_t aInstance) {
-          aCluster.mInstances.Kill(aInstance, 3500);
-        });
-    } },
-  { "pause",
-    7000,
-    [](Cluster& aCluster) {
-      aCluster.ForShare(
-        aCluster.mInstances.Count(), 0.11, [&](std::size_t aInstance) {
-          aCluster.mInstances.Pause(aInstance, 3500);
-        });
-    } },
-  { "hangup",
-    3000,
-    [](Cluster& aCluster) {
-      aCluster.ForShare(
-        aCluster.mInstances.Count(), 0.3, [&](std::size_t aInstance) {
-          aCluster.mInstances.HangUp(aInstance);
-        });
-    } },
-  { "config",
-    3000,
-    [](Cluster& aCluster) {
-      aCluster.mStore.Put(
-        "op", "config", MakeConfiguration(++aCluster.mVersion));
-    } },
-  { "evacuate",
-    16000,
-    [](Cluster& aCluster) {
-      const auto dataCentre =
-        aCluster
-          .mDataCentres[aCluster.mRandom() % aCluster.mDataCentres.size()];
-      aCluster.mStore.Put("op", "evacuate/" + dataCentre, Json::object());
-      aCluster.mRuntime.After(8000, [&aCluster, dataCentre] {
-        aCluster.mStore.Remove("op", "evacuate/" + dataCentre);
-      });
-    } },
-  { "slow",
-    15000,
-    [](Cluster& aCluster) {
-      aCluster.mStore.SetSlow(true);
-      aCluster.mRuntime.After(4500,
-                              [&aCluster] { aCluster.mStore.SetSlow(false); });
-    } },
-  { "down",
-    19000,
-    [](Cluster& aCluster) {
-      aCluster.mStore.SetDown(true);
-      aCluster.mRuntime.After(4500,
-                              [&aCluster] { aCluster.mStore.SetDown(false); });
-    } },
-};
-
-void Repeat(Cluster& aCluster, const Trouble& aTrouble, double aUntilMs)
-{
-  std::uniform_real_distribution<double> factor(0.5, 1.5);
-  const double wait = aTrouble.mEveryMs * factor(aCluster.mRandom);
-  aCluster.mRuntime.After(wait, [&aCluster, &aTrouble, aUntilMs] {
-    if (aCluster.mRuntime.NowMs() < aUntilMs) {
-      aCluster.mRuntime.Record(std::string("trouble: ") + aTrouble.mName);
-      aTrouble.mBegin(aCluster);
-      Repeat(aCluster, aTrouble, aUntilMs);
-    }
-  });
-}
-
 int Play(char** aArguments)
 {
   const std::string program = aArguments[2];
@@ -220,17 +38,21 @@
   const auto seed = std::stoull(aArguments[4]);
   const double untilMs = kStartMs + std::stod(aArguments[5]) * 1000;
   const auto settings = Json::parse(std::ifstream(aArguments[1]));
-  const auto troubles = "," + std::string(aArguments[8]) + ",";
+  const std::string troubles = aArguments[8];
+  const bool limited =
+    ("," + troubles + ",").find(",quota,") != std::string::npos;
   review::Runtime runtime(folder + "/record.txt");
   review::Store store(runtime);
   review::Fleet fleet(runtime, store);
   store.Put("op", "config", MakeConfiguration(1));
+  StoreLinks links(runtime, store.Address());
   InstanceProcesses instances(runtime,
                               settings,
-                              store.Address(),
+                              links,
                               program,
                               folder,
-                              std::stoi(aArguments[6]));
+                              std::stoi(aArguments[6]),
+                              limited);
   std::vector<std::string> dataCentres;
   for (const auto& [dataCentre, region] : settings.at("zones").items()) {
     dataCentres.push_back(dataCentre);
@@ -249,19 +71,14 @@
         262144,
         8 });
   }
-  Cluster cluster{ runtime,   store,       fleet,
-                   instances, dataCentres, std::mt19937_64(seed) };
+  Cluster cluster{
+    runtime, store, fleet, instances, links, dataCentres, std::mt19937_64(seed)
+  };
   Traffic traffic(runtime, instances, fleet, seed + 1);
   runtime.After(kStartMs, [&] { traffic.Start(LargeTraffic(), untilMs); });
   constexpr double kCalmMs = 4000;
-  for (const auto& trouble : kTroubles) {
-    if (troubles.find("," + std::string(trouble.mName) + ",") !=
-        std::string::npos) {
-      runtime.After(kStartMs, [&cluster, &trouble, untilMs] {
-        Repeat(cluster, trouble, untilMs - kCalmMs);
-      });
-    }
-  }
+  runtime.After(kStartMs,
+                [&] { BeginTroubles(cluster, troubles, untilMs - kCalmMs); });
   runtime.After(untilMs + kFinishMs / 2,
                 [&] { traffic.AskForAll(untilMs + kFinishMs); });
   runtime.After(untilMs + kFinishMs + 4000, [&] { runtime.Loop().stop(); });
