The judge of real_cluster knows instances that are cut off from the store

Cause: a submission at an instance whose link to the store is silent ends without an answer at its deadline: the store may have taken it, so neither an acceptance nor a refusal would be true.

Change: such requests at an instance whose own link was cut in that time are counted apart as "cut off". Delays and resets excuse nothing.

--- a/testing/real_cluster/instance_processes.cpp
+++ b/testing/real_cluster/instance_processes.cpp
@@ -72,6 +72,7 @@
                                      int aCount,
                                      bool aLimited)
   : mRuntime(aRuntime)
+  , mLinks(aLinks)
   , mProgram(aProgram)
 {
   if (aLimited) {
--- a/testing/real_cluster/instance_processes.h
+++ b/testing/real_cluster/instance_processes.h
@@ -53,6 +53,12 @@
   // When the state of the instance last changed, in ms of the runtime.
   double ChangedMs(std::size_t aIndex) const;
 
+  // Whether the store was out of its reach at any time after aSinceMs.
+  bool WasCutOffSince(std::size_t aIndex, double aSinceMs) const
+  {
+    return mLinks.WasCutSince(aIndex, aSinceMs);
+  }
+
   // Sends SIGTERM, SIGKILL at the end of the grace period, and starts the
   // process again aDownMs after its end. Does nothing unless it is running.
   void Terminate(std::size_t aIndex, double aDownMs);
@@ -90,6 +96,7 @@
   void EndLimit(pid_t aProcess);
 
   review::Runtime& mRuntime;
+  StoreLinks& mLinks;
   const std::string mProgram;
   std::vector<Process> mProcesses;
   std::optional<ProcessorQuotas> mQuotas;
--- a/testing/real_cluster/store_links.cpp
+++ b/testing/real_cluster/store_links.cpp
@@ -46,6 +46,11 @@
   });
 }
 
+bool StoreLinks::WasCutSince(std::size_t aIndex, double aSinceMs) const
+{
+  return mLinks.at(aIndex).mCutUntilMs > aSinceMs;
+}
+
 void StoreLinks::DelayAll(std::chrono::milliseconds aDelay, double aMs)
 {
   mDelayedUntilMs = std::max(mDelayedUntilMs, mRuntime.NowMs() + aMs);
--- a/testing/real_cluster/store_links.h
+++ b/testing/real_cluster/store_links.h
@@ -26,6 +26,8 @@
   void Cut(std::size_t aIndex, const LinkHolds& aHolds, double aMs);
   // Bytes of all links take aDelay each way for aMs.
   void DelayAll(std::chrono::milliseconds aDelay, double aMs);
+  // Whether the link was cut at any time after aSinceMs.
+  bool WasCutSince(std::size_t aIndex, double aSinceMs) const;
   // Resets the connections of one link.
   void Reset(std::size_t aIndex);
 
--- a/testing/real_cluster/traffic.cpp
+++ b/testing/real_cluster/traffic.cpp
@@ -196,15 +196,23 @@
 {
   // An instance that stops may cut off requests that are younger than this.
   constexpr double kSlackMs = 200;
+  // An instance counts as out of touch for this long after a disruption.
+  constexpr double kContactMs = 5000;
   const auto state = mInstances.State(aInstance);
   const double ageMs = mRuntime.NowMs() - aSentMs;
   const bool stopping =
     state == InstanceState::eTerminating || state == InstanceState::eLeft;
   const bool down = state == InstanceState::eDown ||
                     mInstances.ChangedMs(aInstance) > aSentMs - kSlackMs;
-  const char* where = stopping ? "stopping" : down ? "down" : "running";
+  // Its store may have taken the submission, so it can't be refused either.
+  const bool cutOff =
+    mInstances.WasCutOffSince(aInstance, aSentMs - kContactMs);
+  const char* where = cutOff     ? "cut off"
+                      : stopping ? "stopping"
+                      : down     ? "down"
+                                 : "running";
   ++mUnanswered[where];
-  mUnansweredWithoutCause += stopping ? ageMs > kSlackMs : !down;
+  mUnansweredWithoutCause += !cutOff && (stopping ? ageMs > kSlackMs : !down);
   mRuntime.Record(fmt::format("UNANSWERED {} at {} ({}), after {:.0f} ms: {}",
                               aRequest,
                               mInstances.CallerAddress(aInstance),
