--- a/testing/real_cluster/play.sh
+++ b/testing/real_cluster/play.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Plays SITE as real processes: play.sh SITE SEED [SECONDS [INSTANCES [SERVERS
 # [TROUBLES]]]]. The settings of the instances are those that the users' bench
-# shows for SITE; BENCH is its path. FOLDER, PROGRAM and BUILD_DIR may be set.
+# shows for SITE; BENCH is its path. With "quota" among TROUBLES the instances
+# keep to their processor shares. FOLDER, PROGRAM and BUILD_DIR may be set.
 set -euo pipefail
 site=$1 seed=$2 seconds=${3:-30} instances=${4:-41} servers=${5:-350}
 troubles=${6:-grey,config}
