--- a/testing/real_cluster/instance_processes.h
+++ b/testing/real_cluster/instance_processes.h
@@ -6,10 +6,13 @@
 #include <sys/types.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "review/standins/runtime.h"
+#include "testing/real_cluster/processor_quotas.h"
+#include "testing/real_cluster/store_links.h"
 
 namespace flamingoloom::testing::real_cluster {
 
@@ -29,13 +32,16 @@
 {
 public:
   // Starts aCount processes of aProgram, with their settings and logs in
-  // aFolder.
+  // aFolder, and adds a link to the store for each to aLinks. With aLimited
+  // each has limits like those of a deployment with 41 instances, and keeps to
+  // its processor share.
   InstanceProcesses(review::Runtime& aRuntime,
                     const review::Json& aSettingsTemplate,
-                    const std::string& aStoreAddress,
+                    StoreLinks& aLinks,
                     const std::string& aProgram,
                     const std::string& aFolder,
-                    int aCount);
+                    int aCount,
+                    bool aLimited);
   ~InstanceProcesses();
   InstanceProcesses(const InstanceProcesses&) = delete;
   InstanceProcesses& operator=(const InstanceProcesses&) = delete;
@@ -48,6 +54,12 @@
   // When the state of the instance last changed, in ms of the runtime.
   double ChangedMs(std::size_t aIndex) const;
 
+  // Whether the store was out of its reach at any time after aSinceMs.
+  bool WasCutOffSince(std::size_t aIndex, double aSinceMs) const
+  {
+    return mLinks.WasCutSince(aIndex, aSinceMs);
+  }
+
   // Sends SIGTERM, SIGKILL at the end of the grace period, and starts the
   // process again aDownMs after its end. Does nothing unless it is running.
   void Terminate(std::size_t aIndex, double aDownMs);
@@ -69,6 +81,8 @@
     std::string mReadiness;
     // Path of its settings and its log, without their suffixes.
     std::string mFiles;
+    // In cores.
+    double mProcessorShare = 0;
     InstanceState mState = InstanceState::eRunning;
     double mChangedMs = 0;
   };
@@ -78,10 +92,15 @@
   void AwaitEnd(std::size_t aIndex, double aKillAtMs, double aDownMs);
   void LaunchAfter(std::size_t aIndex, double aMs);
   void CheckProcesses();
+  void Limit(const Process& aProcess);
+  // Before others stop the process, and once its end was waited for.
+  void EndLimit(pid_t aProcess);
 
   review::Runtime& mRuntime;
+  StoreLinks& mLinks;
   const std::string mProgram;
   std::vector<Process> mProcesses;
+  std::optional<ProcessorQuotas> mQuotas;
   int mUnexpectedEnds = 0;
 };
 
