The release build does not warn about the reasons in a log line

At -O3 GCC 12 takes the sum of a constant and a temporary string in LogWaiting for an overlapping copy (-Wrestrict, an error here).

Change: the text is appended piece by piece.

Measured: the build line succeeds.

--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -405,7 +405,9 @@
   std::string reasons;
   for (const auto& [reason, steps] : aAccount.mSteps) {
     reasons += reasons.empty() ? "" : ",";
-    reasons += WaitReasonName(reason) + (":" + std::to_string(steps));
+    reasons += WaitReasonName(reason);
+    reasons += ':';
+    reasons += std::to_string(steps);
   }
   int attempts = 0;
   for (const Task& task : step.mTasks) {
