--- a/review/cluster/http.cpp
+++ b/review/cluster/http.cpp
@@ -26,8 +26,8 @@
 
 std::string Lower(std::string aText)
 {
-  std::transform(aText.begin(), aText.end(), aText.begin(), [](char c) {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](char aChar) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(aChar)));
   });
   return aText;
 }
@@ -239,7 +239,7 @@
     SetNoDelay(socket);
     std::string text = aMethod + " " + aTarget + " HTTP/1.1\r\n";
     for (const auto& [name, value] : aHeaders) {
-      text += name + ": " + value + "\r\n";
+      text.append(name).append(": ").append(value).append("\r\n");
     }
     text +=
       "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
