Review: the scripts name TROUBLE themselves

Cause: the hook looks for it in run.sh, and took the shared part of the scripts for a case. Change: run.sh sets TROUBLE's default; the shared part is review/cluster/play.sh.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,5 @@
 #!/usr/bin/env bash
+# With TROUBLE=0 there is no disruption.
+export TROUBLE=${TROUBLE:-1}
 folder=$(dirname "$0")
-. "$folder/../cluster/run.sh" woken_leader "$folder"
+. "$folder/../cluster/play.sh" woken_leader "$folder"
