A leader whose own lease has ended sends no start

A leader's machine froze for 2.2 s between the store's answer to an assignment and the start command. Another instance led by then and had the task at work elsewhere. When the first one woke it sent its start; the server had restarted under its id, had seen no token of the new epoch, and took it.

Cause: nothing was checked between the answer of the store and the sending of each order. Only the server's token stopped a deposed leader, and a restarted server has none.

Change: commands wait while less than 100 ms of the leader's lease is left, and are sent after the next renewal. A start and its repetitions time out at the latest with the lease. The HTTP client checks the time of a call right before it writes, as the loop may open a connection before it handles the timer of a call that has passed while the process stood still.

--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -275,6 +275,11 @@
   void Send()
   {
     auto self = this->shared_from_this();
+    if (mPool->mClock() >= mStartedAt + mTimeout) {
+      // The process stood still, and the loop has not handled the timer yet.
+      OnTimeout();
+      return;
+    }
     mSent = true;
     beast::http::async_write(
       mConnection->mStream, mRequest, [self](auto aError, std::size_t) {
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -76,9 +76,10 @@
   // Sends aRequest to aPeer ("IP:PORT"). aTimeout covers the time to connect,
   // to send the request and until the response begins; after that, the time
   // between two parts of the response, up to ClientOptions::mMaxTransferTime
-  // for all of it. aCallback is called exactly once, never from within Call,
-  // with the response or an error: eInvalid for a malformed aPeer,
-  // eUnavailable, or eOutcomeUnknown.
+  // for all of it. No byte of the request is written once it has passed by the
+  // clock, also if the process stood still meanwhile. aCallback is called
+  // exactly once, never from within Call, with the response or an error:
+  // eInvalid for a malformed aPeer, eUnavailable, or eOutcomeUnknown.
   void Call(const std::string& aPeer,
             Request aRequest,
             base::Duration aTimeout,
--- a/flamingoloom/http/http_test.cpp
+++ b/flamingoloom/http/http_test.cpp
@@ -74,6 +74,33 @@
   CHECK(response.error().mCode == base::ErrorCode::eOutcomeUnknown);
 }
 
+// Guards against an order that a process sends long after it was due: it stood
+// still while it connected, and another process acts in its place by now.
+TEST_CASE("A request whose time has passed is not sent")
+{
+  int requests = 0;
+  Fixture fixture([&](const Request&, Server::Responder aDone) {
+    ++requests;
+    aDone({ 200 });
+  });
+  base::Duration stoodStill{ 0 };
+  Client client(
+    fixture.mLoop, {}, [&] { return fixture.mRuntime.Now() + stoodStill; });
+  std::optional<base::Expected<Response>> result;
+  client.Call(fixture.mPeer, {}, milliseconds(500), [&](auto aResult) {
+    result = std::move(aResult);
+  });
+  // The connection is not open yet.
+  stoodStill = milliseconds(600);
+  while (!result) {
+    fixture.mLoop.run_one();
+  }
+  REQUIRE(!*result);
+  CHECK(result->error().mCode == base::ErrorCode::eUnavailable);
+  CHECK(client.Counters().mOpenConnections == 0);
+  CHECK(requests == 0);
+}
+
 // Guards against a refused connection being reported as an unknown outcome: the
 // caller would not retry although the request was never sent.
 TEST_CASE("A refused connection is reported as unavailable")
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -254,6 +254,9 @@
         EndLeadership();
         return;
       }
+      if (aResult && aResult->mApplied) {
+        mLeader->OnLeadershipRenewed();
+      }
       const auto& timing = mSettings.mElection;
       base::Duration wait = timing.mRenewRetryDelay;
       if (aResult) {
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -260,8 +260,21 @@
   CommitNext();
 }
 
+void Leader::OnLeadershipRenewed()
+{
+  if (mScheduler.HasCommands()) {
+    RequestPass();
+  }
+}
+
 void Leader::SendCommands()
 {
+  const auto left = mLeadershipValidUntil() - mPorts.mLoop->Now();
+  if (left < mTiming.mSession.mMinCommandTimeout) {
+    // Another instance may lead by now, so that these would be orders of a
+    // deposed leader. A server that has restarted does not know that yet.
+    return;
+  }
   const auto commands = mScheduler.TakeCommands();
   for (const auto& stop : commands.mStops) {
     if (ServerSession* session = SessionFor(stop.mServer)) {
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -70,6 +70,9 @@
   // Stops scheduling. Results of calls in flight are ignored.
   void Stop();
 
+  // The instance's own lease was renewed.
+  void OnLeadershipRenewed();
+
   void SetConfiguration(const Configuration& aConfiguration);
   void SetOutOfServiceDataCentres(
     const std::set<base::DataCentreId>& aDataCentres);
@@ -136,6 +139,8 @@
     const CommitResult& aResult) const;
   // Identifies the current batch among those of all epochs.
   std::string BatchName() const;
+  // Sends the commands of the scheduler that may be sent, or keeps them until
+  // the lease is renewed.
   void SendCommands();
   // Logs once how long it took until the listed servers had responded to this
   // epoch, so that tasks may start on them.
--- a/flamingoloom/node/leader_servers.cpp
+++ b/flamingoloom/node/leader_servers.cpp
@@ -240,6 +240,7 @@
              ? Time()
              : mLeadershipValidUntil() + mTiming.mLeaseBeyondLeadership;
   };
+  events.mLeadershipValidUntil = mLeadershipValidUntil;
   return events;
 }
 
--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -244,7 +244,11 @@
                               int aCallAttempt,
                               bool aEarlierUnknown)
 {
-  const auto leaseUntilMs = GrantLease();
+  const auto timeout =
+    std::min(mTiming.mCommandTimeout,
+             mEvents.mLeadershipValidUntil() - mPorts.mLoop->Now());
+  const auto leaseUntilMs =
+    timeout < mTiming.mMinCommandTimeout ? std::nullopt : GrantLease();
   if (!leaseUntilMs) {
     mPorts.mLoop->After(Duration(0),
                         [self = shared_from_this(), aCommand, aEarlierUnknown] {
@@ -260,7 +264,7 @@
     aCommand,
     mEpoch,
     *leaseUntilMs,
-    mTiming.mCommandTimeout,
+    timeout,
     [self = shared_from_this(), aCommand, aCallAttempt, aEarlierUnknown](
       StartResult aResult) {
       if (self->mClosed) {
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -33,6 +33,10 @@
   // A timer that ends later than this shows that the process stood still.
   base::Duration mMaxTimerDelay = std::chrono::milliseconds(500);
   base::Duration mCommandTimeout = std::chrono::milliseconds(600);
+  // A start command times out at the latest when the leader's own lease ends,
+  // and is not sent if that leaves less time than this. A response from another
+  // region takes 40 ms.
+  base::Duration mMinCommandTimeout = std::chrono::milliseconds(100);
   // Delay after a failed call.
   base::Duration mRetryDelay = std::chrono::milliseconds(300);
   // Delay of the next report request while completions wait to be stored, which
@@ -74,6 +78,8 @@
     std::function<bool()> mHasUnstoredCompletions;
     // The latest expiry with which leases may be granted.
     std::function<base::Time()> mLeaseLimit;
+    // The expiry of the leader's own lease. Start commands end before it.
+    std::function<base::Time()> mLeadershipValidUntil;
   };
 
   ServerSession(Ports aPorts,
--- a/testing/platform_world/paused_instance_test.cpp
+++ b/testing/platform_world/paused_instance_test.cpp
@@ -87,6 +87,40 @@
   }
 }
 
+// Guards against a task that runs twice: a server that has restarted has not
+// seen the token of the next leader and takes the start of the one before.
+TEST_CASE(
+  "A leader whose lease has ended sends no start, also to a server that "
+  "has restarted")
+{
+  for (const auto order : kWakeOrders) {
+    for (milliseconds at(0); at < kStartTakes; at += milliseconds(1)) {
+      const Moment moment{ at, milliseconds(3000), order };
+      INFO(moment.Text());
+      SmallCluster cluster({});
+      cluster.RunFor(seconds(2));
+      const auto leader = cluster.Leader();
+      cluster.Submit(1 - leader, 0, { 1, seconds(20) });
+      cluster.RunFor(moment.mAt);
+      cluster.Loop(leader).Pause();
+      cluster.RunFor(moment.mPause);
+      for (const int server : { 0, 1 }) {
+        cluster.Servers().Crash(SmallCluster::ServerId(server));
+        cluster.ListServer(server, "a" + std::to_string(server));
+      }
+      cluster.RunFor(milliseconds(50));
+      const auto wokeAt = cluster.Clock().Now();
+      cluster.Loop(leader).Resume(order);
+      cluster.RunFor(seconds(3));
+      CHECK(cluster.Invariants().Violations() == std::vector<std::string>());
+      for (const auto& sent : cluster.Orders()) {
+        CHECK((sent.mKind != OrderKind::eStart ||
+               sent.mEpoch == cluster.Epoch() || sent.mSentAt < wokeAt));
+      }
+    }
+  }
+}
+
 // The work was done before its leases expired on the server.
 TEST_CASE(
   "The only instance that stood still does not count work as lost that is done")
--- a/testing/platform_world/server_session_test.cpp
+++ b/testing/platform_world/server_session_test.cpp
@@ -97,6 +97,7 @@
     events.mHasUnstoredCompletions = [] { return false; };
     events.mOnLease = [](base::Time) {};
     events.mLeaseLimit = [] { return base::Time::max(); };
+    events.mLeadershipValidUntil = [] { return base::Time::max(); };
     mSession = std::make_shared<node::ServerSession>(
       node::Ports{ &mLoop, nullptr, &mServer, nullptr, &mLog },
       scheduler::ServerInfo{},
