Orders to an earlier incarnation of a server are fenced

Cause: a call names the server by its id, so a start that is under way when the server restarts is executed by the new incarnation, while the leader takes the report of that incarnation as proof that the task is not there. The token was the same for both. The same holds for leases and for acknowledgements, which count by the numbers of the earlier incarnation. A server whose wall clock had stepped back was not recognised as restarted at all, and so was left without a token.

When another incarnation responds or is listed, the session takes a higher generation, asks for a report with it, and only that report counts: what was sent before can take effect before it, which it shows, but not after it. Until then no start is sent, and the attempts there are unresolved, as for a new leader. Starts are not repeated, and waiting ones not sent, once they are no longer wanted. server_restarted is logged with the call that was under way.

--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -124,6 +124,8 @@
   // Passes mListedServers to the scheduler.
   void ApplyServerList();
   ServerSession* SessionFor(const base::ServerId& aServer);
+  // Returns a token that is higher than all that this leader has used.
+  FencingToken NextToken();
   ServerSession::Events SessionEvents(const base::ServerId& aServer);
   // Schedules a pass unless one is pending.
   void RequestPass();
@@ -177,6 +179,9 @@
   // may be stored. These get no lease.
   std::optional<LeaseBounds> mStoredLeaseBounds;
   std::set<base::ServerId> mServersWithoutLease;
+  // Generation of the last token. One counter serves all servers, since a
+  // server whose entry vanishes and returns gets a new session.
+  std::int64_t mTokenGeneration = 0;
   scheduler::Scheduler mScheduler;
   std::map<base::ServerId, std::shared_ptr<ServerSession>> mSessions;
   // The decoded entries of the server list, by key, as of this version of the
--- a/flamingoloom/node/leader_servers.cpp
+++ b/flamingoloom/node/leader_servers.cpp
@@ -179,11 +179,24 @@
   if (server == nullptr || server->mInfo.mAddress.empty()) {
     return nullptr;
   }
-  auto session = std::make_shared<ServerSession>(
-    mPorts, server->mInfo, mEpoch, mTiming.mSession, SessionEvents(aServer));
+  auto session = std::make_shared<ServerSession>(mPorts,
+                                                 server->mInfo,
+                                                 NextToken(),
+                                                 mTiming.mSession,
+                                                 SessionEvents(aServer));
   return mSessions.emplace(aServer, std::move(session)).first->second.get();
 }
 
+FencingToken Leader::NextToken()
+{
+  if (mTokenGeneration + 1 < kMaxGenerations) {
+    ++mTokenGeneration;
+  } else {
+    LoseLeadership("no generations left");
+  }
+  return { mEpoch, mTokenGeneration };
+}
+
 ServerSession::Events Leader::SessionEvents(const ServerId& aServer)
 {
   // Capturing `this` is safe: this object owns the session and closes it before
@@ -202,6 +215,14 @@
     mScheduler.OnServerReplaced(mPorts.mLoop->Now(), aServer);
     RequestPass();
   };
+  events.mOnRestarted = [this, aServer] {
+    mScheduler.OnServerRestarted(aServer);
+    RequestPass();
+  };
+  events.mNextToken = [this] { return NextToken(); };
+  events.mIsStartWanted = [this](const scheduler::StartCommand& aCommand) {
+    return mScheduler.IsStartWanted(aCommand);
+  };
   events.mOnFenced = [this] { LoseLeadership("a server saw a higher epoch"); };
   events.mOnStart = [this, aServer](const scheduler::StartCommand& aCommand,
                                     scheduler::StartResult aResult,
--- a/flamingoloom/node/ports.h
+++ b/flamingoloom/node/ports.h
@@ -14,6 +14,7 @@
 #include "flamingoloom/base/error.h"
 #include "flamingoloom/base/time.h"
 #include "flamingoloom/node/configuration.h"
+#include "flamingoloom/node/fencing_token.h"
 #include "flamingoloom/scheduler/scheduler.h"
 #include "flamingoloom/scheduler/server.h"
 
@@ -127,7 +128,7 @@
 
 struct ReportRequest
 {
-  std::int64_t mEpoch = 0;
+  FencingToken mToken;
   // The server may discard completions up to this number.
   std::int64_t mAckThrough = 0;
   // New expiry of all leases on the server, by the server's clock; nullopt
@@ -151,7 +152,7 @@
 
   virtual void Start(const scheduler::ServerInfo& aServer,
                      const scheduler::StartCommand& aCommand,
-                     std::int64_t aEpoch,
+                     const FencingToken& aToken,
                      std::int64_t aLeaseUntilMs,
                      base::Duration aTimeout,
                      std::function<void(scheduler::StartResult)> aThen) = 0;
@@ -159,11 +160,11 @@
   // Passes to aThen whether the server acknowledged the command.
   virtual void Stop(const scheduler::ServerInfo& aServer,
                     const scheduler::StopCommand& aCommand,
-                    std::int64_t aEpoch,
+                    const FencingToken& aToken,
                     base::Duration aTimeout,
                     std::function<void(bool)> aThen) = 0;
 
-  // Error eStaleEpoch: the server has seen a higher epoch. Error eNotFound:
+  // Error eStaleEpoch: the server has seen a higher token. Error eNotFound:
   // another server responds at this address.
   virtual void Report(
     const scheduler::ServerInfo& aServer,
--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -11,17 +11,53 @@
 
 ServerSession::ServerSession(Ports aPorts,
                              scheduler::ServerInfo aServer,
-                             std::int64_t aEpoch,
+                             FencingToken aToken,
                              ServerSessionTiming aTiming,
                              Events aEvents)
   : mPorts(aPorts)
   , mServer(std::move(aServer))
-  , mEpoch(aEpoch)
   , mTiming(aTiming)
   , mEvents(std::move(aEvents))
+  , mToken(aToken)
 {
 }
 
+void ServerSession::Update(const scheduler::ServerInfo& aServer)
+{
+  // The entry may be older than the last report. The wall clock of a server may
+  // step back, so that a later incarnation may name an earlier start.
+  const bool restarted = aServer.mStartedMs != mServer.mStartedMs &&
+                         mIncarnation != 0 &&
+                         aServer.mStartedMs != mIncarnation;
+  mServer = aServer;
+  if (restarted) {
+    OnRestarted(aServer.mStartedMs);
+  }
+}
+
+void ServerSession::OnRestarted(std::int64_t aStartedMs)
+{
+  if (mTokenUsed) {
+    mToken = mEvents.mNextToken();
+    mTokenUsed = false;
+  }
+  mPorts.mLog->Write("server_restarted",
+                     { { "server", mServer.mId.Value() },
+                       { "started_ms", std::to_string(aStartedMs) },
+                       { "before_ms", std::to_string(mIncarnation) },
+                       { "generation", std::to_string(mToken.mGeneration) },
+                       { "request_in_flight", mRequestInFlight ? "1" : "0" },
+                       { "grants_lease", mRequestGrantsLease ? "1" : "0" },
+                       { "acknowledged", std::to_string(mConfirmedAck) } });
+  mIncarnation = 0;
+  mIncarnationSeen = false;
+  mConfirmedAck = 0;
+  mClockMs.reset();
+  // Its response would show the earlier incarnation.
+  mRequestInFlight = false;
+  mEvents.mOnRestarted();
+}
+
 std::optional<std::int64_t> ServerSession::GrantLease()
 {
   if (!mClockMs) {
@@ -32,6 +68,7 @@
   if (until <= now) {
     return std::nullopt;
   }
+  mTokenUsed = true;
   const auto untilMs = MinClockMs() + base::ToMilliseconds(until - now);
   // A slow server clock reaches that value later than this instance's clock.
   const auto latest = now + std::chrono::duration_cast<Duration>(
@@ -85,7 +122,7 @@
 void ServerSession::SendReportRequest(Duration aWait, bool aGrantLease)
 {
   ReportRequest request;
-  request.mEpoch = mEpoch;
+  request.mToken = mToken;
   const auto ackThrough = mEvents.mAckThrough();
   // Completions are acknowledged only shortly after a report of the same
   // incarnation; otherwise a report without a wait is requested first, which
@@ -96,6 +133,7 @@
   const auto ack =
     ackThrough > mConfirmedAck && incarnationIsFresh ? ackThrough : 0;
   request.mAckThrough = ack;
+  mTokenUsed = mTokenUsed || ack > 0;
   request.mWait =
     ackThrough > mConfirmedAck && !incarnationIsFresh ? Duration(0) : aWait;
   if (aGrantLease) {
@@ -116,6 +154,7 @@
     timeout + mTiming.mLateResponseTime,
     [self = shared_from_this(),
      number,
+     token = mToken,
      sentAt,
      ack,
      expectedBy = sentAt + request.mWait + mTiming.mTransitTime](
@@ -124,7 +163,7 @@
         aResponse->mReport.mDelay =
           std::max(Duration(0), self->mPorts.mLoop->Now() - expectedBy);
       }
-      self->OnReportResponse(number, sentAt, ack, std::move(aResponse));
+      self->OnReportResponse(number, token, sentAt, ack, std::move(aResponse));
     });
 }
 
@@ -193,6 +232,7 @@
 }
 
 void ServerSession::OnReportResponse(std::uint64_t aRequest,
+                                     const FencingToken& aToken,
                                      Time aSentAt,
                                      std::int64_t aAckSent,
                                      base::Expected<ReportResponse> aResponse)
@@ -201,7 +241,8 @@
   if (!late) {
     mRequestInFlight = false;
   }
-  if (mClosed) {
+  if (mClosed || aToken < mToken) {
+    // With a lower token: it was sent to an earlier incarnation.
     return;
   }
   if (!aResponse) {
@@ -217,13 +258,21 @@
   }
   mReportSentAt = aSentAt;
   mFailures = 0;
-  const bool sameIncarnation = mIncarnation == aResponse->mReport.mStartedMs;
-  mIncarnation = aResponse->mReport.mStartedMs;
-  mIncarnationSeen = !late;
-  mConfirmedAck = sameIncarnation ? std::max(mConfirmedAck, aAckSent) : 0;
-  if (!sameIncarnation) {
-    mClockMs.reset();
+  const auto startedMs = aResponse->mReport.mStartedMs;
+  if (mIncarnation != 0 && startedMs != mIncarnation) {
+    const bool ordersMayFollow = mTokenUsed;
+    OnRestarted(startedMs);
+    if (ordersMayFollow) {
+      // Orders to the earlier incarnation may arrive after this report. The
+      // next one has the new token, which they do not.
+      RequestReport();
+      return;
+    }
   }
+  mConfirmedAck =
+    startedMs == mIncarnation ? std::max(mConfirmedAck, aAckSent) : 0;
+  mIncarnation = startedMs;
+  mIncarnationSeen = !late;
   RecordClock(aResponse->mClockMs);
   mReportArrivedAt = mPorts.mLoop->Now();
   mEvents.mOnReport(aResponse->mReport, aSentAt);
@@ -247,8 +296,9 @@
   const auto timeout =
     std::min(mTiming.mCommandTimeout,
              mEvents.mLeadershipValidUntil() - mPorts.mLoop->Now());
-  const auto leaseUntilMs =
-    timeout < mTiming.mMinCommandTimeout ? std::nullopt : GrantLease();
+  const bool mayOrder =
+    mIncarnation != 0 && timeout >= mTiming.mMinCommandTimeout;
+  const auto leaseUntilMs = mayOrder ? GrantLease() : std::nullopt;
   if (!leaseUntilMs) {
     mPorts.mLoop->After(Duration(0),
                         [self = shared_from_this(), aCommand, aEarlierUnknown] {
@@ -259,36 +309,44 @@
                         });
     return;
   }
-  mPorts.mServers->Start(
-    mServer,
-    aCommand,
-    mEpoch,
-    *leaseUntilMs,
-    timeout,
-    [self = shared_from_this(), aCommand, aCallAttempt, aEarlierUnknown](
-      StartResult aResult) {
-      if (self->mClosed) {
-        return;
-      }
-      if (aResult == StartResult::eFenced) {
-        self->mEvents.mOnFenced();
-        return;
-      }
-      // The same attempt may be sent again: a server starts it only once.
-      if (aResult == StartResult::eUnknown &&
-          aCallAttempt < self->mTiming.mMaxStartCalls) {
-        self->SendStart(aCommand, aCallAttempt + 1, true);
-        return;
-      }
-      self->mEvents.mOnStart(aCommand, aResult, aEarlierUnknown);
-    });
+  mPorts.mServers->Start(mServer,
+                         aCommand,
+                         mToken,
+                         *leaseUntilMs,
+                         timeout,
+                         [self = shared_from_this(),
+                          aCommand,
+                          aCallAttempt,
+                          aEarlierUnknown,
+                          token = mToken](StartResult aResult) {
+                           if (self->mClosed || token < self->mToken) {
+                             // With a lower token: the report of the new
+                             // incarnation tells what has become of the
+                             // command.
+                             return;
+                           }
+                           if (aResult == StartResult::eFenced) {
+                             self->mEvents.mOnFenced();
+                             return;
+                           }
+                           // The same attempt may be sent again: a server
+                           // starts it only once.
+                           if (aResult == StartResult::eUnknown &&
+                               aCallAttempt < self->mTiming.mMaxStartCalls &&
+                               self->mEvents.mIsStartWanted(aCommand)) {
+                             self->SendStart(aCommand, aCallAttempt + 1, true);
+                             return;
+                           }
+                           self->mEvents.mOnStart(
+                             aCommand, aResult, aEarlierUnknown);
+                         });
 }
 
 void ServerSession::Stop(const scheduler::StopCommand& aCommand)
 {
   mPorts.mServers->Stop(mServer,
                         aCommand,
-                        mEpoch,
+                        mToken,
                         mTiming.mCommandTimeout,
                         [self = shared_from_this(), aCommand](bool aResponded) {
                           if (self->mClosed) {
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -63,12 +63,19 @@
       mOnReport;
     std::function<void()> mOnUnresponsive;
     std::function<void()> mOnReplaced;
+    // Another incarnation of the server responds, or is listed. What it runs is
+    // not known before the next report.
+    std::function<void()> mOnRestarted;
     std::function<void()> mOnFenced;
     std::function<void(const scheduler::StartCommand&,
                        scheduler::StartResult,
                        bool aEarlierUnknown)>
       mOnStart;
     std::function<void(const scheduler::StopCommand&, bool)> mOnStop;
+    // Whether the start command is to be sent again.
+    std::function<bool(const scheduler::StartCommand&)> mIsStartWanted;
+    // Returns a token that is higher than all that were used for this server.
+    std::function<FencingToken()> mNextToken;
     // All leases that a command or request grants expire by the given time.
     std::function<void(base::Time)> mOnLease;
     // Whether further reports are needed, up to which number completions may be
@@ -84,11 +91,12 @@
 
   ServerSession(Ports aPorts,
                 scheduler::ServerInfo aServer,
-                std::int64_t aEpoch,
+                FencingToken aToken,
                 ServerSessionTiming aTiming,
                 Events aEvents);
 
-  void Update(const scheduler::ServerInfo& aServer) { mServer = aServer; }
+  // Takes over the server's changed entry in the store.
+  void Update(const scheduler::ServerInfo& aServer);
   // Requests a report now if one is needed and no request is in flight.
   void RequestReport();
   // Requests a report that grants a lease, now that one may be granted. Does
@@ -104,10 +112,14 @@
   // aDueAt is when the timer for the response had to end.
   void OnReportOverdue(std::uint64_t aRequest, base::Time aDueAt);
   void OnReportResponse(std::uint64_t aRequest,
+                        const FencingToken& aToken,
                         base::Time aSentAt,
                         std::int64_t aAckSent,
                         base::Expected<ReportResponse> aResponse);
   void OnReportError(const base::Error& aError);
+  // Another incarnation of the server has begun. Fences the orders that were
+  // sent to the earlier one.
+  void OnRestarted(std::int64_t aStartedMs);
   void RecordFailure();
   void SendStart(const scheduler::StartCommand& aCommand,
                  int aCallAttempt,
@@ -123,9 +135,13 @@
 
   const Ports mPorts;
   scheduler::ServerInfo mServer;
-  const std::int64_t mEpoch;
   const ServerSessionTiming mTiming;
   const Events mEvents;
+  // The token of all calls. A call that was sent to an earlier incarnation may
+  // still reach a later one, so that gets a higher token before it gets orders.
+  FencingToken mToken;
+  // A start, a lease or an acknowledgement was sent with mToken.
+  bool mTokenUsed = false;
   // The server's clock in the report of this incarnation that arrived the
   // fastest, and when that report arrived here.
   std::optional<std::int64_t> mClockMs;
@@ -136,6 +152,8 @@
   // It is not sent again: another incarnation, which numbers its completions
   // anew, would apply it to its own completions.
   std::int64_t mConfirmedAck = 0;
+  // Start time of the incarnation that has responded to a request with mToken
+  // in Unix milliseconds; 0 while none has. Only then start commands are sent.
   std::int64_t mIncarnation = 0;
   // Whether the incarnation was seen at mReportArrivedAt, rather than when the
   // request for a late response was sent.
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -153,6 +153,13 @@
   // Another server responds at the server's address, so the process of this
   // server no longer exists.
   void OnServerReplaced(base::Time aNow, const base::ServerId& aServer);
+  // Another incarnation of the server has begun; the next report shows what it
+  // runs. Commands that were sent to the earlier one must be fenced before that
+  // report is requested.
+  void OnServerRestarted(const base::ServerId& aServer);
+  // Returns whether a start command that was not answered yet is still to take
+  // effect.
+  bool IsStartWanted(const StartCommand& aCommand);
   // A command is being sent that grants leases which expire at aExpiresBy at
   // the latest.
   void RecordLease(const base::ServerId& aServer, base::Time aExpiresBy);
@@ -267,6 +274,8 @@
   // expired.
   void RequeueFromLostServers(base::Time aNow);
   void RequeueAllOn(ServerState& aServer, const char* aReason);
+  // Forgets what an earlier incarnation of the server has reported.
+  void ForgetIncarnation(ServerState& aServer);
   // Returns the time without progress after which a running task hangs.
   // aMedianSpeed is that of its step in percent per second, 0 if unknown.
   base::Duration StallTimeout(const StepState& aStep,
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -229,6 +229,38 @@
   }
 }
 
+void Scheduler::OnServerRestarted(const ServerId& aServer)
+{
+  if (ServerState* server = mFleet.Find(aServer)) {
+    server->mFenced = false;
+    ForgetIncarnation(*server);
+  }
+}
+
+void Scheduler::ForgetIncarnation(ServerState& aServer)
+{
+  aServer.mIncarnation = 0;
+  aServer.mLastHandledCompletion = aServer.mAcknowledgedThrough = 0;
+  aServer.mUnstoredCompletions.clear();
+  for (const auto& attempt : aServer.mAttempts) {
+    StepState* step = nullptr;
+    Task* task = FindTask(attempt.mTask, &step);
+    if (task != nullptr && task->mAttemptNumber == attempt.mAttemptNumber &&
+        task->mPhase != TaskPhase::eAssigned) {
+      task->mPhase = TaskPhase::eUnresolved;
+    }
+  }
+}
+
+bool Scheduler::IsStartWanted(const StartCommand& aCommand)
+{
+  StepState* step = nullptr;
+  const Task* task = FindTask(aCommand.mAttempt.mTask, &step);
+  return task != nullptr && task->mPhase == TaskPhase::eDispatching &&
+         task->mAttemptNumber == aCommand.mAttempt.mAttemptNumber &&
+         !task->mStopRequested;
+}
+
 void Scheduler::RecordLease(const ServerId& aServer, Time aExpiresBy)
 {
   if (ServerState* server = mFleet.Find(aServer)) {
@@ -282,13 +314,10 @@
       std::min(server->mLeasesExpireBy, aNow + mSettings.mMaxLease);
   }
   server->mResponsive = server->mFenced = true;
-  const bool restarted =
-    server->mIncarnation != 0 && server->mIncarnation != aReport.mStartedMs;
-  server->mIncarnation = aReport.mStartedMs;
-  if (restarted) {
-    server->mLastHandledCompletion = server->mAcknowledgedThrough = 0;
-    server->mUnstoredCompletions.clear();
+  if (server->mIncarnation != 0 && server->mIncarnation != aReport.mStartedMs) {
+    ForgetIncarnation(*server);
   }
+  server->mIncarnation = aReport.mStartedMs;
   std::set<jobs::TaskAttempt> listed;
   for (const auto& completion : aReport.mCompletions) {
     listed.insert(completion.mAttempt);
@@ -315,7 +344,7 @@
       task->mRespondedAt.has_value() && *task->mRespondedAt <= aSentAt;
     const bool known = !aReport.mMayHaveMoreCompletions &&
                        (task->mPhase == TaskPhase::eUnresolved || responded);
-    if (known || (restarted && task->mPhase == TaskPhase::eRunning)) {
+    if (known) {
       Requeue(*step, attempt.mTask.mIndex, "absent from the server's report");
     }
   }
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace flamingoloom::scheduler {
 
@@ -216,8 +217,11 @@
 TaskCommands Scheduler::TakeCommands()
 {
   TaskCommands commands;
-  commands.mStarts = std::move(mStarts);
-  mStarts.clear();
+  commands.mStarts = std::exchange(mStarts, {});
+  // A start that has waited may have been given up.
+  std::erase_if(commands.mStarts, [this](const StartCommand& aStart) {
+    return !IsStartWanted(aStart);
+  });
   commands.mStops.assign(mStops.begin(), mStops.end());
   mStops.clear();
   return commands;
--- a/testing/platform_world/disturbed_ports.cpp
+++ b/testing/platform_world/disturbed_ports.cpp
@@ -65,20 +65,20 @@
 std::optional<Disturbance> DisturbedServers::Record(
   OrderKind aKind,
   const scheduler::ServerInfo& aServer,
-  std::int64_t aEpoch)
+  const node::FencingToken& aToken)
 {
-  mOrders.push_back({ mClock.Now(), aKind, aServer.mId, aEpoch });
+  mOrders.push_back({ mClock.Now(), aKind, aServer.mId, aToken.mEpoch });
   return mChoose ? mChoose(aKind) : std::nullopt;
 }
 
 void DisturbedServers::Start(const scheduler::ServerInfo& aServer,
                              const scheduler::StartCommand& aCommand,
-                             std::int64_t aEpoch,
+                             const node::FencingToken& aToken,
                              std::int64_t aLeaseUntilMs,
                              Duration aTimeout,
                              std::function<void(StartResult)> aThen)
 {
-  const auto disturbance = Record(OrderKind::eStart, aServer, aEpoch);
+  const auto disturbance = Record(OrderKind::eStart, aServer, aToken);
   if (IsReplaced(aServer)) {
     mClock.After(kNetworkDelay * 2, [then = std::move(aThen)] {
       then(StartResult::eWrongServer);
@@ -89,11 +89,11 @@
     mClock,
     disturbance,
     aTimeout,
-    [this, aServer, aCommand, aEpoch, aLeaseUntilMs, aTimeout](
+    [this, aServer, aCommand, aToken, aLeaseUntilMs, aTimeout](
       auto aOnResponse) {
       mServers.Start(aServer,
                      aCommand,
-                     aEpoch,
+                     aToken,
                      aLeaseUntilMs,
                      aTimeout,
                      std::move(aOnResponse));
@@ -104,11 +104,11 @@
 
 void DisturbedServers::Stop(const scheduler::ServerInfo& aServer,
                             const scheduler::StopCommand& aCommand,
-                            std::int64_t aEpoch,
+                            const node::FencingToken& aToken,
                             Duration aTimeout,
                             std::function<void(bool)> aThen)
 {
-  const auto disturbance = Record(OrderKind::eStop, aServer, aEpoch);
+  const auto disturbance = Record(OrderKind::eStop, aServer, aToken);
   if (IsReplaced(aServer)) {
     mClock.After(kNetworkDelay * 2, [then = std::move(aThen)] { then(false); });
     return;
@@ -117,9 +117,9 @@
     mClock,
     disturbance,
     aTimeout,
-    [this, aServer, aCommand, aEpoch, aTimeout](auto aOnResponse) {
+    [this, aServer, aCommand, aToken, aTimeout](auto aOnResponse) {
       mServers.Stop(
-        aServer, aCommand, aEpoch, aTimeout, std::move(aOnResponse));
+        aServer, aCommand, aToken, aTimeout, std::move(aOnResponse));
     },
     std::move(aThen),
     false);
@@ -131,7 +131,7 @@
   Duration aTimeout,
   std::function<void(Expected<node::ReportResponse>)> aThen)
 {
-  const auto disturbance = Record(OrderKind::eReport, aServer, aRequest.mEpoch);
+  const auto disturbance = Record(OrderKind::eReport, aServer, aRequest.mToken);
   if (IsReplaced(aServer)) {
     mClock.After(
       kNetworkDelay * 2, [then = std::move(aThen), id = aServer.mId.Value()] {
--- a/testing/platform_world/fake_servers.cpp
+++ b/testing/platform_world/fake_servers.cpp
@@ -45,7 +45,8 @@
   mServers.emplace(aInfo.mId, server);
 }
 
-void FakeServers::Crash(const ServerId& aServer)
+void FakeServers::Crash(const ServerId& aServer,
+                        std::optional<std::int64_t> aStartedMs)
 {
   Server& server = mServers.at(aServer);
   const auto attempts = server.mAttempts;
@@ -60,7 +61,7 @@
   server = Server{};
   server.mInfo = info;
   server.mIncarnation = incarnation;
-  server.mInfo.mStartedMs = incarnation;
+  server.mInfo.mStartedMs = aStartedMs.value_or(incarnation);
   server.mUnreachable = unreachable;
   server.mClockStartedAt = mClock.Now();
 }
@@ -232,14 +233,14 @@
 std::optional<StartResult> FakeServers::Start(
   const ServerId& aServer,
   const scheduler::StartCommand& aCommand,
-  std::int64_t aEpoch,
+  const node::FencingToken& aToken,
   std::int64_t aLeaseUntilMs)
 {
   Server& server = mServers.at(aServer);
-  if (aEpoch < server.mEpoch) {
+  if (aToken < server.mToken) {
     return StartResult::eFenced;
   }
-  server.mEpoch = aEpoch;
+  server.mToken = aToken;
   const auto& attempt = aCommand.mAttempt;
   if (server.mAttempts.count(attempt) > 0) {
     SetLease(server, aLeaseUntilMs);
@@ -267,13 +268,13 @@
 
 bool FakeServers::Stop(const ServerId& aServer,
                        const scheduler::StopCommand& aCommand,
-                       std::int64_t aEpoch)
+                       const node::FencingToken& aToken)
 {
   Server& server = mServers.at(aServer);
-  if (aEpoch < server.mEpoch) {
+  if (aToken < server.mToken) {
     return false;
   }
-  server.mEpoch = aEpoch;
+  server.mToken = aToken;
   auto& highest = server.mHighestEndedAttempt[aCommand.mAttempt.mTask];
   highest = std::max(highest, aCommand.mAttempt.mAttemptNumber);
   EndAttempt(server, aCommand.mAttempt, TaskEndReason::eStopped);
@@ -290,11 +291,11 @@
   const node::ReportRequest& aRequest)
 {
   Server& server = mServers.at(aServer);
-  if (aRequest.mEpoch < server.mEpoch) {
+  if (aRequest.mToken < server.mToken) {
     return MakeError(
       ErrorCode::eStaleEpoch, "report", aServer.Value(), "fence");
   }
-  server.mEpoch = aRequest.mEpoch;
+  server.mToken = aRequest.mToken;
   if (aRequest.mLeaseUntilMs) {
     SetLease(server, *aRequest.mLeaseUntilMs);
   }
@@ -308,7 +309,7 @@
   }
   node::ReportResponse response;
   response.mClockMs = ClockMs(server);
-  response.mReport.mStartedMs = server.mIncarnation;
+  response.mReport.mStartedMs = server.mInfo.mStartedMs;
   response.mReport.mCompletions = completions;
   for (const auto& [attempt, state] : server.mAttempts) {
     int percent = 0;
@@ -341,7 +342,7 @@
 
 void ServersConnection::Start(const scheduler::ServerInfo& aServer,
                               const scheduler::StartCommand& aCommand,
-                              std::int64_t aEpoch,
+                              const node::FencingToken& aToken,
                               std::int64_t aLeaseUntilMs,
                               Duration aTimeout,
                               std::function<void(StartResult)> aThen)
@@ -358,7 +359,7 @@
     [this,
      id,
      aCommand,
-     aEpoch,
+     aToken,
      aLeaseUntilMs,
      responseLost,
      serverIncarnation = mServers.Incarnation(id),
@@ -370,7 +371,7 @@
         }
         return;
       }
-      const auto result = mServers.Start(id, aCommand, aEpoch, aLeaseUntilMs);
+      const auto result = mServers.Start(id, aCommand, aToken, aLeaseUntilMs);
       if (!responseLost && incarnation == mIncarnation) {
         CallLater(kNetworkDelay, [aThen, result] { aThen(*result); });
       }
@@ -382,7 +383,7 @@
 
 void ServersConnection::Stop(const scheduler::ServerInfo& aServer,
                              const scheduler::StopCommand& aCommand,
-                             std::int64_t aEpoch,
+                             const node::FencingToken& aToken,
                              Duration aTimeout,
                              std::function<void(bool)> aThen)
 {
@@ -397,11 +398,11 @@
                [this,
                 id,
                 aCommand,
-                aEpoch,
+                aToken,
                 responseLost,
                 incarnation = mIncarnation,
                 aThen] {
-                 const bool done = mServers.Stop(id, aCommand, aEpoch);
+                 const bool done = mServers.Stop(id, aCommand, aToken);
                  if (!responseLost && incarnation == mIncarnation) {
                    CallLater(kNetworkDelay, [aThen, done] { aThen(done); });
                  }
--- a/testing/platform_world/fake_servers.h
+++ b/testing/platform_world/fake_servers.h
@@ -30,8 +30,10 @@
               GangSize aGangSize);
 
   void Add(const scheduler::ServerInfo& aInfo);
-  // The server and all its attempts end, and a new incarnation starts.
-  void Crash(const base::ServerId& aServer);
+  // The server and all its attempts end, and a new incarnation starts, at
+  // aStartedMs by its wall clock if that is given.
+  void Crash(const base::ServerId& aServer,
+             std::optional<std::int64_t> aStartedMs = std::nullopt);
   // Instances cannot reach the server, which keeps working.
   void SetUnreachable(const base::ServerId& aServer, bool aUnreachable);
   // Share of commands that take effect seconds later and whose responses are
@@ -46,11 +48,11 @@
   std::optional<scheduler::StartResult> Start(
     const base::ServerId& aServer,
     const scheduler::StartCommand& aCommand,
-    std::int64_t aEpoch,
+    const node::FencingToken& aToken,
     std::int64_t aLeaseUntilMs);
   bool Stop(const base::ServerId& aServer,
             const scheduler::StopCommand& aCommand,
-            std::int64_t aEpoch);
+            const node::FencingToken& aToken);
   base::Expected<node::ReportResponse> Report(
     const base::ServerId& aServer,
     const node::ReportRequest& aRequest);
@@ -74,7 +76,7 @@
     scheduler::ServerInfo mInfo;
     bool mUnreachable = false;
     int mIncarnation = 1;
-    std::int64_t mEpoch = 0;
+    node::FencingToken mToken;
     base::Time mLeaseUntil;
     base::Time mClockStartedAt;
     std::map<jobs::TaskAttempt, AttemptState> mAttempts;
@@ -118,13 +120,13 @@
 
   void Start(const scheduler::ServerInfo& aServer,
              const scheduler::StartCommand& aCommand,
-             std::int64_t aEpoch,
+             const node::FencingToken& aToken,
              std::int64_t aLeaseUntilMs,
              base::Duration aTimeout,
              std::function<void(scheduler::StartResult)> aThen) override;
   void Stop(const scheduler::ServerInfo& aServer,
             const scheduler::StopCommand& aCommand,
-            std::int64_t aEpoch,
+            const node::FencingToken& aToken,
             base::Duration aTimeout,
             std::function<void(bool)> aThen) override;
   void Report(
--- a/testing/platform_world/pausable_loop.cpp
+++ b/testing/platform_world/pausable_loop.cpp
@@ -133,7 +133,7 @@
 
 void PausableServers::Start(const scheduler::ServerInfo& aServer,
                             const scheduler::StartCommand& aCommand,
-                            std::int64_t aEpoch,
+                            const node::FencingToken& aToken,
                             std::int64_t aLeaseUntilMs,
                             Duration aTimeout,
                             std::function<void(scheduler::StartResult)> aThen)
@@ -141,7 +141,7 @@
   mServers.Start(
     aServer,
     aCommand,
-    aEpoch,
+    aToken,
     aLeaseUntilMs,
     aTimeout,
     mLoop.Bind(aTimeout, std::move(aThen), scheduler::StartResult::eUnknown));
@@ -149,13 +149,13 @@
 
 void PausableServers::Stop(const scheduler::ServerInfo& aServer,
                            const scheduler::StopCommand& aCommand,
-                           std::int64_t aEpoch,
+                           const node::FencingToken& aToken,
                            Duration aTimeout,
                            std::function<void(bool)> aThen)
 {
   mServers.Stop(aServer,
                 aCommand,
-                aEpoch,
+                aToken,
                 aTimeout,
                 mLoop.Bind(aTimeout, std::move(aThen), false));
 }
--- a/testing/platform_world/pausable_loop.h
+++ b/testing/platform_world/pausable_loop.h
@@ -148,13 +148,13 @@
 
   void Start(const scheduler::ServerInfo& aServer,
              const scheduler::StartCommand& aCommand,
-             std::int64_t aEpoch,
+             const node::FencingToken& aToken,
              std::int64_t aLeaseUntilMs,
              base::Duration aTimeout,
              std::function<void(scheduler::StartResult)> aThen) override;
   void Stop(const scheduler::ServerInfo& aServer,
             const scheduler::StopCommand& aCommand,
-            std::int64_t aEpoch,
+            const node::FencingToken& aToken,
             base::Duration aTimeout,
             std::function<void(bool)> aThen) override;
   void Report(
--- a/testing/platform_world/server_session_test.cpp
+++ b/testing/platform_world/server_session_test.cpp
@@ -28,7 +28,7 @@
 
   void Start(const scheduler::ServerInfo&,
              const scheduler::StartCommand&,
-             std::int64_t,
+             const node::FencingToken&,
              std::int64_t,
              base::Duration,
              std::function<void(scheduler::StartResult)>) override
@@ -36,7 +36,7 @@
   }
   void Stop(const scheduler::ServerInfo&,
             const scheduler::StopCommand&,
-            std::int64_t,
+            const node::FencingToken&,
             base::Duration,
             std::function<void(bool)>) override
   {
@@ -101,7 +101,7 @@
     mSession = std::make_shared<node::ServerSession>(
       node::Ports{ &mLoop, nullptr, &mServer, nullptr, &mLog },
       scheduler::ServerInfo{},
-      1,
+      node::FencingToken{ 1, 1 },
       node::ServerSessionTiming{},
       events);
   }
