A listed server that does not respond is polled without work too

Callers saw: work waited beside servers that were reachable again.

Cause: a server is polled while attempts may run on it. When its leases had ended and its work was given up nothing asked it again, so it counted as silent until its entry vanished or the leader changed. The log has server_silent and no server_answers for them.

Evidence: the new case of scheduler_test failed before and passes.

--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -293,7 +293,7 @@
   const ServerState* server = mFleet.Find(aServer);
   return server != nullptr &&
          (!server->mAttempts.empty() || !server->mUnstoredCompletions.empty() ||
-          !server->mFenced);
+          !server->mFenced || (server->mListed && !server->mResponsive));
 }
 
 // Scheduling passes
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -195,7 +195,8 @@
   // acknowledged, as it is stored with all before it.
   std::int64_t AcknowledgedCompletions(const base::ServerId& aServer) const;
   // Returns whether the server has to be polled: attempts may run on it,
-  // completions of it are not stored, or it is not fenced yet.
+  // completions of it are not stored, it is not fenced yet, or it is listed
+  // without having responded last.
   bool NeedsReports(const base::ServerId& aServer) const;
   // Returns the milliseconds until the next occurrence of a job is due, or
   // nothing if none is. aUnixMs is the time of day.
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -93,6 +93,21 @@
   CHECK(restarts[0].mAttempt.mAttemptNumber == 2);
 }
 
+// Guards against a server that is never used again once its work was given up.
+TEST_CASE("A listed server that does not respond is polled without work too")
+{
+  Fixture f;
+  f.AddServers(2);
+  f.Add(Fixture::MakeJob("a", 1, 1));
+  const auto start = f.StartAll().at(0);
+  f.mScheduler.OnServerUnresponsive(f.mNow, start.mServer);
+  f.mNow += seconds(13);
+  REQUIRE(f.RunPass().mStarts.size() == 1);
+  CHECK(f.mScheduler.NeedsReports(start.mServer));
+  f.Report(start.mServer, {}, {});
+  CHECK_FALSE(f.mScheduler.NeedsReports(start.mServer));
+}
+
 // Guards against a new leader that starts tasks again which the previous leader
 // has started, before their servers have reported.
 TEST_CASE("A new leader recovers assignments and restarts only absent tasks")
