A late completion counts, and the attempt after it is stopped

Cause: the completion of an attempt that was given up was acknowledged and otherwise ignored, also while the task still waited.

Change: it marks the task as done; an attempt that is under way is stopped, for a gang those of all members. Logged as done_taken_over.

Evidence: the new case of scheduler_test failed before and passes.

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -261,6 +261,9 @@
   void HandleRunningTask(base::Time aReportedAt,
                          ServerState& aServer,
                          const RunningTask& aRunning);
+  // An attempt that was given up was done after all, so no other one is needed:
+  // marks the task as done and stops what is under way.
+  void TakeOverDone(base::Time aNow, StepState& aStep, int aIndex);
   // Marks the task as done, and for a gang all of its members. A long-running
   // task is requeued instead.
   void HandleTaskDone(base::Time aNow, StepState& aStep, int aIndex);
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -419,6 +419,10 @@
         { "number", std::to_string(aCompletion.mNumber) },
         { "known", current ? "1" : "0" } });
   if (!current) {
+    if (task != nullptr && aCompletion.mEndReason == TaskEndReason::eDone &&
+        task->mPhase != TaskPhase::eDone && !step->Spec().mLongRunning) {
+      TakeOverDone(aNow, *step, aCompletion.mAttempt.mTask.mIndex);
+    }
     return;
   }
   const int index = aCompletion.mAttempt.mTask.mIndex;
@@ -436,6 +440,30 @@
   }
 }
 
+void Scheduler::TakeOverDone(Time aNow, StepState& aStep, int aIndex)
+{
+  const bool gang = aStep.Spec().mGang;
+  std::vector<StopCommand> stops;
+  for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
+    const Task& task = aStep.mTasks[i];
+    const int index = static_cast<int>(i);
+    if ((gang || index == aIndex) && IsPlaced(task.mPhase) &&
+        task.mPhase != TaskPhase::eAssigned) {
+      stops.push_back(
+        { task.mServer, { aStep.Name(index), task.mAttemptNumber } });
+    }
+  }
+  Log("done_taken_over",
+      aStep.mJob->mSpec.mId,
+      { { "run",
+          AttemptText(
+            aStep.Name(aIndex),
+            aStep.mTasks[static_cast<std::size_t>(aIndex)].mAttemptNumber) },
+        { "stopped", std::to_string(stops.size()) } });
+  HandleTaskDone(aNow, aStep, aIndex);
+  mStops.insert(stops.begin(), stops.end());
+}
+
 void Scheduler::HandleTaskDone(Time aNow, StepState& aStep, int aIndex)
 {
   if (aStep.Spec().mLongRunning) {
@@ -457,6 +485,7 @@
     --aStep.mUnfinishedTasks;
   }
   aStep.mGangAborting = false;
+  aStep.mPlan.clear();
   MarkDirty(aStep);
   if (aStep.mUnfinishedTasks == 0) {
     FinishStep(aNow, aStep);
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -108,6 +108,32 @@
   CHECK_FALSE(f.mScheduler.NeedsReports(start.mServer));
 }
 
+// Guards against work that is done twice, or thrown away, after its server was
+// cut off.
+TEST_CASE("A late completion counts, and the attempt after it is stopped")
+{
+  for (const bool started : { false, true }) {
+    Fixture f;
+    f.AddServers(2);
+    f.Add(Fixture::MakeJob("a", 1, 1));
+    const auto start = f.StartAll().at(0);
+    f.mScheduler.OnServerUnresponsive(f.mNow, start.mServer);
+    f.mNow += seconds(13);
+    const auto restart = f.RunPass().mStarts.at(0);
+    if (started) {
+      f.mScheduler.OnStart(f.mNow, restart, StartResult::eStarted, false);
+    }
+    f.Report(
+      start.mServer, {}, { { 1, start.mAttempt, TaskEndReason::eDone, "" } });
+    CHECK(f.State("a") == JobState::eCompleted);
+    const auto commands = f.RunPass();
+    CHECK(commands.mStarts.empty());
+    REQUIRE(commands.mStops.size() == 1);
+    CHECK(commands.mStops[0] ==
+          StopCommand{ restart.mServer, restart.mAttempt });
+  }
+}
+
 // Guards against a new leader that starts tasks again which the previous leader
 // has started, before their servers have reported.
 TEST_CASE("A new leader recovers assignments and restarts only absent tasks")
