--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -45,6 +45,7 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  base::Time mOpenedAt;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -109,21 +110,40 @@
   {
   }
 
-  // Returns an idle connection to aPeer that can be used, or null.
-  ConnectionPtr TakeIdle(const std::string& aPeer)
+  // Returns an idle connection to aPeer that can be used and was opened at
+  // aOpenedBy or before, or null.
+  ConnectionPtr TakeIdle(const std::string& aPeer, base::Time aOpenedBy)
+  {
+    if (!HasIdle(aPeer, aOpenedBy)) {
+      return nullptr;
+    }
+    auto& idle = mIdleOf[aPeer];
+    const auto entry = NewestIdle(idle, aOpenedBy);
+    auto connection = (*entry)->mConnection;
+    mIdle.erase(*entry);
+    idle.erase(entry);
+    return connection;
+  }
+
+  // Returns whether TakeIdle would return a connection. Closes connections that
+  // can't be used any more.
+  bool HasIdle(const std::string& aPeer, base::Time aOpenedBy)
   {
     CloseExpired();
     const auto idle = mIdleOf.find(aPeer);
-    while (idle != mIdleOf.end() && !idle->second.empty()) {
-      auto connection = idle->second.back()->mConnection;
-      mIdle.erase(idle->second.back());
-      idle->second.pop_back();
-      if (IsReusable(*connection)) {
-        return connection;
+    if (idle == mIdleOf.end()) {
+      return false;
+    }
+    for (;;) {
+      const auto entry = NewestIdle(idle->second, aOpenedBy);
+      if (entry == idle->second.end()) {
+        return false;
       }
-      OnClosed();
+      if (IsReusable(*(*entry)->mConnection)) {
+        return true;
+      }
+      CloseIdle(*entry);
     }
-    return nullptr;
   }
 
   // Keeps a connection for later calls.
@@ -191,6 +211,20 @@
     OnClosed();
   }
 
+  using IdleOfPeer = std::deque<std::list<IdleConnection>::iterator>;
+
+  // Returns the one that was used last among those that were opened at
+  // aOpenedBy or before, or the end.
+  static IdleOfPeer::iterator NewestIdle(IdleOfPeer& aIdle,
+                                         base::Time aOpenedBy)
+  {
+    const auto found = std::find_if(
+      aIdle.rbegin(), aIdle.rend(), [aOpenedBy](const auto& aEntry) {
+        return aEntry->mConnection->mOpenedAt <= aOpenedBy;
+      });
+    return found == aIdle.rend() ? aIdle.end() : std::prev(found.base());
+  }
+
   asio::io_context& mLoop;
   ClientOptions mOptions;
   Clock mClock;
@@ -198,8 +232,7 @@
   ClientCounters mCounters;
   // In the order in which they became idle.
   std::list<IdleConnection> mIdle;
-  std::map<std::string, std::deque<std::list<IdleConnection>::iterator>>
-    mIdleOf;
+  std::map<std::string, IdleOfPeer> mIdleOf;
   std::deque<WaitingCall> mWaiting;
 };
 
@@ -219,7 +252,10 @@
   {
   }
 
-  void Start(Request aRequest, base::Duration aTimeout)
+  // If aOpenedBy is set, only a connection that was opened by then is used.
+  void Start(Request aRequest,
+             base::Duration aTimeout,
+             std::optional<base::Time> aOpenedBy)
   {
     mStartedAt = mPool->mClock();
     mRequest.method_string(aRequest.mMethod);
@@ -234,12 +270,21 @@
     auto self = this->shared_from_this();
     mTimeout = aTimeout;
     RestartTimer();
-    mConnection = mPool->TakeIdle(mPeer);
+    mConnection = mPool->TakeIdle(mPeer, aOpenedBy.value_or(base::Time::max()));
     if (mConnection) {
       mHoldsConnection = true;
       Send();
       return;
     }
+    if (aOpenedBy) {
+      asio::post(mPool->mLoop, [self] {
+        self->Finish(base::MakeError(base::ErrorCode::eUnavailable,
+                                     "reuse connection",
+                                     self->mPeer,
+                                     "none is open"));
+      });
+      return;
+    }
     const auto endpoint = ParseEndpoint(mPeer);
     if (!endpoint) {
       asio::post(mPool->mLoop, [self] {
@@ -265,6 +310,7 @@
           self->Fail("connect", aError);
           return;
         }
+        self->mConnection->mOpenedAt = self->mPool->mClock();
         boost::system::error_code ignored;
         self->mConnection->mStream.socket().set_option(Tcp::no_delay(true),
                                                        ignored);
@@ -275,7 +321,8 @@
   void Send()
   {
     auto self = this->shared_from_this();
-    if (mPool->mClock() >= mStartedAt + mTimeout) {
+    mSentAt = mPool->mClock();
+    if (mSentAt >= mStartedAt + mTimeout) {
       // The process stood still, and the loop has not handled the timer yet.
       OnTimeout();
       return;
@@ -346,6 +393,7 @@
     auto message = mParser.release();
     Response response;
     response.mStatus = static_cast<int>(message.result_int());
+    response.mRequestSentAt = mSentAt;
     for (const auto& field : message) {
       response.mHeaders.emplace_back(std::string(field.name_string()),
                                      std::string(field.value()));
@@ -431,6 +479,7 @@
   beast::http::request<beast::http::string_body> mRequest;
   beast::http::response_parser<beast::http::string_body> mParser;
   bool mSent = false;
+  base::Time mSentAt;
   bool mDone = false;
 };
 
@@ -455,7 +504,22 @@
                   Callback aCallback)
 {
   std::make_shared<Exchange<Impl>>(mImpl, aPeer, std::move(aCallback))
-    ->Start(std::move(aRequest), aTimeout);
+    ->Start(std::move(aRequest), aTimeout, std::nullopt);
+}
+
+bool Client::HasOpen(const std::string& aPeer, base::Time aOpenedBy)
+{
+  return mImpl->HasIdle(aPeer, aOpenedBy);
+}
+
+void Client::CallOnOpen(const std::string& aPeer,
+                        Request aRequest,
+                        base::Duration aTimeout,
+                        base::Time aOpenedBy,
+                        Callback aCallback)
+{
+  std::make_shared<Exchange<Impl>>(mImpl, aPeer, std::move(aCallback))
+    ->Start(std::move(aRequest), aTimeout, aOpenedBy);
 }
 
 const ClientCounters& Client::Counters() const
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -85,6 +85,18 @@
             base::Duration aTimeout,
             Callback aCallback);
 
+  // Returns whether CallOnOpen would find a connection now.
+  bool HasOpen(const std::string& aPeer, base::Time aOpenedBy);
+  // Like Call, but sends the request only on an idle connection that was opened
+  // at aOpenedBy or before. Without one the call fails with eUnavailable. If a
+  // process has responded to a request that was sent at aOpenedBy, then no
+  // process that began later gets this one.
+  void CallOnOpen(const std::string& aPeer,
+                  Request aRequest,
+                  base::Duration aTimeout,
+                  base::Time aOpenedBy,
+                  Callback aCallback);
+
   const ClientCounters& Counters() const;
 
 private:
--- a/flamingoloom/http/http_test.cpp
+++ b/flamingoloom/http/http_test.cpp
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -101,6 +103,62 @@
   CHECK(requests == 0);
 }
 
+// Guards against an order for a process that is executed by the one which has
+// taken its place at the same address.
+TEST_CASE("A call on an open connection reaches no process that began later")
+{
+  boost::asio::io_context loop;
+  event_loop::AsioLoop runtime(loop);
+  int requests = 0;
+  const Server::Handler handler = [&](const Request&, Server::Responder aDone) {
+    ++requests;
+    aDone({ 200 });
+  };
+  ServerLimits limits;
+  limits.mIdleTimeout = milliseconds(100);
+  auto server = std::make_unique<Server>(loop, limits, handler);
+  REQUIRE(server->Listen("127.0.0.1:0"));
+  const auto peer = "127.0.0.1:" + std::to_string(server->Port());
+  Client client(loop, {}, [&] { return runtime.Now(); });
+  std::optional<base::Expected<Response>> result;
+  const auto await = [&] {
+    while (!result) {
+      loop.run_one();
+    }
+    return *std::exchange(result, std::nullopt);
+  };
+  const auto callOnOpen = [&](base::Time aOpenedBy) {
+    client.CallOnOpen(
+      peer, {}, milliseconds(500), aOpenedBy, [&](auto aResult) {
+        result = std::move(aResult);
+      });
+    return await();
+  };
+  const auto before = runtime.Now();
+  CHECK(!callOnOpen(before));
+  client.Call(peer, {}, milliseconds(500), [&](auto aResult) {
+    result = std::move(aResult);
+  });
+  const auto first = await();
+  REQUIRE(first);
+  CHECK(first->mRequestSentAt > before);
+  CHECK(client.HasOpen(peer, first->mRequestSentAt));
+  CHECK(callOnOpen(first->mRequestSentAt));
+  const auto tooOld = callOnOpen(before);
+  REQUIRE(!tooOld);
+  CHECK(tooOld.error().mCode == base::ErrorCode::eUnavailable);
+  CHECK(requests == 2);
+  CHECK(client.Counters().mConnectionAttempts == 1);
+  // It ends, and its connection with it.
+  server.reset();
+  loop.run_for(3 * limits.mIdleTimeout);
+  loop.restart();
+  server = std::make_unique<Server>(loop, ServerLimits{}, handler);
+  REQUIRE(server->Listen(peer));
+  CHECK(!callOnOpen(first->mRequestSentAt));
+  CHECK(requests == 2);
+}
+
 // Guards against a refused connection being reported as an unknown outcome: the
 // caller would not retry although the request was never sent.
 TEST_CASE("A refused connection is reported as unavailable")
--- a/flamingoloom/http/message.h
+++ b/flamingoloom/http/message.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "flamingoloom/base/time.h"
+
 namespace flamingoloom::http {
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
@@ -28,6 +30,8 @@
   // Whether the server closes the connection after this response. The client
   // does not set it.
   bool mClose = false;
+  // When the client began to write the request. The server does not set it.
+  base::Time mRequestSentAt;
 
   friend bool operator==(const Response&, const Response&) = default;
 };
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -15,8 +15,8 @@
   scheduler::SchedulerSettings aSettings,
   const LeaderTiming& aTiming)
 {
-  aSettings.mMaxLease = std::chrono::duration_cast<base::Duration>(
-    aTiming.mSession.mLease / aTiming.mSession.mMinClockRate);
+  aSettings.mMaxServerLease = std::chrono::duration_cast<base::Duration>(
+    aTiming.mSession.mMaxServerLease / aTiming.mSession.mMinClockRate);
   return aSettings;
 }
 
--- a/flamingoloom/node/leader_leases.cpp
+++ b/flamingoloom/node/leader_leases.cpp
@@ -93,7 +93,7 @@
                           : bounds.mServersMs.end();
     if (mStoredLeaseBounds && stored != mStoredLeaseBounds->mServersMs.end()) {
       bounds.mServersMs.insert(*stored);
-    } else if (const auto ms = aToStoreMs(server.mLeasesExpireBy)) {
+    } else if (const auto ms = aToStoreMs(mScheduler.AttemptsEndBy(server))) {
       bounds.mServersMs.emplace(id, *ms);
     }
   }
--- a/flamingoloom/node/leader_servers.cpp
+++ b/flamingoloom/node/leader_servers.cpp
@@ -246,6 +246,10 @@
   events.mOnLease = [this, aServer](Time aEndsBy) {
     mScheduler.RecordLease(aServer, aEndsBy);
   };
+  events.mOnStartMayStray = [this](const scheduler::StartCommand& aCommand,
+                                   Time aEndsBy) {
+    mScheduler.OnStartMayStray(aCommand, aEndsBy);
+  };
   events.mNeedsReports = [this, aServer] {
     return mPhase == Phase::eScheduling && mScheduler.NeedsReports(aServer);
   };
--- a/flamingoloom/node/ports.h
+++ b/flamingoloom/node/ports.h
@@ -136,6 +136,9 @@
   std::optional<std::int64_t> mLeaseUntilMs;
   // How long the server may hold its response back until a task completes.
   base::Duration mWait{ 0 };
+  // If set, the request is sent only on a connection that was opened by then;
+  // see BackendServers::HasConnection.
+  std::optional<base::Time> mConnectedBy;
 };
 
 struct ReportResponse
@@ -143,6 +146,24 @@
   scheduler::ServerReport mReport;
   // The server's clock in milliseconds.
   std::int64_t mClockMs = 0;
+  // When the request was sent.
+  base::Time mRequestSentAt;
+};
+
+struct StartRequest
+{
+  FencingToken mToken;
+  // Expiry of all leases on the server, by the server's clock.
+  std::int64_t mLeaseUntilMs = 0;
+  // As for ReportRequest.
+  std::optional<base::Time> mConnectedBy;
+};
+
+struct StartResponse
+{
+  scheduler::StartResult mResult = scheduler::StartResult::eUnknown;
+  // The server's clock in milliseconds, if the response tells it.
+  std::optional<std::int64_t> mClockMs;
 };
 
 class BackendServers
@@ -150,12 +171,17 @@
 public:
   virtual ~BackendServers() = default;
 
+  // Returns whether a call that is made now can use a connection to the server
+  // that was opened at aOpenedBy or before. If an incarnation has responded to
+  // a request that was sent at aOpenedBy, no later one gets such a call.
+  virtual bool HasConnection(const scheduler::ServerInfo& aServer,
+                             base::Time aOpenedBy) = 0;
+
   virtual void Start(const scheduler::ServerInfo& aServer,
                      const scheduler::StartCommand& aCommand,
-                     const FencingToken& aToken,
-                     std::int64_t aLeaseUntilMs,
+                     const StartRequest& aRequest,
                      base::Duration aTimeout,
-                     std::function<void(scheduler::StartResult)> aThen) = 0;
+                     std::function<void(StartResponse)> aThen) = 0;
 
   // Passes to aThen whether the server acknowledged the command.
   virtual void Stop(const scheduler::ServerInfo& aServer,
--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -50,7 +50,6 @@
                        { "grants_lease", mRequestGrantsLease ? "1" : "0" },
                        { "acknowledged", std::to_string(mConfirmedAck) } });
   mIncarnation = 0;
-  mIncarnationSeen = false;
   mConfirmedAck = 0;
   mClockMs.reset();
   // Its response would show the earlier incarnation.
@@ -124,21 +123,20 @@
   ReportRequest request;
   request.mToken = mToken;
   const auto ackThrough = mEvents.mAckThrough();
-  // Completions are acknowledged only shortly after a report of the same
-  // incarnation; otherwise a report without a wait is requested first, which
-  // shows the incarnation.
-  const bool incarnationIsFresh =
-    mIncarnationSeen &&
-    mPorts.mLoop->Now() - mReportArrivedAt < mTiming.mIncarnationValidity;
-  const auto ack =
-    ackThrough > mConfirmedAck && incarnationIsFresh ? ackThrough : 0;
+  request.mWait = aWait;
+  // Another incarnation would apply a lease to its own clock, and would discard
+  // completions that nobody has read.
+  const bool connected =
+    mIncarnation != 0 && mPorts.mServers->HasConnection(mServer, mConnectedBy);
+  const auto ack = connected && ackThrough > mConfirmedAck ? ackThrough : 0;
   request.mAckThrough = ack;
-  mTokenUsed = mTokenUsed || ack > 0;
-  request.mWait =
-    ackThrough > mConfirmedAck && !incarnationIsFresh ? Duration(0) : aWait;
-  if (aGrantLease) {
+  if (connected && aGrantLease) {
     request.mLeaseUntilMs = GrantLease();
   }
+  if (ack > 0 || request.mLeaseUntilMs) {
+    mTokenUsed = true;
+    request.mConnectedBy = mConnectedBy;
+  }
   mRequestInFlight = true;
   mRequestGrantsLease = request.mLeaseUntilMs.has_value();
   const Time sentAt = mPorts.mLoop->Now();
@@ -272,9 +270,8 @@
   mConfirmedAck =
     startedMs == mIncarnation ? std::max(mConfirmedAck, aAckSent) : 0;
   mIncarnation = startedMs;
-  mIncarnationSeen = !late;
+  mConnectedBy = aResponse->mRequestSentAt;
   RecordClock(aResponse->mClockMs);
-  mReportArrivedAt = mPorts.mLoop->Now();
   mEvents.mOnReport(aResponse->mReport, aSentAt);
   if (late && !mRequestGrantsLease) {
     // The server lives. Its leases are renewed now rather than with the
@@ -286,60 +283,82 @@
 
 void ServerSession::Start(const scheduler::StartCommand& aCommand)
 {
-  SendStart(aCommand, 1, false);
+  SendStart({ aCommand });
 }
 
-void ServerSession::SendStart(const scheduler::StartCommand& aCommand,
-                              int aCallAttempt,
-                              bool aEarlierUnknown)
+void ServerSession::SendStart(StartCall aCall)
 {
+  const Time now = mPorts.mLoop->Now();
   const auto timeout =
-    std::min(mTiming.mCommandTimeout,
-             mEvents.mLeadershipValidUntil() - mPorts.mLoop->Now());
+    std::min(mTiming.mCommandTimeout, mEvents.mLeadershipValidUntil() - now);
   const bool mayOrder =
     mIncarnation != 0 && timeout >= mTiming.mMinCommandTimeout;
   const auto leaseUntilMs = mayOrder ? GrantLease() : std::nullopt;
   if (!leaseUntilMs) {
-    mPorts.mLoop->After(Duration(0),
-                        [self = shared_from_this(), aCommand, aEarlierUnknown] {
-                          if (!self->mClosed) {
-                            self->mEvents.mOnStart(
-                              aCommand, StartResult::eTooLate, aEarlierUnknown);
-                          }
-                        });
+    mPorts.mLoop->After(
+      Duration(0), [self = shared_from_this(), call = std::move(aCall)] {
+        if (!self->mClosed) {
+          self->mEvents.mOnStart(
+            call.mCommand, StartResult::eTooLate, call.mEarlierUnknown);
+        }
+      });
+    return;
+  }
+  StartRequest request{ mToken, *leaseUntilMs, std::nullopt };
+  if (mPorts.mServers->HasConnection(mServer, mConnectedBy)) {
+    request.mConnectedBy = mConnectedBy;
+  } else {
+    const auto maxLease = std::chrono::duration_cast<Duration>(
+      mTiming.mMaxServerLease / mTiming.mMinClockRate);
+    aCall.mStraysUntil = now + timeout + mTiming.mMaxCallDelay + maxLease;
+    mEvents.mOnStartMayStray(aCall.mCommand, aCall.mStraysUntil);
+  }
+  mPorts.mServers->Start(
+    mServer,
+    aCall.mCommand,
+    request,
+    timeout,
+    [self = shared_from_this(),
+     call = aCall,
+     token = mToken,
+     minClockMs = MinClockMs()](const StartResponse& aResponse) {
+      // With a lower token: the report of the new incarnation tells what has
+      // become of the command.
+      if (!self->mClosed && token >= self->mToken) {
+        self->OnStartResponse(call, minClockMs, aResponse);
+      }
+    });
+}
+
+void ServerSession::OnStartResponse(const StartCall& aCall,
+                                    std::int64_t aMinClockMs,
+                                    const StartResponse& aResponse)
+{
+  if (aResponse.mClockMs && *aResponse.mClockMs < aMinClockMs) {
+    // The clock of an incarnation does not go back, so this is another one.
+    OnRestarted(0);
+    RequestReport();
     return;
   }
-  mPorts.mServers->Start(mServer,
-                         aCommand,
-                         mToken,
-                         *leaseUntilMs,
-                         timeout,
-                         [self = shared_from_this(),
-                          aCommand,
-                          aCallAttempt,
-                          aEarlierUnknown,
-                          token = mToken](StartResult aResult) {
-                           if (self->mClosed || token < self->mToken) {
-                             // With a lower token: the report of the new
-                             // incarnation tells what has become of the
-                             // command.
-                             return;
-                           }
-                           if (aResult == StartResult::eFenced) {
-                             self->mEvents.mOnFenced();
-                             return;
-                           }
-                           // The same attempt may be sent again: a server
-                           // starts it only once.
-                           if (aResult == StartResult::eUnknown &&
-                               aCallAttempt < self->mTiming.mMaxStartCalls &&
-                               self->mEvents.mIsStartWanted(aCommand)) {
-                             self->SendStart(aCommand, aCallAttempt + 1, true);
-                             return;
-                           }
-                           self->mEvents.mOnStart(
-                             aCommand, aResult, aEarlierUnknown);
-                         });
+  if (aResponse.mResult == StartResult::eFenced) {
+    mEvents.mOnFenced();
+    return;
+  }
+  if (aResponse.mResult == StartResult::eUnknown) {
+    // The same attempt may be sent again: a server starts it only once.
+    if (aCall.mNumber < mTiming.mMaxStartCalls &&
+        mEvents.mIsStartWanted(aCall.mCommand)) {
+      SendStart({ aCall.mCommand,
+                  aCall.mNumber + 1,
+                  true,
+                  aCall.mStraysUntil,
+                  aCall.mStraysUntil });
+      return;
+    }
+  } else {
+    mEvents.mOnStartMayStray(aCall.mCommand, aCall.mEarlierStrayUntil);
+  }
+  mEvents.mOnStart(aCall.mCommand, aResponse.mResult, aCall.mEarlierUnknown);
 }
 
 void ServerSession::Stop(const scheduler::StopCommand& aCommand)
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -42,10 +42,12 @@
   // Delay of the next report request while completions wait to be stored, which
   // rarely takes longer than one commit.
   base::Duration mUnstoredDelay = std::chrono::milliseconds(1000);
-  // Completions are acknowledged only within this time after a report: a server
-  // that has restarted meanwhile would discard completions of the new
-  // incarnation that nobody has read.
-  base::Duration mIncarnationValidity = std::chrono::milliseconds(400);
+  // A server lets no lease last longer than this by its clock, whatever expiry
+  // it is given.
+  base::Duration mMaxServerLease = std::chrono::milliseconds(10000);
+  // A call that gets no response may be executed by the incarnation that has
+  // received it up to this time later.
+  base::Duration mMaxCallDelay = std::chrono::seconds(12);
   // Maximum number of calls for one start command before the attempt is stopped
   // instead.
   int mMaxStartCalls = 3;
@@ -76,8 +78,13 @@
     std::function<bool(const scheduler::StartCommand&)> mIsStartWanted;
     // Returns a token that is higher than all that were used for this server.
     std::function<FencingToken()> mNextToken;
-    // All leases that a command or request grants expire by the given time.
+    // All leases that a command or request grants expire by the given time, on
+    // the incarnation that it is meant for.
     std::function<void(base::Time)> mOnLease;
+    // The start command may be executed by an incarnation that is not known
+    // yet, and the task may run there until the given time at the latest.
+    std::function<void(const scheduler::StartCommand&, base::Time)>
+      mOnStartMayStray;
     // Whether further reports are needed, up to which number completions may be
     // acknowledged, and whether completions wait to be stored.
     std::function<bool()> mNeedsReports;
@@ -121,9 +128,24 @@
   // sent to the earlier one.
   void OnRestarted(std::int64_t aStartedMs);
   void RecordFailure();
-  void SendStart(const scheduler::StartCommand& aCommand,
-                 int aCallAttempt,
-                 bool aEarlierUnknown);
+  // One call of a start command.
+  struct StartCall
+  {
+    scheduler::StartCommand mCommand;
+    int mNumber = 1;
+    // An earlier call has got no response.
+    bool mEarlierUnknown = false;
+    // Until when the task may run on an incarnation that is not known yet, by
+    // the earlier calls and by all of them.
+    base::Time mEarlierStrayUntil;
+    base::Time mStraysUntil;
+  };
+  void SendStart(StartCall aCall);
+  // aMinClockMs is the least that the server's clock showed when the call was
+  // sent.
+  void OnStartResponse(const StartCall& aCall,
+                       std::int64_t aMinClockMs,
+                       const StartResponse& aResponse);
   // Returns the expiry of a lease that begins now, by the server's clock;
   // nullopt if that clock is not known yet or no lease may be granted.
   std::optional<std::int64_t> GrantLease();
@@ -146,18 +168,13 @@
   // fastest, and when that report arrived here.
   std::optional<std::int64_t> mClockMs;
   base::Time mClockReadAt;
-  // When the last report that was used arrived.
-  base::Time mReportArrivedAt;
+  // When the request was sent to which this incarnation has responded last.
+  base::Time mConnectedBy;
   // Highest acknowledgement that this incarnation of the server has confirmed.
-  // It is not sent again: another incarnation, which numbers its completions
-  // anew, would apply it to its own completions.
   std::int64_t mConfirmedAck = 0;
   // Start time of the incarnation that has responded to a request with mToken
   // in Unix milliseconds; 0 while none has. Only then start commands are sent.
   std::int64_t mIncarnation = 0;
-  // Whether the incarnation was seen at mReportArrivedAt, rather than when the
-  // request for a late response was sent.
-  bool mIncarnationSeen = false;
   // Number of the last request, and when the request of the last report that
   // was used was sent.
   std::uint64_t mLastRequest = 0;
--- a/flamingoloom/scheduler/fleet.h
+++ b/flamingoloom/scheduler/fleet.h
@@ -27,6 +27,8 @@
   // The server has responded to a request of this leader's epoch, so it rejects
   // commands of previous leaders from now on.
   bool mFenced = false;
+  // Another incarnation has begun since the last report.
+  bool mRestarted = false;
   // While the server drains: the earliest time at which it may exit.
   std::optional<base::Time> mDrainDeadline;
   // The server responded to the last call.
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -48,6 +48,9 @@
   bool mStopRequested = false;
   // When the server last responded to a command about this attempt.
   std::optional<base::Time> mRespondedAt;
+  // Until when the attempt may run on an incarnation of the server that has not
+  // reported; in the past if it can't.
+  base::Time mMayStrayUntil;
   base::Time mPlacedAt;
   base::Time mStartedAt;
   // Progress in percent, by the last report and by the first report of this
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -209,7 +209,7 @@
   mDirtyJobs.insert(&aJob);
 }
 
-Task* Scheduler::FindTask(const jobs::TaskName& aName, StepState** aStep)
+Task* Scheduler::FindTask(const jobs::TaskName& aName, StepState** aStep) const
 {
   const auto job = mJobs.find(aName.mJob);
   if (job == mJobs.end()) {
@@ -269,25 +269,46 @@
                                          std::size_t aMaxServers) const
 {
   Time others = aNow;
-  std::vector<const ServerState*> notReached;
+  std::vector<std::pair<ServerId, Time>> notReached;
   for (const auto& [id, server] : mFleet.Servers()) {
     if (server.mAttempts.empty()) {
       continue;
     }
-    const bool reached = server.mFenced && server.mResponsive;
+    const auto endsBy = AttemptsEndBy(server);
+    const bool reached =
+      server.mFenced && server.mResponsive && endsBy == server.mLeasesExpireBy;
     if (reached || notReached.size() >= aMaxServers) {
-      others = std::max(others, server.mLeasesExpireBy);
+      others = std::max(others, endsBy);
     } else {
-      notReached.push_back(&server);
+      notReached.emplace_back(server.mInfo.mId, endsBy);
     }
   }
   EarlierLeases leases(others);
-  for (const auto* server : notReached) {
-    leases.SetExpiry(server->mInfo.mId, server->mLeasesExpireBy);
+  for (const auto& [id, endsBy] : notReached) {
+    leases.SetExpiry(id, endsBy);
   }
   return leases;
 }
 
+Time Scheduler::EndsBy(const ServerState& aServer,
+                       const jobs::TaskAttempt& aAttempt) const
+{
+  StepState* step = nullptr;
+  const Task* task = FindTask(aAttempt.mTask, &step);
+  return task == nullptr
+           ? aServer.mLeasesExpireBy
+           : std::max(aServer.mLeasesExpireBy, task->mMayStrayUntil);
+}
+
+Time Scheduler::AttemptsEndBy(const ServerState& aServer) const
+{
+  Time endsBy = aServer.mLeasesExpireBy;
+  for (const auto& attempt : aServer.mAttempts) {
+    endsBy = std::max(endsBy, EndsBy(aServer, attempt));
+  }
+  return endsBy;
+}
+
 bool Scheduler::NeedsReports(const ServerId& aServer) const
 {
   const ServerState* server = mFleet.Find(aServer);
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -49,8 +49,9 @@
   double mRemoteSlowdown = 3.0;
   // Maximum time that a server takes to stop a task.
   base::Duration mMaxStopTime = std::chrono::milliseconds(200);
-  // Leases that any leader grants have expired after this time.
-  base::Duration mMaxLease = std::chrono::milliseconds(8200);
+  // The longest that a lease lasts from the moment at which a server takes it,
+  // whatever expiry a leader has named.
+  base::Duration mMaxServerLease = std::chrono::milliseconds(10205);
 };
 
 // A row to write, or to remove if mValue is empty.
@@ -159,7 +160,11 @@
   void OnServerRestarted(const base::ServerId& aServer);
   // Returns whether a start command that was not answered yet is still to take
   // effect.
-  bool IsStartWanted(const StartCommand& aCommand);
+  bool IsStartWanted(const StartCommand& aCommand) const;
+  // The command may be executed by an incarnation of the server that has not
+  // reported yet; the task then runs there until aEndsBy at the latest. A time
+  // in the past takes this back.
+  void OnStartMayStray(const StartCommand& aCommand, base::Time aEndsBy);
   // A command is being sent that grants leases which expire at aExpiresBy at
   // the latest.
   void RecordLease(const base::ServerId& aServer, base::Time aExpiresBy);
@@ -168,6 +173,8 @@
   // granted from aNow on, with a bound of its own for each server that did not
   // respond last; at most aMaxServers of them.
   EarlierLeases LeasesAtRelease(base::Time aNow, std::size_t aMaxServers) const;
+  // Returns by when all attempts on the server have ended if it is not reached.
+  base::Time AttemptsEndBy(const ServerState& aServer) const;
 
   // Runs a scheduling pass. aUnixMs is the time of day in Unix milliseconds.
   void Schedule(base::Time aNow, std::int64_t aUnixMs);
@@ -224,7 +231,10 @@
     bool mGuaranteed;
   };
 
-  Task* FindTask(const jobs::TaskName& aName, StepState** aStep);
+  Task* FindTask(const jobs::TaskName& aName, StepState** aStep) const;
+  // Returns by when the attempt has ended if the server is not reached.
+  base::Time EndsBy(const ServerState& aServer,
+                    const jobs::TaskAttempt& aAttempt) const;
   void MarkDirty(StepState& aStep);
   void MarkDirty(Job& aJob);
   void SetState(Job& aJob, jobs::JobState aState);
@@ -277,7 +287,11 @@
   // Requeues the tasks of unresponsive servers on which all leases have
   // expired.
   void RequeueFromLostServers(base::Time aNow);
-  void RequeueAllOn(ServerState& aServer, const char* aReason);
+  // Requeues the attempts on the server for which aHasEnded returns true.
+  void RequeueAllOn(
+    ServerState& aServer,
+    const std::function<bool(const jobs::TaskAttempt&)>& aHasEnded,
+    const char* aReason);
   // Forgets what an earlier incarnation of the server has reported.
   void ForgetIncarnation(ServerState& aServer);
   // Returns the time without progress after which a running task hangs.
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -34,6 +34,7 @@
   task.mServer = aServer;
   task.mStopRequested = false;
   task.mRespondedAt.reset();
+  task.mMayStrayUntil = {};
   task.mPlacedAt = aNow;
   task.mPercent = task.mFirstPercent = 0;
   --aStep.mWaitingTasks;
@@ -225,7 +226,8 @@
   ServerState* server = mFleet.Find(aServer);
   if (server != nullptr) {
     server->mResponsive = false;
-    RequeueAllOn(*server, "server was replaced");
+    RequeueAllOn(
+      *server, [](const auto&) { return true; }, "server was replaced");
   }
 }
 
@@ -240,6 +242,7 @@
 void Scheduler::ForgetIncarnation(ServerState& aServer)
 {
   aServer.mIncarnation = 0;
+  aServer.mRestarted = true;
   aServer.mLastHandledCompletion = aServer.mAcknowledgedThrough = 0;
   aServer.mUnstoredCompletions.clear();
   for (const auto& attempt : aServer.mAttempts) {
@@ -252,7 +255,17 @@
   }
 }
 
-bool Scheduler::IsStartWanted(const StartCommand& aCommand)
+void Scheduler::OnStartMayStray(const StartCommand& aCommand, Time aEndsBy)
+{
+  StepState* step = nullptr;
+  Task* task = FindTask(aCommand.mAttempt.mTask, &step);
+  if (task != nullptr &&
+      task->mAttemptNumber == aCommand.mAttempt.mAttemptNumber) {
+    task->mMayStrayUntil = aEndsBy;
+  }
+}
+
+bool Scheduler::IsStartWanted(const StartCommand& aCommand) const
 {
   StepState* step = nullptr;
   const Task* task = FindTask(aCommand.mAttempt.mTask, &step);
@@ -268,14 +281,17 @@
   }
 }
 
-void Scheduler::RequeueAllOn(ServerState& aServer, const char* aReason)
+void Scheduler::RequeueAllOn(
+  ServerState& aServer,
+  const std::function<bool(const jobs::TaskAttempt&)>& aHasEnded,
+  const char* aReason)
 {
   const auto attempts = aServer.mAttempts;
   for (const auto& attempt : attempts) {
     StepState* step = nullptr;
     const Task* task = FindTask(attempt.mTask, &step);
     if (task != nullptr && task->mAttemptNumber == attempt.mAttemptNumber &&
-        task->mPhase != TaskPhase::eAssigned) {
+        task->mPhase != TaskPhase::eAssigned && aHasEnded(attempt)) {
       Requeue(*step, attempt.mTask.mIndex, aReason);
     }
   }
@@ -286,7 +302,12 @@
   for (auto& [id, server] : mFleet.Servers()) {
     if (!server.mResponsive && aNow > server.mLeasesExpireBy &&
         !server.mAttempts.empty()) {
-      RequeueAllOn(server, "leases ended");
+      RequeueAllOn(
+        server,
+        [this, aNow, &server](const jobs::TaskAttempt& aAttempt) {
+          return aNow > EndsBy(server, aAttempt);
+        },
+        "leases ended");
     }
   }
 }
@@ -309,9 +330,13 @@
           { "running", std::to_string(aReport.mRunning.size()) } });
   }
   if (!server->mFenced) {
-    // It takes no lease of an earlier leader from now on.
+    // From now on it takes no lease of an earlier leader, nor one that was
+    // meant for an earlier incarnation. Such a one names an expiry by another
+    // clock, so it may last as long as the server allows.
+    const auto latest = aNow + mSettings.mMaxServerLease;
     server->mLeasesExpireBy =
-      std::min(server->mLeasesExpireBy, aNow + mSettings.mMaxLease);
+      server->mRestarted ? latest : std::min(server->mLeasesExpireBy, latest);
+    server->mRestarted = false;
   }
   server->mResponsive = server->mFenced = true;
   if (server->mIncarnation != 0 && server->mIncarnation != aReport.mStartedMs) {
@@ -377,6 +402,7 @@
     mStops.insert({ aServer.mInfo.mId, aRunning.mAttempt });
     return;
   }
+  task->mMayStrayUntil = {};
   if (task->mPhase != TaskPhase::eRunning) {
     task->mPhase = TaskPhase::eRunning;
     task->mStartedAt = task->mPercentChangedAt = aReportedAt;
--- a/testing/platform_world/disturbed_ports.cpp
+++ b/testing/platform_world/disturbed_ports.cpp
@@ -71,35 +71,35 @@
   return mChoose ? mChoose(aKind) : std::nullopt;
 }
 
+bool DisturbedServers::HasConnection(const scheduler::ServerInfo& aServer,
+                                     base::Time aOpenedBy)
+{
+  return mServers.HasConnection(aServer, aOpenedBy);
+}
+
 void DisturbedServers::Start(const scheduler::ServerInfo& aServer,
                              const scheduler::StartCommand& aCommand,
-                             const node::FencingToken& aToken,
-                             std::int64_t aLeaseUntilMs,
+                             const node::StartRequest& aRequest,
                              Duration aTimeout,
-                             std::function<void(StartResult)> aThen)
+                             std::function<void(node::StartResponse)> aThen)
 {
-  const auto disturbance = Record(OrderKind::eStart, aServer, aToken);
+  const auto disturbance = Record(OrderKind::eStart, aServer, aRequest.mToken);
   if (IsReplaced(aServer)) {
     mClock.After(kNetworkDelay * 2, [then = std::move(aThen)] {
-      then(StartResult::eWrongServer);
+      then({ StartResult::eWrongServer });
     });
     return;
   }
-  CallDisturbed<StartResult>(
+  CallDisturbed<node::StartResponse>(
     mClock,
     disturbance,
     aTimeout,
-    [this, aServer, aCommand, aToken, aLeaseUntilMs, aTimeout](
-      auto aOnResponse) {
-      mServers.Start(aServer,
-                     aCommand,
-                     aToken,
-                     aLeaseUntilMs,
-                     aTimeout,
-                     std::move(aOnResponse));
+    [this, aServer, aCommand, aRequest, aTimeout](auto aOnResponse) {
+      mServers.Start(
+        aServer, aCommand, aRequest, aTimeout, std::move(aOnResponse));
     },
     std::move(aThen),
-    StartResult::eUnknown);
+    {});
 }
 
 void DisturbedServers::Stop(const scheduler::ServerInfo& aServer,
--- a/testing/platform_world/fake_servers.cpp
+++ b/testing/platform_world/fake_servers.cpp
@@ -81,6 +81,12 @@
   return mServers.at(aServer).mIncarnation;
 }
 
+bool FakeServers::KeepsConnections(const ServerId& aServer,
+                                   const std::optional<Time>& aOpenedBy) const
+{
+  return !aOpenedBy || mServers.at(aServer).mClockStartedAt <= *aOpenedBy;
+}
+
 const scheduler::ServerInfo* FakeServers::FindInfo(
   const base::ServerId& aServer) const
 {
@@ -233,20 +239,19 @@
 std::optional<StartResult> FakeServers::Start(
   const ServerId& aServer,
   const scheduler::StartCommand& aCommand,
-  const node::FencingToken& aToken,
-  std::int64_t aLeaseUntilMs)
+  const node::StartRequest& aRequest)
 {
   Server& server = mServers.at(aServer);
-  if (aToken < server.mToken) {
+  if (aRequest.mToken < server.mToken) {
     return StartResult::eFenced;
   }
-  server.mToken = aToken;
+  server.mToken = aRequest.mToken;
   const auto& attempt = aCommand.mAttempt;
   if (server.mAttempts.count(attempt) > 0) {
-    SetLease(server, aLeaseUntilMs);
+    SetLease(server, aRequest.mLeaseUntilMs);
     return StartResult::eStarted;
   }
-  if (aLeaseUntilMs <= ClockMs(server)) {
+  if (aRequest.mLeaseUntilMs <= ClockMs(server)) {
     return StartResult::eTooLate;
   }
   const auto ended = server.mHighestEndedAttempt.find(attempt.mTask);
@@ -258,7 +263,7 @@
       server.mInfo.mCapacity.mAccelerators) {
     return StartResult::eNoCapacity;
   }
-  SetLease(server, aLeaseUntilMs);
+  SetLease(server, aRequest.mLeaseUntilMs);
   server.mAttempts.emplace(
     attempt, AttemptState{ mGangSize(attempt.mTask) == 1, mClock.Now() });
   mChecker.OnStart(mClock.Now(), aServer.Value(), attempt);
@@ -340,44 +345,50 @@
                        : Duration(kNetworkDelay);
 }
 
+bool ServersConnection::HasConnection(const scheduler::ServerInfo&, Time)
+{
+  return mServers.NextCallFindsConnection();
+}
+
 void ServersConnection::Start(const scheduler::ServerInfo& aServer,
                               const scheduler::StartCommand& aCommand,
-                              const node::FencingToken& aToken,
-                              std::int64_t aLeaseUntilMs,
+                              const node::StartRequest& aRequest,
                               Duration aTimeout,
-                              std::function<void(StartResult)> aThen)
+                              std::function<void(node::StartResponse)> aThen)
 {
   const auto id = aServer.mId;
   bool responseLost = false;
   const auto delay = CommandDelay(responseLost);
-  if (mServers.IsUnreachable(id)) {
-    CallLater(aTimeout, [then = aThen] { then(StartResult::eUnknown); });
+  if (mServers.IsUnreachable(id) ||
+      !mServers.KeepsConnections(id, aRequest.mConnectedBy)) {
+    CallLater(aTimeout, [then = aThen] { then({}); });
     return;
   }
-  mClock.After(
-    delay,
-    [this,
-     id,
-     aCommand,
-     aToken,
-     aLeaseUntilMs,
-     responseLost,
-     serverIncarnation = mServers.Incarnation(id),
-     incarnation = mIncarnation,
-     aThen] {
-      if (mServers.Incarnation(id) != serverIncarnation) {
-        if (!responseLost && incarnation == mIncarnation) {
-          CallLater(kNetworkDelay, [aThen] { aThen(StartResult::eUnknown); });
-        }
-        return;
-      }
-      const auto result = mServers.Start(id, aCommand, aToken, aLeaseUntilMs);
-      if (!responseLost && incarnation == mIncarnation) {
-        CallLater(kNetworkDelay, [aThen, result] { aThen(*result); });
-      }
-    });
+  mClock.After(delay,
+               [this,
+                id,
+                aCommand,
+                aRequest,
+                responseLost,
+                serverIncarnation = mServers.Incarnation(id),
+                incarnation = mIncarnation,
+                aThen] {
+                 if (mServers.Incarnation(id) != serverIncarnation) {
+                   if (!responseLost && incarnation == mIncarnation) {
+                     CallLater(kNetworkDelay, [aThen] { aThen({}); });
+                   }
+                   return;
+                 }
+                 const auto result = mServers.Start(id, aCommand, aRequest);
+                 if (!responseLost && incarnation == mIncarnation) {
+                   CallLater(kNetworkDelay,
+                             [aThen, result, clockMs = mServers.ClockMs(id)] {
+                               aThen({ *result, clockMs });
+                             });
+                 }
+               });
   if (responseLost) {
-    CallLater(aTimeout, [then = aThen] { then(StartResult::eUnknown); });
+    CallLater(aTimeout, [then = aThen] { then({}); });
   }
 }
 
@@ -419,7 +430,8 @@
   std::function<void(Expected<node::ReportResponse>)> aThen)
 {
   const auto id = aServer.mId;
-  if (mServers.IsUnreachable(id)) {
+  if (mServers.IsUnreachable(id) ||
+      !mServers.KeepsConnections(id, aRequest.mConnectedBy)) {
     CallLater(aTimeout, [then = std::move(aThen), id] {
       then(MakeError(
         ErrorCode::eOutcomeUnknown, "report", id.Value(), "unreachable"));
@@ -430,7 +442,14 @@
              aRequest,
              mServers.Incarnation(id),
              mClock.Now() + aRequest.mWait,
-             std::move(aThen));
+             mClock.Now() + aTimeout,
+             [sentAt = mClock.Now(),
+              then = std::move(aThen)](Expected<node::ReportResponse> aReport) {
+               if (aReport) {
+                 aReport->mRequestSentAt = sentAt;
+               }
+               then(std::move(aReport));
+             });
 }
 
 void ServersConnection::PollReport(
@@ -438,6 +457,7 @@
   const node::ReportRequest& aRequest,
   int aServerIncarnation,
   Time aUntil,
+  Time aTimesOutAt,
   std::function<void(Expected<node::ReportResponse>)> aThen)
 {
   mClock.After(
@@ -447,8 +467,18 @@
      aRequest,
      aServerIncarnation,
      aUntil,
+     aTimesOutAt,
      incarnation = mIncarnation,
      then = std::move(aThen)] {
+      if (mServers.IsUnreachable(aServer)) {
+        CallLater(aTimesOutAt - mClock.Now(), [then, aServer] {
+          then(MakeError(ErrorCode::eOutcomeUnknown,
+                         "report",
+                         aServer.Value(),
+                         "unreachable"));
+        });
+        return;
+      }
       if (mServers.Incarnation(aServer) != aServerIncarnation) {
         // The connection was closed when the server crashed.
         if (incarnation == mIncarnation) {
@@ -468,7 +498,8 @@
         // waits.
         auto waiting = aRequest;
         waiting.mAckThrough = 0;
-        PollReport(aServer, waiting, aServerIncarnation, aUntil, then);
+        PollReport(
+          aServer, waiting, aServerIncarnation, aUntil, aTimesOutAt, then);
       } else {
         CallLater(kNetworkDelay, [then, response] { then(response); });
       }
--- a/testing/platform_world/fake_servers.h
+++ b/testing/platform_world/fake_servers.h
@@ -48,8 +48,7 @@
   std::optional<scheduler::StartResult> Start(
     const base::ServerId& aServer,
     const scheduler::StartCommand& aCommand,
-    const node::FencingToken& aToken,
-    std::int64_t aLeaseUntilMs);
+    const node::StartRequest& aRequest);
   bool Stop(const base::ServerId& aServer,
             const scheduler::StopCommand& aCommand,
             const node::FencingToken& aToken);
@@ -62,6 +61,20 @@
   // Start commands and report requests in flight are lost when the incarnation
   // changes.
   int Incarnation(const base::ServerId& aServer) const;
+  // Whether the server has run as the same incarnation since aOpenedBy, so that
+  // a connection from then can be used.
+  bool KeepsConnections(const base::ServerId& aServer,
+                        const std::optional<base::Time>& aOpenedBy) const;
+  std::int64_t ClockMs(const base::ServerId& aServer) const
+  {
+    return ClockMs(mServers.at(aServer));
+  }
+  // Share of the calls that find no open connection.
+  void SetNewConnectionShare(double aShare) { mNewConnectionShare = aShare; }
+  bool NextCallFindsConnection()
+  {
+    return mNewConnectionShare == 0 || !mClock.Chance(mNewConnectionShare);
+  }
   bool NextCommandIsLate() { return mClock.Chance(mLateCommandShare); }
 
 private:
@@ -103,6 +116,7 @@
   const GangSize mGangSize;
   std::map<base::ServerId, Server> mServers;
   double mLateCommandShare = 0;
+  double mNewConnectionShare = 0;
 };
 
 // One instance's connection to the servers.
@@ -118,12 +132,13 @@
   // Drops responses in flight, since the instance was killed.
   void Disconnect() { ++mIncarnation; }
 
+  bool HasConnection(const scheduler::ServerInfo& aServer,
+                     base::Time aOpenedBy) override;
   void Start(const scheduler::ServerInfo& aServer,
              const scheduler::StartCommand& aCommand,
-             const node::FencingToken& aToken,
-             std::int64_t aLeaseUntilMs,
+             const node::StartRequest& aRequest,
              base::Duration aTimeout,
-             std::function<void(scheduler::StartResult)> aThen) override;
+             std::function<void(node::StartResponse)> aThen) override;
   void Stop(const scheduler::ServerInfo& aServer,
             const scheduler::StopCommand& aCommand,
             const node::FencingToken& aToken,
@@ -145,6 +160,7 @@
     const node::ReportRequest& aRequest,
     int aServerIncarnation,
     base::Time aUntil,
+    base::Time aTimesOutAt,
     std::function<void(base::Expected<node::ReportResponse>)> aThen);
 
   FakeServers& mServers;
--- a/testing/platform_world/pausable_loop.cpp
+++ b/testing/platform_world/pausable_loop.cpp
@@ -131,20 +131,23 @@
                                                 TimedOut<node::Rows>("watch")));
 }
 
+bool PausableServers::HasConnection(const scheduler::ServerInfo& aServer,
+                                    base::Time aOpenedBy)
+{
+  return mServers.HasConnection(aServer, aOpenedBy);
+}
+
 void PausableServers::Start(const scheduler::ServerInfo& aServer,
                             const scheduler::StartCommand& aCommand,
-                            const node::FencingToken& aToken,
-                            std::int64_t aLeaseUntilMs,
+                            const node::StartRequest& aRequest,
                             Duration aTimeout,
-                            std::function<void(scheduler::StartResult)> aThen)
+                            std::function<void(node::StartResponse)> aThen)
 {
-  mServers.Start(
-    aServer,
-    aCommand,
-    aToken,
-    aLeaseUntilMs,
-    aTimeout,
-    mLoop.Bind(aTimeout, std::move(aThen), scheduler::StartResult::eUnknown));
+  mServers.Start(aServer,
+                 aCommand,
+                 aRequest,
+                 aTimeout,
+                 mLoop.Bind(aTimeout, std::move(aThen), node::StartResponse{}));
 }
 
 void PausableServers::Stop(const scheduler::ServerInfo& aServer,
--- a/testing/platform_world/pausable_loop.h
+++ b/testing/platform_world/pausable_loop.h
@@ -146,12 +146,13 @@
   {
   }
 
+  bool HasConnection(const scheduler::ServerInfo& aServer,
+                     base::Time aOpenedBy) override;
   void Start(const scheduler::ServerInfo& aServer,
              const scheduler::StartCommand& aCommand,
-             const node::FencingToken& aToken,
-             std::int64_t aLeaseUntilMs,
+             const node::StartRequest& aRequest,
              base::Duration aTimeout,
-             std::function<void(scheduler::StartResult)> aThen) override;
+             std::function<void(node::StartResponse)> aThen) override;
   void Stop(const scheduler::ServerInfo& aServer,
             const scheduler::StopCommand& aCommand,
             const node::FencingToken& aToken,
--- a/testing/platform_world/server_session_test.cpp
+++ b/testing/platform_world/server_session_test.cpp
@@ -1,5 +1,7 @@
 #include "flamingoloom/node/server_session.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "testing/platform_world/clock_loop.h"
@@ -26,12 +28,15 @@
   base::Time LeasesExpireAt() const { return mLeasesExpireAt; }
   int Calls() const { return mCalls; }
 
+  bool HasConnection(const scheduler::ServerInfo&, base::Time) override
+  {
+    return true;
+  }
   void Start(const scheduler::ServerInfo&,
              const scheduler::StartCommand&,
-             const node::FencingToken&,
-             std::int64_t,
+             const node::StartRequest&,
              base::Duration,
-             std::function<void(scheduler::StartResult)>) override
+             std::function<void(node::StartResponse)>) override
   {
   }
   void Stop(const scheduler::ServerInfo&,
@@ -116,6 +121,184 @@
   std::shared_ptr<node::ServerSession> mSession;
 };
 
+// A server that restarts on demand and keeps the requests that it gets.
+class RestartingServer : public node::BackendServers
+{
+public:
+  explicit RestartingServer(fakes::VirtualClock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  void Restart()
+  {
+    ++mStartedMs;
+    mBegunAt = mClock.Now();
+  }
+  void SetConnected(bool aConnected) { mConnected = aConnected; }
+  const std::vector<node::ReportRequest>& Requests() const { return mRequests; }
+
+  bool HasConnection(const scheduler::ServerInfo&, base::Time) override
+  {
+    return mConnected;
+  }
+  void Start(const scheduler::ServerInfo&,
+             const scheduler::StartCommand&,
+             const node::StartRequest&,
+             base::Duration,
+             std::function<void(node::StartResponse)> aThen) override
+  {
+    mClock.After(milliseconds(2), [this, then = std::move(aThen)] {
+      then({ scheduler::StartResult::eStarted, ClockMs() });
+    });
+  }
+  void Stop(const scheduler::ServerInfo&,
+            const scheduler::StopCommand&,
+            const node::FencingToken&,
+            base::Duration,
+            std::function<void(bool)>) override
+  {
+  }
+  void Report(
+    const scheduler::ServerInfo&,
+    const node::ReportRequest& aRequest,
+    base::Duration,
+    std::function<void(base::Expected<node::ReportResponse>)> aThen) override
+  {
+    mRequests.push_back(aRequest);
+    mClock.After(aRequest.mWait + milliseconds(2),
+                 [this, then = std::move(aThen)] {
+                   node::ReportResponse response;
+                   response.mReport.mStartedMs = mStartedMs;
+                   response.mClockMs = ClockMs();
+                   response.mRequestSentAt = mClock.Now();
+                   then(response);
+                 });
+  }
+
+private:
+  std::int64_t ClockMs() const
+  {
+    return base::ToMilliseconds(mClock.Now() - mBegunAt);
+  }
+
+  fakes::VirtualClock& mClock;
+  std::int64_t mStartedMs = 1;
+  base::Time mBegunAt;
+  bool mConnected = true;
+  std::vector<node::ReportRequest> mRequests;
+};
+
+struct RestartFixture
+{
+  RestartFixture()
+  {
+    node::ServerSession::Events events;
+    events.mOnReport = [this](const scheduler::ServerReport& aReport,
+                              base::Time) {
+      mReported.push_back(aReport.mStartedMs);
+    };
+    events.mOnRestarted = [this] { ++mRestarts; };
+    events.mNextToken = [this] {
+      return node::FencingToken{ 1, ++mGeneration };
+    };
+    events.mOnStart = [this](const scheduler::StartCommand&,
+                             scheduler::StartResult,
+                             bool) { ++mStartsAnswered; };
+    events.mOnStartMayStray = [this](const scheduler::StartCommand&,
+                                     base::Time aUntil) {
+      mStraysUntil = aUntil;
+    };
+    events.mNeedsReports = [] { return true; };
+    events.mAckThrough = [] { return 3; };
+    events.mHasUnstoredCompletions = [] { return false; };
+    events.mOnLease = [](base::Time) {};
+    events.mLeaseLimit = [] { return base::Time::max(); };
+    events.mLeadershipValidUntil = [] { return base::Time::max(); };
+    mClock.RunUntil(base::Time(seconds(1000)));
+    mSession = std::make_shared<node::ServerSession>(
+      node::Ports{ &mLoop, nullptr, &mServer, nullptr, &mLog },
+      scheduler::ServerInfo{},
+      node::FencingToken{ 1, mGeneration },
+      node::ServerSessionTiming{},
+      events);
+    mSession->RequestReport();
+    mClock.RunFor(milliseconds(10));
+  }
+
+  fakes::VirtualClock mClock{ 1 };
+  ClockLoop mLoop{ mClock };
+  SilentLog mLog;
+  RestartingServer mServer{ mClock };
+  std::int64_t mGeneration = 1;
+  std::vector<std::int64_t> mReported;
+  int mRestarts = 0;
+  int mStartsAnswered = 0;
+  base::Time mStraysUntil;
+  std::shared_ptr<node::ServerSession> mSession;
+};
+
+// Guards against a lease by the clock of an earlier incarnation, and against
+// the loss of completions that are acknowledged by its numbers.
+TEST_CASE("Leases and acknowledgements go only over a connection to the "
+          "incarnation that is known")
+{
+  for (const bool connected : { true, false }) {
+    RestartFixture fixture;
+    fixture.mServer.SetConnected(connected);
+    fixture.mClock.RunFor(seconds(5));
+    REQUIRE(fixture.mServer.Requests().size() >= 3);
+    const auto& last = fixture.mServer.Requests().back();
+    CHECK(last.mLeaseUntilMs.has_value() == connected);
+    CHECK(last.mConnectedBy.has_value() == connected);
+    bool acknowledged = false;
+    for (std::size_t i = 2; i < fixture.mServer.Requests().size(); ++i) {
+      acknowledged |= fixture.mServer.Requests()[i].mAckThrough > 0;
+    }
+    CHECK((connected || !acknowledged));
+  }
+}
+
+// Guards against orders to the earlier incarnation that take effect after the
+// report of the later one was used.
+TEST_CASE("The report of another incarnation counts once it is fenced")
+{
+  RestartFixture fixture;
+  fixture.mClock.RunFor(seconds(5));
+  fixture.mServer.Restart();
+  const auto before = fixture.mServer.Requests().back().mToken;
+  fixture.mClock.RunFor(seconds(5));
+  CHECK(fixture.mRestarts == 1);
+  std::size_t fenced = 0;
+  for (const auto& request : fixture.mServer.Requests()) {
+    fenced += request.mToken > before ? 1 : 0;
+  }
+  const auto reported = std::count(
+    fixture.mReported.begin(), fixture.mReported.end(), std::int64_t{ 2 });
+  CHECK(reported > 0);
+  CHECK(static_cast<std::size_t>(reported) <= fenced);
+}
+
+// Guards against a lease that lasts longer than the leader reckons with, since
+// its expiry is by the clock of another incarnation.
+TEST_CASE("A start that another incarnation has answered shows the restart")
+{
+  for (const bool restarted : { false, true }) {
+    RestartFixture fixture;
+    fixture.mClock.RunFor(seconds(5));
+    fixture.mServer.SetConnected(false);
+    if (restarted) {
+      fixture.mServer.Restart();
+    }
+    fixture.mSession->Start({});
+    CHECK(fixture.mStraysUntil > fixture.mClock.Now() + seconds(20));
+    fixture.mClock.RunFor(milliseconds(4));
+    CHECK(fixture.mRestarts == (restarted ? 1 : 0));
+    CHECK(fixture.mStartsAnswered == (restarted ? 0 : 1));
+    CHECK((fixture.mStraysUntil > fixture.mClock.Now()) == restarted);
+  }
+}
+
 // A leader that drops them starts tasks again that have completed.
 TEST_CASE("Reports that arrive after the timeout are used")
 {
