--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -299,7 +299,8 @@
 
 void Scheduler::RequeueFromLostServers(Time aNow)
 {
-  for (auto& [id, server] : mFleet.Servers()) {
+  for (auto& entry : mFleet.Servers()) {
+    ServerState& server = entry.second;
     if (!server.mResponsive && aNow > server.mLeasesExpireBy &&
         !server.mAttempts.empty()) {
       RequeueAllOn(
