A new leader fails jobs whose failures are stored without their state

Cause: the row of a failed task and the state of its job may be in different batches. A new leader restored the failures and compared them with max-attempts only when a further end arrived.

Change: Resume fails a job of which a task, or a gang, has failed as often as is allowed.

--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -142,12 +142,35 @@
     }
     if (job->IsFinal()) {
       StopAll(*job, "job is final");
+    } else if (HasFailedForGood(*job)) {
+      // The leader before ended between storing the failure and the state.
+      FailJob(*job);
     } else if (job->mUnfinishedOccurrences == 0) {
       SetState(*job, JobState::eCompleted);
     }
   }
 }
 
+bool Scheduler::HasFailedForGood(const Job& aJob)
+{
+  const int limit = std::max(1, aJob.mSpec.mRules.mMaxAttempts);
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (const auto& step : occurrence.mSteps) {
+      if (step->Spec().mLongRunning || step->mUnfinishedTasks == 0) {
+        continue;
+      }
+      const bool taskFailed = std::any_of(
+        step->mTasks.begin(), step->mTasks.end(), [limit](const Task& aTask) {
+          return aTask.mPhase != TaskPhase::eDone && aTask.mFailures >= limit;
+        });
+      if (step->Spec().mGang ? step->mGangFailures >= limit : taskFailed) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 bool Scheduler::Cancel(const std::string& aJob)
 {
   const auto entry = mJobs.find(aJob);
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -282,6 +282,8 @@
                         StepState& aStep,
                         int aIndex);
   void FinishStep(base::Time aNow, StepState& aStep);
+  // Returns whether a task, or a gang, has failed as often as is allowed.
+  static bool HasFailedForGood(const Job& aJob);
   void FailJob(Job& aJob);
   void StopAll(Job& aJob, const char* aReason);
   // Requeues the tasks of unresponsive servers on which all leases have
--- a/flamingoloom/scheduler/scheduler_test.cpp
+++ b/flamingoloom/scheduler/scheduler_test.cpp
@@ -201,6 +201,32 @@
   CHECK(f.RunPass().mStarts.size() == 2);
 }
 
+// Guards against a job that runs again after it has failed for good: the leader
+// before ended once the failures were stored and the job's state was not.
+TEST_CASE("A new leader starts no task that has failed as often as is allowed")
+{
+  for (const bool gang : { false, true }) {
+    for (const int failures : { 2, 3 }) {
+      Fixture f;
+      f.AddServers(2);
+      auto job = Fixture::MakeJob("a", 2, 1);
+      job.mSteps[0].mGang = gang;
+      REQUIRE(job.mRules.mMaxAttempts == 3);
+      f.Add(job);
+      f.mScheduler.RestoreStep(
+        "a",
+        { 0,
+          0,
+          { { 0, jobs::TaskOutcome::eWaiting, 3, ServerId("s0"), failures, "" },
+            { 1, jobs::TaskOutcome::eWaiting, 3, ServerId("s1"), 0, "" } } },
+        f.mNow + seconds(12));
+      f.mScheduler.Resume(f.mNow);
+      CHECK(f.RunPass().mStarts.size() == (failures == 3 ? 0 : 2));
+      CHECK((f.State("a") == JobState::eFailed) == (failures == 3));
+    }
+  }
+}
+
 // Guards against an attempt that is never abandoned because its server has no
 // entry in the store any more and so cannot be polled.
 TEST_CASE(
