A start that waits for a connection is sent only while it is allowed

A start whose connection is still being opened when the leader releases its lease, is deposed, has seen the server restart, or no longer wants the start was written once the connection opened: up to 0.6 s later, and to a new incarnation of a server that was down meanwhile.

Change: the HTTP client asks right before it writes the request. The session answers by its being open, its token, the leader's lease and whether the start is wanted.

Evidence: new cases of http_test (fails with the check in the client switched off, a trial) and server_session_test (the four reasons).

--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -255,8 +255,10 @@
   // If aOpenedBy is set, only a connection that was opened by then is used.
   void Start(Request aRequest,
              base::Duration aTimeout,
-             std::optional<base::Time> aOpenedBy)
+             std::optional<base::Time> aOpenedBy,
+             Client::MaySend aMaySend)
   {
+    mMaySend = std::move(aMaySend);
     mStartedAt = mPool->mClock();
     mRequest.method_string(aRequest.mMethod);
     mRequest.target(aRequest.mTarget);
@@ -327,6 +329,14 @@
       OnTimeout();
       return;
     }
+    if (mMaySend && !mMaySend()) {
+      Finish(base::MakeError(base::ErrorCode::eUnavailable,
+                             "send request",
+                             mPeer,
+                             "not to be sent any more"));
+      Close();
+      return;
+    }
     mSent = true;
     beast::http::async_write(
       mConnection->mStream, mRequest, [self](auto aError, std::size_t) {
@@ -478,6 +488,7 @@
   bool mHoldsConnection = false;
   beast::http::request<beast::http::string_body> mRequest;
   beast::http::response_parser<beast::http::string_body> mParser;
+  Client::MaySend mMaySend;
   bool mSent = false;
   base::Time mSentAt;
   bool mDone = false;
@@ -501,10 +512,11 @@
 void Client::Call(const std::string& aPeer,
                   Request aRequest,
                   base::Duration aTimeout,
-                  Callback aCallback)
+                  Callback aCallback,
+                  MaySend aMaySend)
 {
   std::make_shared<Exchange<Impl>>(mImpl, aPeer, std::move(aCallback))
-    ->Start(std::move(aRequest), aTimeout, std::nullopt);
+    ->Start(std::move(aRequest), aTimeout, std::nullopt, std::move(aMaySend));
 }
 
 bool Client::HasOpen(const std::string& aPeer, base::Time aOpenedBy)
@@ -519,7 +531,7 @@
                         Callback aCallback)
 {
   std::make_shared<Exchange<Impl>>(mImpl, aPeer, std::move(aCallback))
-    ->Start(std::move(aRequest), aTimeout, aOpenedBy);
+    ->Start(std::move(aRequest), aTimeout, aOpenedBy, {});
 }
 
 const ClientCounters& Client::Counters() const
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -65,6 +65,9 @@
   using Observer =
     std::function<void(const std::string&, base::Duration, bool)>;
 
+  // Tells whether a request may still be sent.
+  using MaySend = std::function<bool()>;
+
   Client(boost::asio::io_context& aLoop,
          ClientOptions aOptions,
          Clock aClock,
@@ -77,13 +80,17 @@
   // to send the request and until the response begins; after that, the time
   // between two parts of the response, up to ClientOptions::mMaxTransferTime
   // for all of it. No byte of the request is written once it has passed by the
-  // clock, also if the process stood still meanwhile. aCallback is called
+  // clock, also if the process stood still meanwhile. If aMaySend is set, it is
+  // called right before the request is written, which may be after a wait for a
+  // connection; if it returns false, the call fails with eUnavailable.
+  // aCallback is called
   // exactly once, never from within Call, with the response or an error:
   // eInvalid for a malformed aPeer, eUnavailable, or eOutcomeUnknown.
   void Call(const std::string& aPeer,
             Request aRequest,
             base::Duration aTimeout,
-            Callback aCallback);
+            Callback aCallback,
+            MaySend aMaySend = {});
 
   // Returns whether CallOnOpen would find a connection now.
   bool HasOpen(const std::string& aPeer, base::Time aOpenedBy);
--- a/flamingoloom/http/http_test.cpp
+++ b/flamingoloom/http/http_test.cpp
@@ -103,6 +103,37 @@
   CHECK(requests == 0);
 }
 
+// Guards against an order that is sent after its sender has lost the right to
+// give it, while it waited for a connection.
+TEST_CASE("A request that may not be sent any more is not sent")
+{
+  int requests = 0;
+  Fixture fixture([&](const Request&, Server::Responder aDone) {
+    ++requests;
+    aDone({ 200 });
+  });
+  for (const bool maySend : { false, true }) {
+    bool asked = false;
+    std::optional<base::Expected<Response>> result;
+    fixture.mClient.Call(
+      fixture.mPeer,
+      {},
+      milliseconds(500),
+      [&](auto aResult) { result = std::move(aResult); },
+      [&] {
+        asked = true;
+        return maySend;
+      });
+    CHECK_FALSE(asked);
+    while (!result) {
+      fixture.mLoop.run_one();
+    }
+    CHECK(asked);
+    CHECK(result->has_value() == maySend);
+    CHECK(requests == (maySend ? 1 : 0));
+  }
+}
+
 // Guards against an order for a process that is executed by the one which has
 // taken its place at the same address.
 TEST_CASE("A call on an open connection reaches no process that began later")
--- a/flamingoloom/node/ports.h
+++ b/flamingoloom/node/ports.h
@@ -157,6 +157,9 @@
   std::int64_t mLeaseUntilMs = 0;
   // As for ReportRequest.
   std::optional<base::Time> mConnectedBy;
+  // Tells right before the command is sent, which may be after a wait for a
+  // connection, whether it may be.
+  std::function<bool()> mMaySend;
 };
 
 struct StartResponse
--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -304,7 +304,17 @@
       });
     return;
   }
-  StartRequest request{ mToken, *leaseUntilMs, std::nullopt };
+  StartRequest request{
+    mToken,
+    *leaseUntilMs,
+    std::nullopt,
+    [self = shared_from_this(), command = aCall.mCommand, token = mToken] {
+      return !self->mClosed && token == self->mToken &&
+             self->mEvents.mLeadershipValidUntil() >
+               self->mPorts.mLoop->Now() &&
+             self->mEvents.mIsStartWanted(command);
+    }
+  };
   if (mPorts.mServers->HasConnection(mServer, mConnectedBy)) {
     request.mConnectedBy = mConnectedBy;
   } else {
--- a/testing/platform_world/server_session_test.cpp
+++ b/testing/platform_world/server_session_test.cpp
@@ -137,6 +137,7 @@
   }
   void SetConnected(bool aConnected) { mConnected = aConnected; }
   const std::vector<node::ReportRequest>& Requests() const { return mRequests; }
+  const node::StartRequest& LastStart() const { return mLastStart; }
 
   bool HasConnection(const scheduler::ServerInfo&, base::Time) override
   {
@@ -144,10 +145,11 @@
   }
   void Start(const scheduler::ServerInfo&,
              const scheduler::StartCommand&,
-             const node::StartRequest&,
+             const node::StartRequest& aRequest,
              base::Duration,
              std::function<void(node::StartResponse)> aThen) override
   {
+    mLastStart = aRequest;
     mClock.After(milliseconds(2), [this, then = std::move(aThen)] {
       then({ scheduler::StartResult::eStarted, ClockMs() });
     });
@@ -187,6 +189,7 @@
   base::Time mBegunAt;
   bool mConnected = true;
   std::vector<node::ReportRequest> mRequests;
+  node::StartRequest mLastStart;
 };
 
 struct RestartFixture
@@ -214,7 +217,10 @@
     events.mHasUnstoredCompletions = [] { return false; };
     events.mOnLease = [](base::Time) {};
     events.mLeaseLimit = [] { return base::Time::max(); };
-    events.mLeadershipValidUntil = [] { return base::Time::max(); };
+    events.mLeadershipValidUntil = [this] { return mLeadershipValidUntil; };
+    events.mIsStartWanted = [this](const scheduler::StartCommand&) {
+      return mStartWanted;
+    };
     mClock.RunUntil(base::Time(seconds(1000)));
     mSession = std::make_shared<node::ServerSession>(
       node::Ports{ &mLoop, nullptr, &mServer, nullptr, &mLog },
@@ -235,6 +241,8 @@
   int mRestarts = 0;
   int mStartsAnswered = 0;
   base::Time mStraysUntil;
+  base::Time mLeadershipValidUntil = base::Time::max();
+  bool mStartWanted = true;
   std::shared_ptr<node::ServerSession> mSession;
 };
 
@@ -299,6 +307,36 @@
   }
 }
 
+// Guards against a start that is sent, after a wait for a connection, by a
+// leader that has released its lease or to a server that has restarted.
+TEST_CASE(
+  "A start that waits for a connection is sent only while it is allowed")
+{
+  using Change = std::function<void(RestartFixture&)>;
+  const Change changes[] = {
+    [](RestartFixture& aFixture) { aFixture.mSession->Close(); },
+    [](RestartFixture& aFixture) {
+      aFixture.mLeadershipValidUntil = aFixture.mClock.Now();
+    },
+    [](RestartFixture& aFixture) { aFixture.mStartWanted = false; },
+    [](RestartFixture& aFixture) {
+      scheduler::ServerInfo info;
+      info.mStartedMs = 2;
+      aFixture.mSession->Update(info);
+    },
+  };
+  for (const auto& change : changes) {
+    RestartFixture fixture;
+    fixture.mServer.SetConnected(false);
+    fixture.mSession->Start({});
+    const auto& request = fixture.mServer.LastStart();
+    REQUIRE(request.mMaySend);
+    CHECK(request.mMaySend());
+    change(fixture);
+    CHECK_FALSE(request.mMaySend());
+  }
+}
+
 // A leader that drops them starts tasks again that have completed.
 TEST_CASE("Reports that arrive after the timeout are used")
 {
