A server whose start time is 0 gets starts too

Found by reading the diff: 0 stood for "no incarnation known", so a server that names 0, or no start time, was never taken as fenced and got no start. The value is optional now. The case of restarted_server_test with a start time of 0 has a second job, which was not started before.

--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -27,8 +27,7 @@
   // The entry may be older than the last report. The wall clock of a server may
   // step back, so that a later incarnation may name an earlier start.
   const bool restarted = aServer.mStartedMs != mServer.mStartedMs &&
-                         mIncarnation != 0 &&
-                         aServer.mStartedMs != mIncarnation;
+                         mIncarnation && aServer.mStartedMs != *mIncarnation;
   mServer = aServer;
   if (restarted) {
     OnRestarted(aServer.mStartedMs);
@@ -41,15 +40,16 @@
     mToken = mEvents.mNextToken();
     mTokenUsed = false;
   }
-  mPorts.mLog->Write("server_restarted",
-                     { { "server", mServer.mId.Value() },
-                       { "started_ms", std::to_string(aStartedMs) },
-                       { "before_ms", std::to_string(mIncarnation) },
-                       { "generation", std::to_string(mToken.mGeneration) },
-                       { "request_in_flight", mRequestInFlight ? "1" : "0" },
-                       { "grants_lease", mRequestGrantsLease ? "1" : "0" },
-                       { "acknowledged", std::to_string(mConfirmedAck) } });
-  mIncarnation = 0;
+  mPorts.mLog->Write(
+    "server_restarted",
+    { { "server", mServer.mId.Value() },
+      { "started_ms", std::to_string(aStartedMs) },
+      { "before_ms", std::to_string(mIncarnation.value_or(0)) },
+      { "generation", std::to_string(mToken.mGeneration) },
+      { "request_in_flight", mRequestInFlight ? "1" : "0" },
+      { "grants_lease", mRequestGrantsLease ? "1" : "0" },
+      { "acknowledged", std::to_string(mConfirmedAck) } });
+  mIncarnation.reset();
   mConfirmedAck = 0;
   mClockMs.reset();
   // Its response would show the earlier incarnation.
@@ -127,7 +127,7 @@
   // Another incarnation would apply a lease to its own clock, and would discard
   // completions that nobody has read.
   const bool connected =
-    mIncarnation != 0 && mPorts.mServers->HasConnection(mServer, mConnectedBy);
+    mIncarnation && mPorts.mServers->HasConnection(mServer, mConnectedBy);
   const auto ack = connected && ackThrough > mConfirmedAck ? ackThrough : 0;
   request.mAckThrough = ack;
   if (connected && aGrantLease) {
@@ -257,7 +257,7 @@
   mReportSentAt = aSentAt;
   mFailures = 0;
   const auto startedMs = aResponse->mReport.mStartedMs;
-  if (mIncarnation != 0 && startedMs != mIncarnation) {
+  if (mIncarnation && startedMs != *mIncarnation) {
     const bool ordersMayFollow = mTokenUsed;
     OnRestarted(startedMs);
     if (ordersMayFollow) {
@@ -291,8 +291,7 @@
   const Time now = mPorts.mLoop->Now();
   const auto timeout =
     std::min(mTiming.mCommandTimeout, mEvents.mLeadershipValidUntil() - now);
-  const bool mayOrder =
-    mIncarnation != 0 && timeout >= mTiming.mMinCommandTimeout;
+  const bool mayOrder = mIncarnation && timeout >= mTiming.mMinCommandTimeout;
   const auto leaseUntilMs = mayOrder ? GrantLease() : std::nullopt;
   if (!leaseUntilMs) {
     mPorts.mLoop->After(
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -173,8 +173,9 @@
   // Highest acknowledgement that this incarnation of the server has confirmed.
   std::int64_t mConfirmedAck = 0;
   // Start time of the incarnation that has responded to a request with mToken
-  // in Unix milliseconds; 0 while none has. Only then start commands are sent.
-  std::int64_t mIncarnation = 0;
+  // in Unix milliseconds; nullopt while none has. Only then start commands are
+  // sent.
+  std::optional<std::int64_t> mIncarnation;
   // Number of the last request, and when the request of the last report that
   // was used was sent.
   std::uint64_t mLastRequest = 0;
--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -84,9 +84,9 @@
     if (added) {
       server.mLeasesExpireBy = aLeases.ExpireBy(info.mId);
       serversToPoll.push_back(info.mId);
-    } else if (server.mIncarnation != 0 && server.mFenced &&
+    } else if (server.mIncarnation && server.mFenced &&
                info.mStartedMs != server.mInfo.mStartedMs &&
-               info.mStartedMs != server.mIncarnation) {
+               info.mStartedMs != *server.mIncarnation) {
       // An entry that is older than the last report has not changed. The wall
       // clock of a server may step back, so its start times need not rise.
       server.mFenced = false;
--- a/flamingoloom/scheduler/fleet.h
+++ b/flamingoloom/scheduler/fleet.h
@@ -20,8 +20,8 @@
 {
   ServerInfo mInfo;
   // Start time of the incarnation that sent the last report, in Unix
-  // milliseconds; 0 before the first report.
-  std::int64_t mIncarnation = 0;
+  // milliseconds; nullopt before the first report.
+  std::optional<std::int64_t> mIncarnation;
   // The server has an entry in the store.
   bool mListed = true;
   // The server has responded to a request of this leader's epoch, so it rejects
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -248,7 +248,7 @@
     server->mRestarted = false;
   }
   server->mResponsive = server->mFenced = true;
-  if (server->mIncarnation != 0 && server->mIncarnation != aReport.mStartedMs) {
+  if (server->mIncarnation && *server->mIncarnation != aReport.mStartedMs) {
     ForgetIncarnation(*server);
   }
   server->mIncarnation = aReport.mStartedMs;
--- a/flamingoloom/scheduler/scheduler_servers.cpp
+++ b/flamingoloom/scheduler/scheduler_servers.cpp
@@ -39,7 +39,7 @@
 
 void Scheduler::ForgetIncarnation(ServerState& aServer)
 {
-  aServer.mIncarnation = 0;
+  aServer.mIncarnation.reset();
   aServer.mRestarted = true;
   aServer.mLastHandledCompletion = aServer.mAcknowledgedThrough = 0;
   aServer.mUnstoredCompletions.clear();
--- a/testing/platform_world/fake_servers.cpp
+++ b/testing/platform_world/fake_servers.cpp
@@ -345,9 +345,12 @@
                        : Duration(kNetworkDelay);
 }
 
-bool ServersConnection::HasConnection(const scheduler::ServerInfo&, Time)
+bool ServersConnection::HasConnection(const scheduler::ServerInfo& aServer,
+                                      Time aOpenedBy)
 {
-  return mServers.NextCallFindsConnection();
+  // A crash closes the connections.
+  return mServers.KeepsConnections(aServer.mId, aOpenedBy) &&
+         mServers.NextCallFindsConnection();
 }
 
 void ServersConnection::Start(const scheduler::ServerInfo& aServer,
--- a/testing/platform_world/restarted_server_test.cpp
+++ b/testing/platform_world/restarted_server_test.cpp
@@ -220,6 +220,10 @@
     cluster.RunFor(seconds(1));
     // The same start time names the same incarnation.
     CHECK((cluster.Orders().back().mSentAt > listedAt) == (startedMs != 1));
+    cluster.Submit(0, 1, { 1, milliseconds(300) });
+    cluster.RunFor(seconds(4));
+    CHECK(cluster.Invariants().Starts() == 2);
+    CHECK(cluster.AllDone());
   }
 }
 
