A leader without tokens left opens no session; the bound after a restart is tested

Found by reading the diff and by switching mechanisms off: with the bound that the first report of a restarted server sets switched off, no test failed, as the bound before it was the same. The case of scheduler_test restarts the server later now, and fails without it (2 checks).

--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -124,7 +124,8 @@
   // Passes mListedServers to the scheduler.
   void ApplyServerList();
   ServerSession* SessionFor(const base::ServerId& aServer);
-  // Returns a token that is higher than all that this leader has used.
+  // Returns a token that is higher than all that this leader has used, or gives
+  // up leadership if there is none.
   FencingToken NextToken();
   ServerSession::Events SessionEvents(const base::ServerId& aServer);
   // Schedules a pass unless one is pending.
--- a/flamingoloom/node/leader_servers.cpp
+++ b/flamingoloom/node/leader_servers.cpp
@@ -179,11 +179,12 @@
   if (server == nullptr || server->mInfo.mAddress.empty()) {
     return nullptr;
   }
-  auto session = std::make_shared<ServerSession>(mPorts,
-                                                 server->mInfo,
-                                                 NextToken(),
-                                                 mTiming.mSession,
-                                                 SessionEvents(aServer));
+  const auto token = NextToken();
+  if (mPhase != Phase::eScheduling) {
+    return nullptr;
+  }
+  auto session = std::make_shared<ServerSession>(
+    mPorts, server->mInfo, token, mTiming.mSession, SessionEvents(aServer));
   return mSessions.emplace(aServer, std::move(session)).first->second.get();
 }
 
--- a/flamingoloom/scheduler/scheduler_servers_test.cpp
+++ b/flamingoloom/scheduler/scheduler_servers_test.cpp
@@ -16,6 +16,8 @@
   f.AddServers(2);
   f.Add(Fixture::MakeJob("a", 1, 1));
   const auto start = f.StartAll().at(0);
+  // The bound of the incarnation before is earlier.
+  f.mNow += maxLease / 2;
   f.mScheduler.OnServerRestarted(start.mServer);
   f.Report(start.mServer, { { start.mAttempt, "", 0 } }, {}, 2);
   const auto reportedAt = f.mNow;
