--- /dev/null
+++ b/testing/hostile_callers/raw_peers.cpp
@@ -0,0 +1,146 @@
+#include "testing/hostile_callers/raw_peers.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <utility>
+
+#include <doctest/doctest.h>
+
+namespace flamingoloom::testing::hostile_callers {
+namespace {
+
+constexpr int kSendTimeoutS = 5;
+
+sockaddr_in Loopback(int aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+void SetSendTimeout(int aSocket)
+{
+  const timeval timeout{ kSendTimeoutS, 0 };
+  setsockopt(aSocket, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+}
+
+bool SendAll(int aSocket, const std::string& aText)
+{
+  std::size_t sent = 0;
+  while (sent < aText.size()) {
+    const auto count =
+      send(aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
+    if (count <= 0) {
+      return false;
+    }
+    sent += static_cast<std::size_t>(count);
+  }
+  return true;
+}
+
+} // namespace
+
+RawCaller::RawCaller(int aPort)
+  : mSocket(socket(AF_INET, SOCK_STREAM, 0))
+{
+  const auto address = Loopback(aPort);
+  REQUIRE(connect(mSocket,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof address) == 0);
+  SetSendTimeout(mSocket);
+}
+
+RawCaller::RawCaller(RawCaller&& aOther) noexcept
+  : mSocket(std::exchange(aOther.mSocket, -1))
+{
+}
+
+RawCaller::~RawCaller()
+{
+  if (mSocket >= 0) {
+    close(mSocket);
+  }
+}
+
+bool RawCaller::Send(const std::string& aText)
+{
+  return SendAll(mSocket, aText);
+}
+
+void RawCaller::Repeat(const std::string& aText, std::size_t aBytes)
+{
+  for (std::size_t sent = 0; sent < aBytes; sent += aText.size()) {
+    if (!Send(aText)) {
+      return;
+    }
+  }
+}
+
+RawServer::RawServer(std::string aHead, std::string aPart, std::size_t aBytes)
+  : mHead(std::move(aHead))
+  , mPart(std::move(aPart))
+  , mBytes(aBytes)
+  , mListener(socket(AF_INET, SOCK_STREAM, 0))
+{
+  auto address = Loopback(0);
+  auto* const any = reinterpret_cast<sockaddr*>(&address);
+  socklen_t size = sizeof address;
+  REQUIRE(bind(mListener, any, size) == 0);
+  REQUIRE(listen(mListener, SOMAXCONN) == 0);
+  REQUIRE(getsockname(mListener, any, &size) == 0);
+  mPort = ntohs(address.sin_port);
+  mAccepting = std::thread([this] { Accept(); });
+}
+
+RawServer::~RawServer()
+{
+  shutdown(mListener, SHUT_RDWR);
+  mAccepting.join();
+  {
+    const std::lock_guard lock(mMutex);
+    for (const int socket : mSockets) {
+      shutdown(socket, SHUT_RDWR);
+    }
+  }
+  for (auto& thread : mThreads) {
+    thread.join();
+  }
+  close(mListener);
+}
+
+void RawServer::Accept()
+{
+  for (;;) {
+    const int socket = accept(mListener, nullptr, nullptr);
+    if (socket < 0) {
+      return;
+    }
+    const std::lock_guard lock(mMutex);
+    mSockets.insert(socket);
+    mThreads.emplace_back([this, socket] { Serve(socket); });
+  }
+}
+
+void RawServer::Serve(int aSocket)
+{
+  SetSendTimeout(aSocket);
+  char request[4096];
+  if (recv(aSocket, request, sizeof request, 0) > 0 &&
+      SendAll(aSocket, mHead)) {
+    std::size_t sent = 0;
+    while (sent < mBytes && SendAll(aSocket, mPart)) {
+      sent += mPart.size();
+    }
+    ++mFinished;
+  }
+  const std::lock_guard lock(mMutex);
+  mSockets.erase(aSocket);
+  close(aSocket);
+}
+
+} // namespace flamingoloom::testing::hostile_callers
