HTTP: limits on everything whose size a peer decides

Beast keeps trailers and the head of a chunk in its buffer until they are complete, and the buffer had no limit: eight callers brought a process from 10 to 112 MB. The buffer now takes a header of the longest allowed size and one read. Related: the number of callers' connections was not limited (335 descriptors of 300), neither was the memory of all requests together (each is within its limit), and a backend server could send a body of 16 MB, which only the store needs.

At the limit of connections the one that has been idle the longest is closed, at the limit of memory the largest request that the handler does not have yet; so ordinary callers are served beside large ones. A request that is the only one is always served.

--- a/flamingoloom/event_loop/metrics.cpp
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -39,6 +39,23 @@
                        .Help("Open connections to the store and to servers")
                        .Register(*mRegistry)
                        .Add({}))
+  , mCallerConnections(prometheus::BuildGauge()
+                         .Name("flamingoloom_caller_connections")
+                         .Help("Open connections of callers.")
+                         .Register(*mRegistry)
+                         .Add({}))
+  , mClosedCallers(
+      prometheus::BuildGauge()
+        .Name("flamingoloom_caller_connections_closed")
+        .Help("Connections of callers closed at the limit of connections.")
+        .Register(*mRegistry)
+        .Add({}))
+  , mRejectedRequests(
+      prometheus::BuildGauge()
+        .Name("flamingoloom_caller_requests_rejected")
+        .Help("Requests of callers given up at the limit of memory.")
+        .Register(*mRegistry)
+        .Add({}))
   , mServers(
       prometheus::BuildGauge()
         .Name("flamingoloom_servers")
@@ -84,6 +101,15 @@
   mOpenConnections.Set(aCount);
 }
 
+void Metrics::SetCallers(int aOpen,
+                         unsigned long aClosed,
+                         unsigned long aRejected)
+{
+  mCallerConnections.Set(aOpen);
+  mClosedCallers.Set(static_cast<double>(aClosed));
+  mRejectedRequests.Set(static_cast<double>(aRejected));
+}
+
 void Metrics::SetFleet(const scheduler::FleetSummary& aSummary)
 {
   const auto setServers = [this](const char* aState, int aCount) {
--- a/flamingoloom/event_loop/metrics.h
+++ b/flamingoloom/event_loop/metrics.h
@@ -44,6 +44,11 @@
   // Sets the number of open connections to the store and to servers.
   void SetOpenConnections(int aCount);
 
+  // Sets the number of open connections of callers, of those that were closed
+  // for want of connections, and of requests that were given up for want of
+  // memory.
+  void SetCallers(int aOpen, unsigned long aClosed, unsigned long aRejected);
+
   // Sets the numbers of servers and accelerators as the leader knows them; all
   // are 0 on other instances.
   void SetFleet(const scheduler::FleetSummary& aSummary);
@@ -58,6 +63,9 @@
   prometheus::Gauge& mConfigurationVersion;
   prometheus::Gauge& mConfigurationAge;
   prometheus::Gauge& mOpenConnections;
+  prometheus::Gauge& mCallerConnections;
+  prometheus::Gauge& mClosedCallers;
+  prometheus::Gauge& mRejectedRequests;
   prometheus::Family<prometheus::Gauge>& mServers;
   prometheus::Family<prometheus::Gauge>& mAccelerators;
   std::map<std::string, prometheus::Counter*> mEventCounters;
--- a/flamingoloom/http/client.cpp
+++ b/flamingoloom/http/client.cpp
@@ -36,10 +36,15 @@
 
 namespace {
 
+// Bodies are read in parts of up to this size. The parser leaves the rest of
+// what it can't use yet in the buffer: a header, the head of a chunk, trailers.
+constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
+
 struct Connection
 {
-  explicit Connection(asio::io_context& aLoop)
+  Connection(asio::io_context& aLoop, std::size_t aMaxBufferBytes)
     : mStream(aLoop)
+    , mBuffer(aMaxBufferBytes)
   {
   }
 
@@ -225,8 +230,16 @@
     return found == aIdle.rend() ? aIdle.end() : std::prev(found.base());
   }
 
+  std::size_t MaxBodyBytes(const std::string& aPeer) const
+  {
+    const auto limit = mMaxBodyBytes.find(aPeer);
+    return limit == mMaxBodyBytes.end() ? mOptions.mMaxBodyBytes
+                                        : limit->second;
+  }
+
   asio::io_context& mLoop;
   ClientOptions mOptions;
+  std::map<std::string, std::size_t> mMaxBodyBytes;
   Clock mClock;
   Observer mObserver;
   ClientCounters mCounters;
@@ -304,7 +317,8 @@
   void Connect(const Tcp::endpoint& aEndpoint)
   {
     ++mPool->mCounters.mConnectionAttempts;
-    mConnection = std::make_shared<Connection>(mPool->mLoop);
+    mConnection = std::make_shared<Connection>(
+      mPool->mLoop, mPool->mOptions.mMaxHeaderBytes + kReadBytes);
     mHoldsConnection = true;
     mConnection->mStream.async_connect(
       aEndpoint, [self = this->shared_from_this()](auto aError) {
@@ -366,7 +380,9 @@
 
   void Receive()
   {
-    mParser.body_limit(mPool->mOptions.mMaxBodyBytes);
+    mParser.header_limit(
+      static_cast<std::uint32_t>(mPool->mOptions.mMaxHeaderBytes));
+    mParser.body_limit(mPool->MaxBodyBytes(mPeer));
     // Reads the header and what has arrived of the body in one operation.
     mParser.eager(true);
     ReceivePart();
@@ -521,6 +537,11 @@
     ->Start(std::move(aRequest), aTimeout, std::nullopt, std::move(aMaySend));
 }
 
+void Client::SetMaxBodyBytes(const std::string& aPeer, std::size_t aBytes)
+{
+  mImpl->mMaxBodyBytes[aPeer] = aBytes;
+}
+
 bool Client::HasOpen(const std::string& aPeer, base::Time aOpenedBy)
 {
   return mImpl->HasIdle(aPeer, aOpenedBy);
--- a/flamingoloom/http/client.h
+++ b/flamingoloom/http/client.h
@@ -40,9 +40,11 @@
   // Longest time that a response may take once it has begun. A peer that sends
   // a few bytes at a time thus cannot hold a call for ever.
   base::Duration mMaxTransferTime = std::chrono::seconds(10);
-  // A response with a larger body fails the call. The longest one of the
-  // platform has its configuration, about 320 bytes a queue.
-  std::size_t mMaxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
+  // A response with a larger header, chunk extension or trailer fails the call.
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
+  // A response with a larger body fails the call. The report of a backend
+  // server lists at most 500 ends, each with some 100 bytes, and its tasks.
+  std::size_t mMaxBodyBytes = std::size_t{ 1024 } * 1024;
 };
 
 struct ClientCounters
@@ -92,6 +94,10 @@
             Callback aCallback,
             MaySend aMaySend = {});
 
+  // Sets the limit of response bodies of a peer, in place of
+  // ClientOptions::mMaxBodyBytes.
+  void SetMaxBodyBytes(const std::string& aPeer, std::size_t aBytes);
+
   // Returns whether CallOnOpen would find a connection now.
   bool HasOpen(const std::string& aPeer, base::Time aOpenedBy);
   // Like Call, but sends the request only on an idle connection that was opened
--- a/flamingoloom/http/server.cpp
+++ b/flamingoloom/http/server.cpp
@@ -1,6 +1,8 @@
 #include "flamingoloom/http/server.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <list>
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
@@ -16,10 +18,36 @@
 namespace beast = boost::beast;
 using Tcp = asio::ip::tcp;
 
-class Server::Impl : public std::enable_shared_from_this<Server::Impl>
+namespace {
+
+// A header field takes an allocation of its own; the shortest one has 4 bytes.
+constexpr std::size_t kMemoryPerHeaderByte = 32;
+// A request is decoded, encoded for the store and wrapped for the call, while
+// its caller waits.
+constexpr std::size_t kCopiesWhileHandled = 4;
+// Requests up to this size may use all of the memory for requests, larger ones
+// half of it.
+constexpr std::size_t kOrdinaryRequestMemory = std::size_t{ 64 } * 1024;
+
+enum class SessionPhase
+{
+  // Waits for the first byte of a request.
+  eIdle,
+  eReading,
+  // The handler has the request, or its response is being written.
+  eHandling,
+  eClosed,
+};
+
+class Session;
+
+// State that the connections share.
+class Listener : public std::enable_shared_from_this<Listener>
 {
 public:
-  Impl(asio::io_context& aLoop, ServerLimits aLimits, Handler aHandler)
+  Listener(asio::io_context& aLoop,
+           ServerLimits aLimits,
+           Server::Handler aHandler)
     : mLoop(aLoop)
     , mAcceptor(aLoop)
     , mAcceptTimer(aLoop)
@@ -30,39 +58,66 @@
 
   base::Expected<void> Listen(const std::string& aAddress);
   void Accept();
+  // Closes a connection if there are as many as the limit allows. Returns
+  // whether a new one may be opened.
+  bool MakeRoomForConnection();
+  // Gives up requests that are being read until the memory of all is within the
+  // limit.
+  void LimitRequestMemory();
+  // Returns whether a request that takes aMemory may be passed to the handler.
+  bool MayHandle(std::size_t aMemory) const;
 
   asio::io_context& mLoop;
   Tcp::acceptor mAcceptor;
   asio::steady_timer mAcceptTimer;
   ServerLimits mLimits;
-  Handler mHandler;
+  Server::Handler mHandler;
   bool mCloseAfterResponses = false;
   int mOpenRequests = 0;
+  ServerCounters mCounters;
+  // Open connections, in the order in which they entered their phase.
+  std::list<Session*> mIdle;
+  std::list<Session*> mReading;
+  std::list<Session*> mHandling;
+  // Sum of the sessions' memory, and the part of it that is handled.
+  std::size_t mRequestMemory = 0;
+  std::size_t mHandledMemory = 0;
 };
 
-namespace {
-
 // One accepted connection. It owns itself through its pending operations.
-template <class Owner>
-struct Session : std::enable_shared_from_this<Session<Owner>>
+class Session : public std::enable_shared_from_this<Session>
 {
-  Session(std::shared_ptr<Owner> aOwner, Tcp::socket aSocket)
+public:
+  Session(std::shared_ptr<Listener> aOwner, Tcp::socket aSocket)
     : mOwner(std::move(aOwner))
     , mStream(std::move(aSocket))
   {
+    ++mOwner->mCounters.mOpenConnections;
   }
 
+  ~Session() { EnterPhase(SessionPhase::eClosed); }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
   void ReadNext()
   {
-    auto self = this->shared_from_this();
+    EnterPhase(SessionPhase::eIdle);
+    SetMemory(0);
+    mHeaderBytes = 0;
     mParser.emplace();
+    mParser->eager(true);
     mParser->header_limit(
       static_cast<std::uint32_t>(mOwner->mLimits.mMaxHeaderBytes));
     mParser->body_limit(mOwner->mLimits.mMaxBodyBytes);
+    // The parser leaves a header, the head of a chunk or trailers in the buffer
+    // until they are complete.
+    mBuffer.max_size(
+      std::max(mBuffer.size(), mOwner->mLimits.mMaxHeaderBytes + kReadBytes));
     if (mBuffer.size() > 0) {
-      ReadRequest();
+      BeginRequest();
       return;
     }
+    auto self = shared_from_this();
     mStream.expires_after(mOwner->mLimits.mIdleTimeout);
     mStream.async_read_some(mBuffer.prepare(kReadBytes),
                             [self](auto aError, std::size_t aBytes) {
@@ -71,23 +126,44 @@
                                 return;
                               }
                               self->mBuffer.commit(aBytes);
-                              self->ReadRequest();
+                              self->BeginRequest();
                             });
   }
 
-  void ReadRequest()
+  // Closes the connection without a response. Nothing of the request has been
+  // passed to the handler.
+  void Abandon()
   {
-    auto self = this->shared_from_this();
+    EnterPhase(SessionPhase::eClosed);
+    Close();
+  }
+
+  std::size_t Memory() const { return mMemory; }
+
+private:
+  void BeginRequest()
+  {
+    EnterPhase(SessionPhase::eReading);
     mStream.expires_after(mOwner->mLimits.mRequestTimeout);
-    beast::http::async_read(
-      mStream, mBuffer, *mParser, [self](auto aError, std::size_t) {
-        self->OnRequest(aError);
+    ReadPart();
+  }
+
+  void ReadPart()
+  {
+    auto self = shared_from_this();
+    beast::http::async_read_some(
+      mStream, mBuffer, *mParser, [self](auto aError, std::size_t aBytes) {
+        self->OnPart(aError, aBytes);
       });
   }
 
-  void OnRequest(const boost::system::error_code& aError)
+  void OnPart(const boost::system::error_code& aError, std::size_t aBytes)
   {
-    if (aError == beast::http::error::header_limit) {
+    if (mPhase != SessionPhase::eReading) {
+      return;
+    }
+    if (aError == beast::http::error::header_limit ||
+        aError == beast::http::error::buffer_overflow) {
       RejectRequest(431);
     } else if (aError == beast::http::error::body_limit) {
       RejectRequest(413);
@@ -101,12 +177,40 @@
     } else if (aError) {
       Close();
     } else {
+      ContinueRequest(aBytes);
+    }
+  }
+
+  void ContinueRequest(std::size_t aBytes)
+  {
+    if (!mParser->is_header_done() || mHeaderBytes == 0) {
+      mHeaderBytes += aBytes;
+    }
+    SetMemory(std::min(mHeaderBytes, mOwner->mLimits.mMaxHeaderBytes) *
+                kMemoryPerHeaderByte +
+              mBuffer.capacity() + mParser->get().body().capacity());
+    mOwner->LimitRequestMemory();
+    if (mPhase != SessionPhase::eReading) {
+      return;
+    }
+    if (mParser->is_done()) {
       Dispatch();
+    } else {
+      ReadPart();
     }
   }
 
   void Dispatch()
   {
+    const auto memory =
+      mMemory + (kCopiesWhileHandled - 1) * mParser->get().body().size();
+    if (!mOwner->MayHandle(memory)) {
+      ++mOwner->mCounters.mRejectedRequests;
+      RejectRequest(503);
+      return;
+    }
+    EnterPhase(SessionPhase::eHandling);
+    SetMemory(memory);
     mStream.expires_never();
     auto message = mParser->release();
     mKeepAlive = message.keep_alive();
@@ -119,19 +223,25 @@
     }
     request.mBody = std::move(message.body());
     ++mOwner->mOpenRequests;
-    auto self = this->shared_from_this();
+    auto self = shared_from_this();
     mOwner->mHandler(request, [self](Response aResponse) {
       self->Write(std::move(aResponse), true);
     });
   }
 
-  // Responds with an error status to a request that could not be read, and
-  // closes the connection.
+  // Responds with an error status to a request that was not passed to the
+  // handler, and closes the connection.
   void RejectRequest(int aStatus)
   {
+    EnterPhase(SessionPhase::eHandling);
+    SetMemory(0);
+    mParser.reset();
     mKeepAlive = false;
     Response response;
     response.mStatus = aStatus;
+    if (aStatus == 503) {
+      response.mHeaders = { { "Retry-After", "1" } };
+    }
     Write(std::move(response), false);
   }
 
@@ -148,7 +258,7 @@
     mResponse.body() = std::move(aResponse.mBody);
     mResponse.keep_alive(!close);
     mResponse.prepare_payload();
-    auto self = this->shared_from_this();
+    auto self = shared_from_this();
     mStream.expires_after(mOwner->mLimits.mIdleTimeout);
     beast::http::async_write(
       mStream,
@@ -172,20 +282,107 @@
     mStream.socket().close(ignored);
   }
 
+  // Returns the list of the sessions in a phase, or null.
+  std::list<Session*>* ListOf(SessionPhase aPhase)
+  {
+    switch (aPhase) {
+      case SessionPhase::eIdle:
+        return &mOwner->mIdle;
+      case SessionPhase::eReading:
+        return &mOwner->mReading;
+      case SessionPhase::eHandling:
+        return &mOwner->mHandling;
+      case SessionPhase::eClosed:
+        break;
+    }
+    return nullptr;
+  }
+
+  void EnterPhase(SessionPhase aPhase)
+  {
+    if (mPhase == SessionPhase::eClosed) {
+      if (mWasOpened) {
+        return;
+      }
+      mWasOpened = true;
+    } else {
+      ListOf(mPhase)->erase(mPosition);
+    }
+    const auto memory = mMemory;
+    SetMemory(0);
+    mPhase = aPhase;
+    if (auto* const sessions = ListOf(aPhase)) {
+      mPosition = sessions->insert(sessions->end(), this);
+      SetMemory(memory);
+    } else {
+      --mOwner->mCounters.mOpenConnections;
+    }
+  }
+
+  void SetMemory(std::size_t aMemory)
+  {
+    mOwner->mRequestMemory += aMemory - mMemory;
+    if (mPhase == SessionPhase::eHandling) {
+      mOwner->mHandledMemory += aMemory - mMemory;
+    }
+    mMemory = aMemory;
+  }
+
   // Most requests of callers fit into one read of this size.
   static constexpr std::size_t kReadBytes = 4096;
 
-  std::shared_ptr<Owner> mOwner;
+  std::shared_ptr<Listener> mOwner;
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   std::optional<beast::http::request_parser<beast::http::string_body>> mParser;
   beast::http::response<beast::http::string_body> mResponse;
   bool mKeepAlive = true;
+  SessionPhase mPhase = SessionPhase::eClosed;
+  bool mWasOpened = false;
+  std::list<Session*>::iterator mPosition;
+  std::size_t mHeaderBytes = 0;
+  std::size_t mMemory = 0;
 };
 
-} // namespace
+bool Listener::MakeRoomForConnection()
+{
+  if (mCounters.mOpenConnections < mLimits.mMaxConnections) {
+    return true;
+  }
+  ++mCounters.mClosedConnections;
+  auto& candidates = mIdle.empty() ? mReading : mIdle;
+  if (candidates.empty()) {
+    return false;
+  }
+  candidates.front()->Abandon();
+  return true;
+}
 
-base::Expected<void> Server::Impl::Listen(const std::string& aAddress)
+void Listener::LimitRequestMemory()
+{
+  // A request within the other limits is served if it is the only one.
+  while (mRequestMemory > mLimits.mMaxRequestMemory && !mReading.empty() &&
+         mReading.size() + mHandling.size() > 1) {
+    const auto largest =
+      std::max_element(mReading.begin(),
+                       mReading.end(),
+                       [](const Session* aLeft, const Session* aRight) {
+                         return aLeft->Memory() < aRight->Memory();
+                       });
+    ++mCounters.mRejectedRequests;
+    (*largest)->Abandon();
+  }
+}
+
+bool Listener::MayHandle(std::size_t aMemory) const
+{
+  const auto limit = aMemory <= kOrdinaryRequestMemory
+                       ? mLimits.mMaxRequestMemory
+                       : mLimits.mMaxRequestMemory / 2;
+  return mHandledMemory == 0 || mHandledMemory + aMemory <= limit;
+}
+
+base::Expected<void> Listener::Listen(const std::string& aAddress)
 {
   const auto colon = aAddress.rfind(':');
   boost::system::error_code error;
@@ -215,7 +412,7 @@
   return {};
 }
 
-void Server::Impl::Accept()
+void Listener::Accept()
 {
   // Accepting fails when the process is out of file descriptors. The delay
   // gives open connections time to close.
@@ -234,13 +431,23 @@
         });
         return;
       }
-      boost::system::error_code ignored;
-      aSocket.set_option(Tcp::no_delay(true), ignored);
-      std::make_shared<Session<Impl>>(self, std::move(aSocket))->ReadNext();
+      if (self->MakeRoomForConnection()) {
+        boost::system::error_code ignored;
+        aSocket.set_option(Tcp::no_delay(true), ignored);
+        std::make_shared<Session>(self, std::move(aSocket))->ReadNext();
+      }
       self->Accept();
     });
 }
 
+} // namespace
+
+class Server::Impl : public Listener
+{
+public:
+  using Listener::Listener;
+};
+
 Server::Server(asio::io_context& aLoop, ServerLimits aLimits, Handler aHandler)
   : mImpl(std::make_shared<Impl>(aLoop, aLimits, std::move(aHandler)))
 {
@@ -277,4 +484,9 @@
   return mImpl->mOpenRequests;
 }
 
+const ServerCounters& Server::Counters() const
+{
+  return mImpl->mCounters;
+}
+
 } // namespace flamingoloom::http
--- a/flamingoloom/http/server.h
+++ b/flamingoloom/http/server.h
@@ -8,6 +8,11 @@
 // The server calls the handler on the loop's thread. The handler must call its
 // responder exactly once on that thread, before it returns or later. A
 // connection handles one request at a time. Not thread-safe.
+//
+// Peers need not be trusted: each part of a request whose size they choose has
+// a limit, and so have all connections together. At the limit of memory the
+// server gives up the request that takes the most and has not been passed to
+// the handler, so that ordinary ones are served beside large ones.
 #pragma once
 
 #include <functional>
@@ -26,7 +31,8 @@
 
 struct ServerLimits
 {
-  // Larger headers are rejected with status 431, larger bodies with 413.
+  // Larger headers, chunk extensions and trailers are rejected with status 431,
+  // larger bodies with 413.
   std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
   std::size_t mMaxBodyBytes = std::size_t{ 256 } * 1024;
   // Maximum time from the first byte of a request to its last.
@@ -34,10 +40,26 @@
   // Maximum time without the first byte of the next request, and maximum time
   // to write a response.
   base::Duration mIdleTimeout = std::chrono::seconds(15);
+  // Maximum number of connections. At the limit a new one takes the place of
+  // the one that has been idle for the longest time, or that has been sending
+  // its request for the longest time; without such a one it is closed.
+  int mMaxConnections = 975;
+  // Maximum memory, by an upper estimate, that all requests together take until
+  // their responses are written. Further ones are rejected with status 503.
+  std::size_t mMaxRequestMemory = std::size_t{ 16 } * 1024 * 1024;
 
   friend bool operator==(const ServerLimits&, const ServerLimits&) = default;
 };
 
+struct ServerCounters
+{
+  int mOpenConnections = 0;
+  // Connections that were closed for want of connections, and requests that
+  // were given up for want of memory.
+  unsigned long mClosedConnections = 0;
+  unsigned long mRejectedRequests = 0;
+};
+
 class Server
 {
 public:
@@ -69,6 +91,8 @@
   // response has not been written completely.
   int OpenRequests() const;
 
+  const ServerCounters& Counters() const;
+
 private:
   class Impl;
   std::shared_ptr<Impl> mImpl;
