Accounts: maxima, rates and shares

AccountLimits counts each attempt from its assignment until it is known to have ended: assigned, started, being stopped, on a silent server until its leases have ended, left by an earlier leader, and strays that a report lists although nobody wants them. Steps wider than the maximum run in waves; a gang that can never run is refused at once with 429 and the reason; a lowered maximum stops nothing and holds back starts.

Within an account at its maximum, work starts in order: small tasks do not take what becomes free for a gang. A guaranteed job stops its account's own less urgent work.

A weight is a share of the capacity, by which free capacity is given to accounts below theirs first, and a rate, beyond which jobs come after those of others.

--- a/flamingoloom/node/configuration.h
+++ b/flamingoloom/node/configuration.h
@@ -13,6 +13,7 @@
 #include "flamingoloom/base/ids.h"
 #include "flamingoloom/base/time.h"
 #include "flamingoloom/jobs/job.h"
+#include "flamingoloom/scheduler/account_limits.h"
 
 namespace flamingoloom::node {
 
@@ -31,8 +32,8 @@
 {
   base::AccountId mId;
   std::set<std::string> mKeys;
-  // Accelerators guaranteed to the account's jobs of priority 0.
-  std::int64_t mGuaranteedAccelerators = 0;
+  // What is guaranteed to the account, and what it may have running.
+  scheduler::AccountTerms mTerms;
 
   friend bool operator==(const Account&, const Account&) = default;
 };
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -83,8 +83,11 @@
 void Instance::UpdateApi()
 {
   mApi.SetStoreReachable(IsStoreReachable());
-  mApi.SetConfigurationValidUntil(ConfirmedAt() +
-                                  mSettings.mStoreContactTimeout);
+  const auto validUntil = ConfirmedAt() + mSettings.mStoreContactTimeout;
+  mApi.SetConfigurationValidUntil(validUntil);
+  if (mLeader) {
+    mLeader->SetConfigurationValidUntil(validUntil);
+  }
 }
 
 // Leadership
@@ -198,6 +201,7 @@
       if (mOperators.mConfiguration) {
         mLeader->SetConfiguration(*mOperators.mConfiguration);
       }
+      UpdateApi();
       mLeader->SetOutOfServiceDataCentres(OutOfServiceDataCentres());
       mLeader->Start();
       mPublicationDue = true;
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -48,7 +48,7 @@
   base::Duration mLeaderWatchWait = std::chrono::milliseconds(300);
   LeaderTiming mLeader;
   scheduler::SchedulerSettings mScheduler;
-  JobApiTiming mApi;
+  JobApiSettings mApi;
 };
 
 class Instance
--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -47,9 +47,9 @@
   }
 }
 
-JobApi::JobApi(Ports aPorts, JobApiTiming aTiming)
+JobApi::JobApi(Ports aPorts, JobApiSettings aSettings)
   : mPorts(aPorts)
-  , mTiming(aTiming)
+  , mSettings(aSettings)
 {
 }
 
@@ -64,7 +64,7 @@
 CallerResponse JobApi::RetryLater() const
 {
   CallerResponse response = MakeResponse(CallerStatus::eRetryLater);
-  response.mRetryAfter = mTiming.mRetryAfter;
+  response.mRetryAfter = mSettings.mRetryAfter;
   return response;
 }
 
@@ -89,6 +89,7 @@
   const Account* account = mConfiguration->FindAccount(aTarget.mKey);
   if (account != nullptr) {
     resolved.mAccount = account->mId;
+    resolved.mMaximum = account->mTerms.mMaximum;
   } else if (!resolved.mQueue->mPublic) {
     aThen(MakeResponse(CallerStatus::eUnknownKey));
     return std::nullopt;
@@ -102,15 +103,15 @@
   const auto left = aUntil - mPorts.mLoop->Now();
   // A call with an unknown outcome is retried until the outcome is known; after
   // rejected calls, further retries are not worth keeping the caller waiting.
-  return left > mTiming.mMinCallTimeout &&
-         (aUnknown || aCallAttempt < mTiming.mMaxRejectedCalls);
+  return left > mSettings.mMinCallTimeout &&
+         (aUnknown || aCallAttempt < mSettings.mMaxRejectedCalls);
 }
 
 base::Duration JobApi::CallTimeout(Time aUntil) const
 {
   return std::clamp<base::Duration>(aUntil - mPorts.mLoop->Now(),
-                                    mTiming.mMinCallTimeout,
-                                    mTiming.mCallTimeout);
+                                    mSettings.mMinCallTimeout,
+                                    mSettings.mCallTimeout);
 }
 
 void JobApi::Submit(
@@ -134,6 +135,21 @@
     aThen(MakeResponse(CallerStatus::eMalformed));
     return;
   }
+  for (const auto& step : job->mSteps) {
+    if (scheduler::MayEverRun(
+          step, resolved->mMaximum, mSettings.mLimitTolerance)) {
+      continue;
+    }
+    mPorts.mLog->Write("job_refused",
+                       { { "job", resolved->mJob },
+                         { "account", resolved->mAccount.Value() },
+                         { "reason", "over_maximum" },
+                         { "tasks", std::to_string(step.mTaskCount) } });
+    auto response = MakeResponse(CallerStatus::eOverMaximum);
+    response.mRetryAfter = mSettings.mOverMaximumRetryAfter;
+    aThen(response);
+    return;
+  }
   if (!mStoreReachable || !mStoreBreaker.Allows(mPorts.mLoop->Now())) {
     mPorts.mLog->Write(
       "job_refused",
@@ -203,15 +219,16 @@
         GiveUpSubmit(job, aCallAttempt, unknown, then);
         return;
       }
-      mPorts.mLoop->After(
-        mTiming.mRetryDelay, [this, job, aUntil, aCallAttempt, unknown, then] {
-          // The process may have stood still meanwhile.
-          if (MayRetry(aUntil, aCallAttempt, unknown)) {
-            StoreJob(job, aUntil, aCallAttempt + 1, unknown, then);
-          } else {
-            GiveUpSubmit(job, aCallAttempt, unknown, then);
-          }
-        });
+      mPorts.mLoop->After(mSettings.mRetryDelay,
+                          [this, job, aUntil, aCallAttempt, unknown, then] {
+                            // The process may have stood still meanwhile.
+                            if (MayRetry(aUntil, aCallAttempt, unknown)) {
+                              StoreJob(
+                                job, aUntil, aCallAttempt + 1, unknown, then);
+                            } else {
+                              GiveUpSubmit(job, aCallAttempt, unknown, then);
+                            }
+                          });
     });
 }
 
@@ -259,7 +276,7 @@
     aPartition,
     aKey,
     aKey + '\0',
-    mTiming.mCallTimeout,
+    mSettings.mCallTimeout,
     [this,
      aTable,
      aPartition,
@@ -275,7 +292,7 @@
       }
       if (MayRetry(aUntil, aCallAttempt, false)) {
         mPorts.mLoop->After(
-          mTiming.mRetryDelay,
+          mSettings.mRetryDelay,
           [this, aTable, aPartition, aKey, aUntil, aCallAttempt, found, then] {
             ReadRow(
               aTable, aPartition, aKey, aUntil, aCallAttempt + 1, found, then);
@@ -383,7 +400,7 @@
 {
   if (!mQueueLengthsReceivedAt ||
       mPorts.mLoop->Now() - *mQueueLengthsReceivedAt >
-        mTiming.mQueueLengthsValidity) {
+        mSettings.mQueueLengthsValidity) {
     return RetryLater();
   }
   CallerResponse response = MakeResponse(CallerStatus::eFound);
@@ -457,7 +474,7 @@
         (!aResult && aResult.error().mCode == ErrorCode::eOutcomeUnknown);
       // Writing the cancellation marker again has no further effect.
       if (MayRetry(aUntil, aCallAttempt, false)) {
-        mPorts.mLoop->After(mTiming.mRetryDelay,
+        mPorts.mLoop->After(mSettings.mRetryDelay,
                             [this, aJob, aUntil, aCallAttempt, unknown, then] {
                               MarkCancelled(
                                 aJob, aUntil, aCallAttempt + 1, unknown, then);
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -29,6 +29,9 @@
   // The job was certainly not accepted, or not cancelled; the caller may retry
   // later.
   eRetryLater,
+  // The job was not accepted: a gang in it is larger than what its account may
+  // have running.
+  eOverMaximum,
   // The job may have been accepted, or cancelled; a retry with the same id
   // shows whether it was.
   eUnknown,
@@ -39,7 +42,7 @@
   CallerStatus mCallerStatus = CallerStatus::eRetryLater;
   jobs::JobState mState = jobs::JobState::eQueued;
   std::int64_t mPendingJobs = 0;
-  // Set for eRetryLater only.
+  // Set for eRetryLater and eOverMaximum only.
   base::Duration mRetryAfter{ 0 };
 };
 
@@ -52,7 +55,7 @@
   base::Duration mCallerTimeout = std::chrono::seconds(3);
 };
 
-struct JobApiTiming
+struct JobApiSettings
 {
   // Timeout of one call to the store. A response takes 4 ms, 44 ms from another
   // region, and several hundred milliseconds while the store is slow; a stalled
@@ -70,6 +73,12 @@
   // A queue's length is reported for this long after it was received; the
   // leader updates it every 500 ms, and the platform allows an age of 2 s.
   base::Duration mQueueLengthsValidity = std::chrono::milliseconds(1500);
+  // How long a caller is asked to wait whose job is larger than the account's
+  // maximum. Only a new configuration can change that.
+  base::Duration mOverMaximumRetryAfter = std::chrono::seconds(10);
+  // Share by which a gang may exceed the maximum if nothing else of its account
+  // runs.
+  double mLimitTolerance = 0.0;
 };
 
 // A circuit breaker for the store's writes: while they fail or are slow,
@@ -101,7 +110,7 @@
 public:
   using Callback = std::function<void(CallerResponse)>;
 
-  JobApi(Ports aPorts, JobApiTiming aTiming);
+  JobApi(Ports aPorts, JobApiSettings aSettings);
 
   // Ignores versions that are not newer than the active one.
   void SetConfiguration(std::shared_ptr<const Configuration> aConfiguration);
@@ -131,6 +140,7 @@
   {
     const Queue* mQueue = nullptr;
     base::AccountId mAccount;
+    jobs::Resources mMaximum;
     // The job's id, which follows the queue's prefix in the path; empty for the
     // queue itself.
     std::string mJob;
@@ -183,7 +193,7 @@
   CallerResponse RetryLater() const;
 
   const Ports mPorts;
-  const JobApiTiming mTiming;
+  const JobApiSettings mSettings;
   std::shared_ptr<const Configuration> mConfiguration;
   base::Time mConfigurationValidUntil;
   bool mStoreReachable = false;
--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -83,14 +83,20 @@
 
 void Leader::SetConfiguration(const Configuration& aConfiguration)
 {
-  std::map<base::AccountId, std::int64_t> guarantees;
+  scheduler::AccountTermsMap terms;
   for (const auto& account : aConfiguration.mAccounts) {
-    guarantees[account.mId] = account.mGuaranteedAccelerators;
+    terms[account.mId] = account.mTerms;
   }
-  mScheduler.SetGuarantees(std::move(guarantees));
+  mHasConfiguration = true;
+  mScheduler.SetAccountTerms(std::move(terms));
   RequestPass();
 }
 
+void Leader::SetConfigurationValidUntil(Time aUntil)
+{
+  mScheduler.SetAccountTermsValidUntil(aUntil);
+}
+
 void Leader::SetOutOfServiceDataCentres(
   const std::set<base::DataCentreId>& aDataCentres)
 {
@@ -122,7 +128,9 @@
   const auto unixMs = mPorts.mLoop->UnixMs();
   mLastPass = now;
   LogFencing();
-  mScheduler.Schedule(now, unixMs);
+  if (mHasConfiguration) {
+    mScheduler.Schedule(now, unixMs);
+  }
   mPassCooldown = (mPorts.mLoop->Now() - now) * mTiming.mPassCooldownFactor;
   SendCommands();
   CommitNext();
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -74,6 +74,9 @@
   void OnLeadershipRenewed();
 
   void SetConfiguration(const Configuration& aConfiguration);
+  // Until when the configuration may be used to start work of accounts with a
+  // maximum.
+  void SetConfigurationValidUntil(base::Time aUntil);
   void SetOutOfServiceDataCentres(
     const std::set<base::DataCentreId>& aDataCentres);
 
@@ -167,6 +170,8 @@
   const std::function<base::Time()> mLeadershipValidUntil;
   const std::function<void()> mOnLost;
   Phase mPhase = Phase::eLoading;
+  // Nothing starts before it is known what accounts may have running.
+  bool mHasConfiguration = false;
   base::Time mStartedAt;
   bool mFencingLogged = false;
   base::Duration mCommitBackoff;
--- a/flamingoloom/node/operator_snapshot.cpp
+++ b/flamingoloom/node/operator_snapshot.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr const char* kDecodeStep = "read operator snapshot";
+// The fields of an account that has neither a weight nor a maximum. Rows of
+// versions that know neither have no more.
+constexpr std::size_t kAccountFieldsWithoutMaximum = 3;
 constexpr std::size_t kQueuesPerPart = 64;
 constexpr std::size_t kMaxParts = 256;
 // Limit of the memory that a decompressed part may take.
@@ -88,8 +91,16 @@
 
 Json EncodeAccount(const Account& aAccount)
 {
-  return Json::array(
-    { aAccount.mId.Value(), aAccount.mKeys, aAccount.mGuaranteedAccelerators });
+  const auto& terms = aAccount.mTerms;
+  auto account = Json::array(
+    { aAccount.mId.Value(), aAccount.mKeys, terms.mGuaranteedAccelerators });
+  if (terms.mWeight > 0 || scheduler::HasMaximum(terms)) {
+    const auto& maximum = terms.mMaximum;
+    account.push_back(terms.mWeight);
+    account.push_back(Json::array(
+      { maximum.mCpuMilli, maximum.mMemoryMb, maximum.mAccelerators }));
+  }
+  return account;
 }
 
 Account DecodeAccount(const Json& aJson)
@@ -97,7 +108,12 @@
   Account account;
   account.mId = base::AccountId(aJson.at(0).get<std::string>());
   account.mKeys = aJson.at(1).get<std::set<std::string>>();
-  account.mGuaranteedAccelerators = aJson.at(2);
+  account.mTerms.mGuaranteedAccelerators = aJson.at(2);
+  if (aJson.size() > kAccountFieldsWithoutMaximum) {
+    account.mTerms.mWeight = aJson.at(3);
+    const Json& maximum = aJson.at(4);
+    account.mTerms.mMaximum = { maximum.at(0), maximum.at(1), maximum.at(2) };
+  }
   return account;
 }
 
--- a/flamingoloom/node/operator_snapshot_test.cpp
+++ b/flamingoloom/node/operator_snapshot_test.cpp
@@ -24,7 +24,11 @@
     queue.mPublic = i % 2 == 0;
     configuration->mQueues.push_back(std::move(queue));
   }
-  configuration->mAccounts = { { base::AccountId("shop"), { "k1", "k2" }, 8 } };
+  configuration->mAccounts = {
+    { base::AccountId("shop"), { "k1", "k2" }, { 8, 0, {} } },
+    { base::AccountId("press"), { "k3" }, { 4, 2.5, { 100, 200, 300 } } },
+    { base::AccountId("post"), { "k4" }, { 0, 0, { 0, 0, 300 } } }
+  };
   configuration->mLimits.mMaxBodyBytes = 1000;
   return { { { "config", 7 }, { "evacuate/a", 9 } }, configuration };
 }
--- a/flamingoloom/scheduler/fleet.cpp
+++ b/flamingoloom/scheduler/fleet.cpp
@@ -102,7 +102,7 @@
   }
   for (auto entry = mServers.begin(); entry != mServers.end();) {
     const ServerState& server = entry->second;
-    if (!server.mListed && server.mAttempts.empty()) {
+    if (!server.mListed && server.mAttempts.empty() && server.mStrays.empty()) {
       entry = mServers.erase(entry);
     } else {
       ++entry;
--- a/flamingoloom/scheduler/fleet.h
+++ b/flamingoloom/scheduler/fleet.h
@@ -16,6 +16,17 @@
 
 namespace flamingoloom::scheduler {
 
+// An attempt that runs on a server although none is wanted there: it was given
+// up before it started, or its task has ended elsewhere.
+struct StrayAttempt
+{
+  base::AccountId mAccount;
+  jobs::Resources mResources;
+  // A report that was requested later and does not list the attempt shows that
+  // it has ended.
+  base::Time mSeenAt;
+};
+
 struct ServerState
 {
   ServerInfo mInfo;
@@ -35,6 +46,7 @@
   bool mResponsive = true;
   jobs::Resources mUsed;
   std::set<jobs::TaskAttempt> mAttempts;
+  std::map<jobs::TaskAttempt, StrayAttempt> mStrays;
   // All leases that were granted to the server have expired by then.
   base::Time mLeasesExpireBy;
   // Highest number of a completion that was handled. mUnstoredCompletions holds
@@ -61,10 +73,10 @@
 {
 public:
   // Replaces the list of servers by aListed, the entries in the store at aNow.
-  // A server that is no longer listed is kept while attempts may still run on
-  // it. aLeases bounds the leases of servers that were not known before.
-  // Returns the servers to poll for a report: those that are new or have
-  // restarted since the last call.
+  // A server that is no longer listed is kept while attempts or strays may
+  // still run on it. aLeases bounds the leases of servers that were not known
+  // before. Returns the servers to poll for a report: those that are new or
+  // have restarted since the last call.
   std::vector<base::ServerId> Update(base::Time aNow,
                                      const std::vector<ServerInfo>& aListed,
                                      const EarlierLeases& aLeases);
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -101,6 +101,9 @@
   base::Time mPlanExpiresAt;
   base::Time mReservationSearchedAt;
   base::Time mVictimsSearchedAt;
+  base::Time mOwnWorkSearchedAt;
+  // The account's maximum held back some of the tasks in the last pass.
+  bool mHeldByMaximum = false;
   // Whether the tasks could fit near their data, as of mLocalFitCheckedAt.
   bool mCouldFitLocally = true;
   base::Time mLocalFitCheckedAt;
@@ -141,6 +144,9 @@
   bool mStateDirty = false;
   // The latest time at which completing the job earns full credit.
   base::Time mObjective;
+  // Its account had submitted as many jobs as its rate allows when it was
+  // accepted.
+  bool mBeyondRate = false;
 
   bool IsFinal() const { return jobs::IsFinal(mState); }
 };
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -25,6 +25,8 @@
 Scheduler::Scheduler(SchedulerSettings aSettings, DecisionSink aSink)
   : mSettings(aSettings)
   , mSink(std::move(aSink))
+  , mLimits(aSettings.mLimitTolerance)
+  , mRates(aSettings.mRateWindow)
 {
 }
 
@@ -48,6 +50,7 @@
   job.mSpec = std::move(aSpec);
   job.mAcceptedAt = aNow;
   job.mUnfinishedOccurrences = job.mSpec.OccurrenceCount();
+  job.mBeyondRate = mRates.IsBeyond(job.mSpec.mAccount, job.mSpec.mAcceptedMs);
   mActiveJobs.emplace(job.mSpec.mId, &job);
   job.mObjective = aNow +
                    std::chrono::duration_cast<base::Duration>(
@@ -114,12 +117,14 @@
     server.mAttempts.insert(
       { step.Name(static_cast<int>(i)), task.mAttemptNumber });
     server.mUsed += step.Spec().Footprint();
+    CountAttempt(step);
   }
   return true;
 }
 
 void Scheduler::Resume(Time aNow)
 {
+  RecordRates();
   for (auto& [id, job] : mJobs) {
     if (job->IsFinal()) {
       mActiveJobs.erase(id);
@@ -276,12 +281,6 @@
   mOutOfServiceDataCentres = std::move(aDataCentres);
 }
 
-void Scheduler::SetGuarantees(
-  std::map<base::AccountId, std::int64_t> aGuarantees)
-{
-  mGuarantees = std::move(aGuarantees);
-}
-
 std::int64_t Scheduler::AcknowledgedCompletions(const ServerId& aServer) const
 {
   const ServerState* server = mFleet.Find(aServer);
@@ -434,8 +433,11 @@
   MigrateFromDrainingServers(aNow);
   CreateDueOccurrences(aNow, aUnixMs);
   ReportWaiting(aNow);
+  mAtMaximum.clear();
+  mFirstHeld.clear();
   const auto waitingSteps = WaitingStepsInOrder(aNow);
   if (waitingSteps.empty()) {
+    LogAccountsAtMaximum();
     return;
   }
   Placement placement(mFleet, mOutOfServiceDataCentres, aNow);
@@ -452,6 +454,7 @@
   for (const WaitingStep& waitingStep : waitingSteps) {
     PlaceStep(aNow, waitingStep, placement);
   }
+  LogAccountsAtMaximum();
 }
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -33,6 +33,8 @@
 #include <utility>
 #include <vector>
 
+#include "flamingoloom/scheduler/account_limits.h"
+#include "flamingoloom/scheduler/account_rates.h"
 #include "flamingoloom/scheduler/earlier_leases.h"
 #include "flamingoloom/scheduler/fleet.h"
 #include "flamingoloom/scheduler/job_progress.h"
@@ -52,6 +54,11 @@
   // The longest that a lease lasts from the moment at which a server takes it,
   // whatever expiry a leader has named.
   base::Duration mMaxServerLease = std::chrono::milliseconds(10205);
+  // Share by which a gang may exceed its account's maximum if it could not run
+  // otherwise.
+  double mLimitTolerance = 0.0;
+  // Time over which an account may spread the jobs of its rate.
+  base::Duration mRateWindow = std::chrono::seconds(5);
 };
 
 // A row to write, or to remove if mValue is empty.
@@ -129,9 +136,12 @@
     const std::vector<ServerInfo>& aListed,
     const EarlierLeases& aLeases);
   void SetOutOfServiceDataCentres(std::set<base::DataCentreId> aDataCentres);
-  // Sets the number of accelerators that is guaranteed to each account for its
-  // jobs of priority 0.
-  void SetGuarantees(std::map<base::AccountId, std::int64_t> aGuarantees);
+  // Replaces the terms of all accounts. A maximum that falls below what an
+  // account has running only holds back its further starts.
+  void SetAccountTerms(AccountTermsMap aTerms);
+  // Until when the terms may be used. After that time accounts with a maximum
+  // start nothing, since a lower one may be in force.
+  void SetAccountTermsValidUntil(base::Time aUntil);
 
   // Responses of servers. aEarlierUnknown is true if the outcome of an earlier
   // call attempt with the same command is unknown, so that the command may
@@ -231,6 +241,16 @@
     bool mGuaranteed;
   };
 
+  // Tasks that end together if one of them is stopped.
+  struct OwnWork
+  {
+    StepState* mStep;
+    std::vector<int> mIndices;
+    jobs::Resources mFreed;
+    // Weighted core-seconds that are lost.
+    double mCost;
+  };
+
   Task* FindTask(const jobs::TaskName& aName, StepState** aStep) const;
   // Returns by when the attempt has ended if the server is not reached.
   base::Time EndsBy(const ServerState& aServer,
@@ -321,9 +341,49 @@
   // Returns the steps with waiting tasks in the order of their placement: first
   // those within a guarantee, then by priority and objective.
   std::vector<WaitingStep> WaitingStepsInOrder(base::Time aNow);
-  // Returns the number of guaranteed accelerators, or -1 for an account without
-  // a guarantee.
+  // Adds a task to, or removes it from, what its account has running.
+  void CountAttempt(const StepState& aStep);
+  void UncountAttempt(const StepState& aStep);
+  // Records an attempt that nobody wants as running on the server, and forgets
+  // those that a report which was requested at aSentAt does not list.
+  void AddStray(base::Time aNow,
+                ServerState& aServer,
+                const jobs::TaskAttempt& aAttempt,
+                const StepState& aStep);
+  void ForgetStrays(ServerState& aServer,
+                    const std::function<bool(const jobs::TaskAttempt&,
+                                             const StrayAttempt&)>& aHasEnded);
+  // Returns the waiting tasks of the step that its account may start now; for a
+  // gang all or none.
+  std::vector<int> StartableTasks(base::Time aNow, StepState& aStep);
+  // Returns whether the account may start the tasks of the step's plan now.
+  bool MayStartPlan(base::Time aNow, StepState& aStep);
+  // Stops less urgent work of the step's account, at the lowest loss, so that
+  // the step's waiting tasks may start within its maximum.
+  void PreemptOwnWork(base::Time aNow, StepState& aStep);
+  // Returns the account's running work that is less urgent than aStep, the
+  // cheapest to stop first, and adds to aStopping what is being stopped.
+  std::vector<OwnWork> LessUrgentOwnWork(base::Time aNow,
+                                         const StepState& aStep,
+                                         jobs::Resources& aStopping) const;
+  void AddOwnWork(base::Time aNow,
+                  StepState& aStep,
+                  bool aMayStop,
+                  std::vector<OwnWork>& aWork,
+                  jobs::Resources& aStopping) const;
+  // Returns the weighted core-seconds that are lost if a task is stopped.
+  static double LostWork(base::Time aNow,
+                         const jobs::StepSpec& aSpec,
+                         const Task& aTask);
+  // Determines for all jobs, in the order of their acceptance, which are beyond
+  // the rates of their accounts.
+  void RecordRates();
   std::int64_t GuaranteedAccelerators(const base::AccountId& aAccount) const;
+  // Logs the accounts whose maximum holds back work since this pass.
+  void LogAccountsAtMaximum();
+  // Returns the accounts that use more than the share of the capacity that
+  // their weight gives them beside the others with unfinished work.
+  std::set<base::AccountId> AccountsOverShare() const;
   // Places the waiting tasks of a step. If some do not fit, reserves capacity
   // for a gang or, within a guarantee, preempts other work.
   void PlaceStep(base::Time aNow,
@@ -379,7 +439,15 @@
   base::Time mWaitingReportedAt;
   FleetSummary mSummary;
   std::set<base::DataCentreId> mOutOfServiceDataCentres;
-  std::map<base::AccountId, std::int64_t> mGuarantees;
+  AccountLimits mLimits;
+  base::Time mTermsValidUntil = base::Time::max();
+  AccountRates mRates;
+  // By account, the first step in this pass that its maximum holds back. Those
+  // after it start nothing, so that it gets what becomes free.
+  std::map<base::AccountId, const StepState*> mFirstHeld;
+  // Accounts whose maximum holds back work, in this pass and in the last one.
+  std::set<base::AccountId> mAtMaximum;
+  std::set<base::AccountId> mWereAtMaximum;
   // Accounts whose jobs of priority 0 use more than their guarantee.
   std::set<base::AccountId> mOverGuarantee;
   // Number of searches for a reservation in the current pass.
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -40,6 +40,7 @@
   --aStep.mWaitingTasks;
   ServerState* server = mFleet.Find(aServer);
   server->mUsed += aStep.Spec().Footprint();
+  CountAttempt(aStep);
   server->mAttempts.insert({ aStep.Name(aIndex), task.mAttemptNumber });
   MarkDirty(aStep);
 }
@@ -57,6 +58,7 @@
   const jobs::TaskAttempt attempt{ aStep.Name(aIndex), aTask.mAttemptNumber };
   if (server != nullptr && server->mAttempts.erase(attempt) > 0) {
     server->mUsed -= aStep.Spec().Footprint();
+    UncountAttempt(aStep);
   }
   mStops.erase({ aTask.mServer, attempt });
   aTask.mStopRequested = false;
@@ -253,6 +255,7 @@
   }
   server->mIncarnation = aReport.mStartedMs;
   std::set<jobs::TaskAttempt> listed;
+  std::set<jobs::TaskAttempt> runningNow;
   for (const auto& completion : aReport.mCompletions) {
     listed.insert(completion.mAttempt);
     if (completion.mNumber > server->mLastHandledCompletion) {
@@ -265,8 +268,12 @@
   }
   for (const auto& running : aReport.mRunning) {
     listed.insert(running.mAttempt);
+    runningNow.insert(running.mAttempt);
     HandleRunningTask(aNow - aReport.mDelay, *server, running);
   }
+  ForgetStrays(*server, [&](const auto& aAttempt, const StrayAttempt& aStray) {
+    return aStray.mSeenAt <= aSentAt && runningNow.count(aAttempt) == 0;
+  });
   const auto attempts = server->mAttempts;
   for (const auto& attempt : attempts) {
     StepState* step = nullptr;
@@ -309,6 +316,9 @@
                         aRunning.mAttempt.mAttemptNumber) },
           { "server", aServer.mInfo.mId.Value() } });
     mStops.insert({ aServer.mInfo.mId, aRunning.mAttempt });
+    if (task != nullptr) {
+      AddStray(aReportedAt, aServer, aRunning.mAttempt, *step);
+    }
     return;
   }
   task->mMayStrayUntil = {};
@@ -397,6 +407,11 @@
         { "stopped", std::to_string(stops.size()) } });
   HandleTaskDone(aNow, aStep, aIndex);
   mStops.insert(stops.begin(), stops.end());
+  for (const StopCommand& stop : stops) {
+    if (ServerState* server = mFleet.Find(stop.mServer)) {
+      AddStray(aNow, *server, stop.mAttempt, aStep);
+    }
+  }
 }
 
 void Scheduler::HandleTaskDone(Time aNow, StepState& aStep, int aIndex)
--- a/flamingoloom/scheduler/scheduler_placement.cpp
+++ b/flamingoloom/scheduler/scheduler_placement.cpp
@@ -44,17 +44,6 @@
 constexpr base::Duration kMaxWaitBesideIdleCapacity =
   std::chrono::milliseconds(2000);
 
-std::vector<int> WaitingIndices(const StepState& aStep)
-{
-  std::vector<int> indices;
-  for (std::size_t i = 0; i < aStep.mTasks.size(); ++i) {
-    if (aStep.mTasks[i].mPhase == TaskPhase::eWaiting) {
-      indices.push_back(static_cast<int>(i));
-    }
-  }
-  return indices;
-}
-
 // Whether a long-running task waits that was started before: it is down until
 // it runs again.
 bool IsServiceDown(const StepState& aStep)
@@ -97,7 +86,8 @@
       mOverGuarantee.insert(account);
     }
   }
-  const auto key = [aNow](const WaitingStep& aWaitingStep) {
+  const auto overShare = AccountsOverShare();
+  const auto key = [&](const WaitingStep& aWaitingStep) {
     const Job& job = *aWaitingStep.mStep->mJob;
     // Jobs that can still meet their objective come first. After three times
     // the objective a job earns no credit any more.
@@ -110,7 +100,9 @@
     // A service that is down comes before all work that has an end, however
     // urgent: while the fleet is full, waiting for its turn would not end.
     return std::make_tuple(!IsServiceDown(*aWaitingStep.mStep),
+                           job.mBeyondRate,
                            job.mSpec.mRules.mPriority,
+                           overShare.count(job.mSpec.mAccount) > 0,
                            lateness,
                            job.mObjective,
                            aWaitingStep.mStep->mOccurrence,
@@ -144,13 +136,6 @@
   return waitingSteps;
 }
 
-std::int64_t Scheduler::GuaranteedAccelerators(
-  const base::AccountId& aAccount) const
-{
-  const auto guarantee = mGuarantees.find(aAccount);
-  return guarantee == mGuarantees.end() ? -1 : guarantee->second;
-}
-
 bool Scheduler::MayPlaceRemotely(Time aNow,
                                  StepState& aStep,
                                  const std::vector<int>& aIndices,
@@ -215,6 +200,10 @@
       return;
     }
   }
+  if (!MayStartPlan(aNow, aStep)) {
+    aStep.mPlan.clear();
+    return;
+  }
   aStep.mGangAttemptNumber += aStep.Spec().mGang ? 1 : 0;
   const auto plan = std::move(aStep.mPlan);
   aStep.mPlan.clear();
@@ -232,7 +221,18 @@
     ExecutePlan(aNow, step, aPlacement);
     return;
   }
-  auto indices = WaitingIndices(step);
+  auto indices = StartableTasks(aNow, step);
+  // Capacity often becomes free without preemption, so wait half of the time
+  // that a stop takes before preempting, which loses work.
+  const bool mayPreempt = aWaitingStep.mGuaranteed &&
+                          aNow - step.mReadyAt >= mSettings.mMaxStopTime / 2;
+  if (step.mHeldByMaximum && mayPreempt) {
+    PreemptOwnWork(aNow, step);
+  }
+  if (indices.empty()) {
+    step.mPlan.clear();
+    return;
+  }
   // Whether the tasks could fit near their data depends only on the fleet,
   // which rarely changes.
   if (aNow - step.mLocalFitCheckedAt >= kLocalFitCheckInterval) {
@@ -254,16 +254,13 @@
   for (const auto& [index, server] : assignment) {
     Assign(step, index, server, aNow);
   }
-  indices = WaitingIndices(step);
+  indices = StartableTasks(aNow, step);
   if (indices.empty()) {
     step.mPlan.clear();
     step.mIdleElsewhereSince.reset();
     return;
   }
-  // Capacity often becomes free without preemption, so wait half of the time
-  // that a stop takes before preempting, which loses work.
-  if (!aWaitingStep.mGuaranteed ||
-      aNow - step.mReadyAt < mSettings.mMaxStopTime / 2) {
+  if (!mayPreempt) {
     if (step.Spec().mGang || IsServiceDown(step)) {
       ReserveCapacity(aNow, step, indices, remote, aPlacement);
     }
@@ -357,6 +354,15 @@
   return completions;
 }
 
+double Scheduler::LostWork(Time aNow,
+                           const jobs::StepSpec& aSpec,
+                           const Task& aTask)
+{
+  const std::chrono::duration<double> age(aNow - aTask.mPlacedAt);
+  return aSpec.mPerTask.WeightedCores() *
+         (aSpec.mCheckpoints ? kCheckpointLossSeconds : age.count());
+}
+
 std::vector<Victim> Scheduler::VictimsOn(const ServerState& aServer,
                                          const StepState& aPreemptor,
                                          bool aIncludeOverGuarantee,
@@ -384,13 +390,9 @@
     }
     Victim victim{ step, attempt.mTask.mIndex, step->Spec().Footprint(), 0 };
     if (!task->mStopRequested) {
-      const auto age = std::chrono::duration<double>(aNow - task->mPlacedAt);
       const double members =
         step->Spec().mGang ? static_cast<double>(step->mTasks.size()) : 1.0;
-      const double lostSeconds =
-        step->Spec().mCheckpoints ? kCheckpointLossSeconds : age.count();
-      victim.mCost =
-        step->Spec().mPerTask.WeightedCores() * members * lostSeconds;
+      victim.mCost = members * LostWork(aNow, step->Spec(), *task);
     }
     victim.mCost *= lessUrgent ? 1.0 : kSamePriorityCostFactor;
     victims.push_back(victim);
--- a/flamingoloom/scheduler/scheduler_placement_test.cpp
+++ b/flamingoloom/scheduler/scheduler_placement_test.cpp
@@ -19,7 +19,7 @@
   const auto low = f.StartAll().at(0);
   auto job = Fixture::MakeJob("high", 1, 8);
   job.mRules.mPriority = 0;
-  f.mScheduler.SetGuarantees({ { job.mAccount, 8 } });
+  f.mScheduler.SetAccountTerms({ { job.mAccount, { 8 } } });
   f.Add(job);
   // Capacity may become free without preemption during half of the time that a
   // stop takes.
@@ -46,8 +46,8 @@
   auto other = Fixture::MakeJob("other", 1, 8);
   other.mRules.mPriority = 0;
   other.mAccount = base::AccountId("large");
-  f.mScheduler.SetGuarantees(
-    { { base::AccountId("shop"), 8 }, { other.mAccount, 4 } });
+  f.mScheduler.SetAccountTerms(
+    { { base::AccountId("shop"), { 8 } }, { other.mAccount, { 4 } } });
   f.Add(other);
   f.StartAll();
   auto job = Fixture::MakeJob("high", 1, 8);
@@ -68,7 +68,7 @@
   f.AddServers(2);
   f.Add(Fixture::MakeJob("low", 2, 8));
   f.StartAll();
-  f.mScheduler.SetGuarantees({ { base::AccountId("shop"), 8 } });
+  f.mScheduler.SetAccountTerms({ { base::AccountId("shop"), { 8 } } });
   for (const char* id : { "high1", "high2" }) {
     auto job = Fixture::MakeJob(id, 1, 8);
     job.mRules.mPriority = 0;
@@ -156,7 +156,7 @@
   f.AddServers(1);
   f.Add(Fixture::MakeJob("low", 1, 8));
   const auto low = f.StartAll().at(0);
-  f.mScheduler.SetGuarantees({ { base::AccountId("shop"), 16 } });
+  f.mScheduler.SetAccountTerms({ { base::AccountId("shop"), { 16 } } });
   auto first = Fixture::MakeJob("first", 1, 8);
   first.mRules.mPriority = 0;
   f.Add(first);
--- a/flamingoloom/scheduler/scheduler_servers.cpp
+++ b/flamingoloom/scheduler/scheduler_servers.cpp
@@ -26,6 +26,7 @@
     server->mResponsive = false;
     RequeueAllOn(
       *server, [](const auto&) { return true; }, "server was replaced");
+    ForgetStrays(*server, [](const auto&, const auto&) { return true; });
   }
 }
 
@@ -43,6 +44,7 @@
   aServer.mRestarted = true;
   aServer.mLastHandledCompletion = aServer.mAcknowledgedThrough = 0;
   aServer.mUnstoredCompletions.clear();
+  ForgetStrays(aServer, [](const auto&, const auto&) { return true; });
   for (const auto& attempt : aServer.mAttempts) {
     StepState* step = nullptr;
     Task* task = FindTask(attempt.mTask, &step);
@@ -90,8 +92,11 @@
 {
   for (auto& entry : mFleet.Servers()) {
     ServerState& server = entry.second;
-    if (!server.mResponsive && aNow > server.mLeasesExpireBy &&
-        !server.mAttempts.empty()) {
+    if (server.mResponsive || aNow <= server.mLeasesExpireBy) {
+      continue;
+    }
+    ForgetStrays(server, [](const auto&, const auto&) { return true; });
+    if (!server.mAttempts.empty()) {
       RequeueAllOn(
         server,
         [this, aNow, &server](const jobs::TaskAttempt& aAttempt) {
@@ -150,8 +155,9 @@
 {
   const ServerState* server = mFleet.Find(aServer);
   return server != nullptr &&
-         (!server->mAttempts.empty() || !server->mUnstoredCompletions.empty() ||
-          !server->mFenced || (server->mListed && !server->mResponsive));
+         (!server->mAttempts.empty() || !server->mStrays.empty() ||
+          !server->mUnstoredCompletions.empty() || !server->mFenced ||
+          (server->mListed && !server->mResponsive));
 }
 
 } // namespace flamingoloom::scheduler
--- a/flamingoloom/scheduler/waiting_report.cpp
+++ b/flamingoloom/scheduler/waiting_report.cpp
@@ -25,6 +25,8 @@
       return "unresolved";
     case WaitReason::eStarting:
       return "starting";
+    case WaitReason::eAccountMaximum:
+      return "account_maximum";
     case WaitReason::ePlanned:
       return "planned";
     case WaitReason::eLocalCapacity:
@@ -234,6 +236,9 @@
       })) {
     return WaitReason::eStarting;
   }
+  if (aStep.mHeldByMaximum) {
+    return WaitReason::eAccountMaximum;
+  }
   if (!aStep.mPlan.empty()) {
     return WaitReason::ePlanned;
   }
--- a/flamingoloom/scheduler/waiting_report.h
+++ b/flamingoloom/scheduler/waiting_report.h
@@ -31,6 +31,8 @@
   eUnresolved,
   // Its assignment is being stored, or its start command is on its way.
   eStarting,
+  // Its account has as much running as it may have.
+  eAccountMaximum,
   // It waits for the capacity that it has planned.
   ePlanned,
   // It would fit, but not near its data or within one rack.
--- a/testing/bench/pass_benchmark.cpp
+++ b/testing/bench/pass_benchmark.cpp
@@ -75,12 +75,13 @@
   for (const auto& info : infos) {
     scheduler.OnReport(now, info.mId, { 1, {}, {}, {} }, now);
   }
-  std::map<base::AccountId, std::int64_t> guarantees;
+  scheduler::AccountTermsMap terms;
   for (int i = 0; i < kClientAccounts; ++i) {
-    guarantees[base::AccountId(fmt::format("account{}", i))] =
-      aServers * kAcceleratorsPerServer / kClientAccounts / 2;
+    terms[base::AccountId(fmt::format("account{}", i))] = {
+      aServers * kAcceleratorsPerServer / kClientAccounts / 2
+    };
   }
-  scheduler.SetGuarantees(guarantees);
+  scheduler.SetAccountTerms(std::move(terms));
   std::vector<std::pair<base::Time, scheduler::StartCommand>> running;
   std::map<base::ServerId, std::int64_t> ends;
   int jobs = 0;
--- a/testing/platform_world/job_api_test.cpp
+++ b/testing/platform_world/job_api_test.cpp
@@ -122,5 +122,39 @@
   CHECK(response.mCallerStatus == node::CallerStatus::eNoSuchJob);
 }
 
+// Guards against a caller that waits until its deadline for work that its
+// account may never run, and against a refusal of work that runs in waves.
+TEST_CASE("A gang larger than its account's maximum is refused at once")
+{
+  Fixture fixture;
+  auto configuration = OneQueue();
+  configuration.mVersion = 2;
+  configuration.mAccounts = {
+    { base::AccountId("shop"), { "key" }, { 0, 0, { 0, 0, 4 } } }
+  };
+  fixture.mApi.SetConfiguration(
+    std::make_shared<const node::Configuration>(configuration));
+  const auto submit = [&](int aNumber, bool aGang, int aTasks) {
+    auto job = Job(aNumber);
+    job.mSteps[0].mGang = aGang;
+    job.mSteps[0].mTaskCount = aTasks;
+    job.mSteps[0].mPerTask.mAccelerators = 1;
+    node::CallerResponse response;
+    fixture.mApi.Submit(
+      { "host", "/q/" + job.mId, "key", seconds(3) },
+      [job] { return base::Expected<jobs::JobSpec>(job); },
+      [&response](const node::CallerResponse& aResponse) {
+        response = aResponse;
+      });
+    fixture.mClock.RunFor(seconds(1));
+    return response;
+  };
+  CHECK(submit(1, true, 4).mCallerStatus == node::CallerStatus::eAccepted);
+  CHECK(submit(2, false, 40).mCallerStatus == node::CallerStatus::eAccepted);
+  const auto refused = submit(3, true, 6);
+  CHECK(refused.mCallerStatus == node::CallerStatus::eOverMaximum);
+  CHECK(refused.mRetryAfter.count() > 0);
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
--- a/testing/scheduler_load/scheduler_load.cpp
+++ b/testing/scheduler_load/scheduler_load.cpp
@@ -1,6 +1,7 @@
 #include "testing/scheduler_load/scheduler_load.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingoloom::testing::scheduler_load {
 
@@ -28,6 +29,40 @@
   return aInterval.count() > 0 ? aNow + aInterval : Time::max();
 }
 
+scheduler::AccountTermsMap GuaranteesOnly()
+{
+  constexpr int kAccounts = 10;
+  scheduler::AccountTermsMap terms;
+  for (int i = 0; i < kAccounts; ++i) {
+    terms[base::AccountId("account" + std::to_string(i))] = {
+      kGuaranteedAccelerators
+    };
+  }
+  return terms;
+}
+
+// A maximum of 0 is none, so it is the highest one.
+jobs::Resources Highest(const jobs::Resources& aLeft,
+                        const jobs::Resources& aRight)
+{
+  const auto highest = [](std::int64_t aOne, std::int64_t aOther) {
+    return aOne == 0 || aOther == 0 ? 0 : std::max(aOne, aOther);
+  };
+  return { highest(aLeft.mCpuMilli, aRight.mCpuMilli),
+           highest(aLeft.mMemoryMb, aRight.mMemoryMb),
+           highest(aLeft.mAccelerators, aRight.mAccelerators) };
+}
+
+bool IsWithin(const jobs::Resources& aUsed, const jobs::Resources& aMaximum)
+{
+  const auto within = [](std::int64_t aAmount, std::int64_t aLimit) {
+    return aLimit == 0 || aAmount <= aLimit;
+  };
+  return within(aUsed.mCpuMilli, aMaximum.mCpuMilli) &&
+         within(aUsed.mMemoryMb, aMaximum.mMemoryMb) &&
+         within(aUsed.mAccelerators, aMaximum.mAccelerators);
+}
+
 } // namespace
 
 SchedulerLoad::SchedulerLoad(LoadOptions aOptions)
@@ -65,6 +100,7 @@
 
 void SchedulerLoad::Run()
 {
+  SetTerms();
   Restore();
   while (mNow < mStart + mOptions.mTraffic + mOptions.mFinish) {
     mNow += kTick;
@@ -73,6 +109,8 @@
     ChangeServers();
     ChangeLeader();
     mServers.Advance(mNow);
+    SetTerms();
+    CarryOutLateStarts();
     if (mScheduler) {
       PassReports();
       Decide();
@@ -227,16 +265,10 @@
 {
   mScheduler =
     std::make_unique<scheduler::Scheduler>(mOptions.mSettings, mOptions.mSink);
-  std::map<base::AccountId, std::int64_t> guarantees;
   for (const auto& [id, job] : mJobs) {
     mScheduler->AddJob(mAcceptedAt.at(id), job.mSpec);
   }
-  constexpr int kAccounts = 10;
-  for (int i = 0; i < kAccounts; ++i) {
-    guarantees[base::AccountId("account" + std::to_string(i))] =
-      kGuaranteedAccelerators;
-  }
-  mScheduler->SetGuarantees(std::move(guarantees));
+  mScheduler->SetAccountTerms(mTermsInForce);
   for (const auto& [key, value] : mStateRows) {
     mScheduler->RestoreState(key, *jobs::DecodeState(value));
   }
@@ -253,6 +285,75 @@
   UpdateServerList();
 }
 
+void SchedulerLoad::SetTerms()
+{
+  if (!mTermsInForce.empty() && mNow - mTermsSetAt < kTermsApplyTime) {
+    return;
+  }
+  mTermsSetAt = mNow;
+  auto terms = mOptions.mTerms ? mOptions.mTerms(Elapsed()) : GuaranteesOnly();
+  if (terms == mTermsInForce) {
+    return;
+  }
+  mEarlierTerms = { { mNow, std::exchange(mTermsInForce, std::move(terms)) } };
+  if (mScheduler) {
+    mScheduler->SetAccountTerms(mTermsInForce);
+  }
+}
+
+void SchedulerLoad::Start(const scheduler::StartCommand& aCommand)
+{
+  if (!mRandom.Chance(mOptions.mLostAnswerShare)) {
+    mScheduler->OnStart(mNow, aCommand, StartAndCheck(aCommand), false);
+    return;
+  }
+  constexpr int kMinDelayMs = 2000;
+  constexpr int kDelayRangeMs = 10000;
+  if (mRandom.Chance(0.5)) {
+    StartAndCheck(aCommand);
+  } else {
+    mLateStarts.emplace(
+      mNow + milliseconds(kMinDelayMs +
+                          static_cast<int>(mRandom.Below(kDelayRangeMs))),
+      aCommand);
+  }
+  mScheduler->OnStart(mNow, aCommand, scheduler::StartResult::eUnknown, false);
+}
+
+void SchedulerLoad::CarryOutLateStarts()
+{
+  while (!mLateStarts.empty() && mLateStarts.begin()->first <= mNow) {
+    const auto command = mLateStarts.begin()->second;
+    mLateStarts.erase(mLateStarts.begin());
+    if (mStopped.count({ command.mServer, command.mAttempt }) == 0) {
+      StartAndCheck(command);
+    }
+  }
+}
+
+scheduler::StartResult SchedulerLoad::StartAndCheck(
+  const scheduler::StartCommand& aCommand)
+{
+  const auto result = mServers.Start(mNow, aCommand);
+  if (result != scheduler::StartResult::eStarted) {
+    return result;
+  }
+  ++mStarts;
+  const auto& spec = mJobs.at(aCommand.mAttempt.mTask.mJob).mSpec;
+  auto maximum = mTermsInForce[spec.mAccount].mMaximum;
+  for (const auto& [replacedAt, terms] : mEarlierTerms) {
+    const auto earlier = terms.find(spec.mAccount);
+    if (mNow - replacedAt < kTermsApplyTime && earlier != terms.end()) {
+      maximum = Highest(maximum, earlier->second.mMaximum);
+    }
+  }
+  auto used = mServers.RunningOf(spec.mAccount);
+  const auto step = static_cast<std::size_t>(aCommand.mAttempt.mTask.mStep);
+  used -= spec.mSteps[step].mPerTask;
+  mStartsAboveMaximum += IsWithin(used, maximum) ? 0 : 1;
+  return result;
+}
+
 void SchedulerLoad::UpdateServerList()
 {
   if (!mScheduler) {
@@ -334,11 +435,12 @@
       break;
     }
     for (const auto& stop : commands.mStops) {
+      mStopped.insert({ stop.mServer, stop.mAttempt });
       mServers.Stop(stop);
       mScheduler->OnStop(mNow, stop, true);
     }
     for (const auto& start : commands.mStarts) {
-      mScheduler->OnStart(mNow, start, mServers.Start(mNow, start), false);
+      Start(start);
     }
   }
   for (Server& server : mServers.Servers()) {
--- a/testing/scheduler_load/scheduler_load.h
+++ b/testing/scheduler_load/scheduler_load.h
@@ -51,6 +51,12 @@
   base::Duration mCrashInterval{ 0 };
   base::Duration mCrashTime = std::chrono::milliseconds(20000);
   double mCrashShare = 0.02;
+  // Share of starts that get no answer. Half of these are carried out at once,
+  // the others 2 to 12 s later.
+  double mLostAnswerShare = 0;
+  // The terms of the accounts by the time since the start of the play; by
+  // default each has a guarantee and no maximum.
+  std::function<scheduler::AccountTermsMap(base::Duration)> mTerms;
   scheduler::SchedulerSettings mSettings;
   scheduler::Scheduler::DecisionSink mSink;
 };
@@ -68,11 +74,18 @@
   int Unfinished() const;
   int Accepted() const { return static_cast<int>(mJobs.size()); }
   const PlannedJob& Job(const std::string& aId) const { return mJobs.at(aId); }
+  // Starts that brought an account above the highest maximum of the last
+  // kTermsApplyTime, and by more than one task.
+  int StartsAboveMaximum() const { return mStartsAboveMaximum; }
+  int Starts() const { return mStarts; }
   // The time since the start of the play.
   base::Duration Elapsed() const { return mNow - mStart; }
 
 private:
   static constexpr base::Duration kTick = std::chrono::milliseconds(50);
+  // The terms change at most this often, and earlier ones are excused for the
+  // same time.
+  static constexpr base::Duration kTermsApplyTime = std::chrono::seconds(1);
 
   void AddServer(int aRack);
   void SubmitJobs();
@@ -83,6 +96,11 @@
   void CrashServers();
   void ChangeLeader();
   void Restore();
+  void SetTerms();
+  void Start(const scheduler::StartCommand& aCommand);
+  void CarryOutLateStarts();
+  // Starts the task, and counts the start if it is not allowed.
+  scheduler::StartResult StartAndCheck(const scheduler::StartCommand& aCommand);
   void UpdateServerList();
   void PassReports();
   void Decide();
@@ -123,6 +141,15 @@
   std::map<std::pair<std::string, int>, std::set<int>> mDone;
   std::set<std::string> mOver;
   StandstillJudge mJudge;
+  std::multimap<base::Time, scheduler::StartCommand> mLateStarts;
+  // Attempts that a server was told to stop; it does not start them any more.
+  std::set<std::pair<base::ServerId, jobs::TaskAttempt>> mStopped;
+  base::Time mTermsSetAt;
+  // The terms that were in force lately, by when they were replaced.
+  std::vector<std::pair<base::Time, scheduler::AccountTermsMap>> mEarlierTerms;
+  scheduler::AccountTermsMap mTermsInForce;
+  int mStartsAboveMaximum = 0;
+  int mStarts = 0;
 };
 
 } // namespace flamingoloom::testing::scheduler_load
--- a/testing/scheduler_load/server_model.cpp
+++ b/testing/scheduler_load/server_model.cpp
@@ -59,6 +59,19 @@
            : work;
 }
 
+jobs::Resources ServerModel::RunningOf(const base::AccountId& aAccount) const
+{
+  jobs::Resources used;
+  for (const Server& server : mServers) {
+    for (const auto& [attempt, state] : server.mAttempts) {
+      if (mJobs.at(attempt.mTask.mJob).mSpec.mAccount == aAccount) {
+        used += StepOf(attempt.mTask).mPerTask;
+      }
+    }
+  }
+  return used;
+}
+
 StartResult ServerModel::Start(Time aNow,
                                const scheduler::StartCommand& aCommand)
 {
--- a/testing/scheduler_load/server_model.h
+++ b/testing/scheduler_load/server_model.h
@@ -68,6 +68,8 @@
   // Attempts of a job that are on servers, and the number of its starts.
   int Running(const std::string& aJob) const;
   int Starts(const std::string& aJob) const;
+  // What the attempts of an account use on all servers.
+  jobs::Resources RunningOf(const base::AccountId& aAccount) const;
 
 private:
   struct Gang
