--- a/flamingoloom/scheduler/scheduler_accounts_test.cpp
+++ b/flamingoloom/scheduler/scheduler_accounts_test.cpp
@@ -171,6 +171,59 @@
   CHECK(f.StartAll().size() == 4);
 }
 
+// Guards against capacity that was planned before the maximum fell.
+TEST_CASE("A plan does not bring an account above its maximum")
+{
+  AccountFixture f;
+  f.SetMaximum(40, 16);
+  auto batch = Fixture::MakeJob("batch", 4, 8);
+  batch.mAccount = AccountId("other");
+  f.Add(batch);
+  REQUIRE(f.StartAll().size() == 4);
+  auto urgent = Fixture::MakeJob("urgent", 2, 8);
+  urgent.mRules.mPriority = 0;
+  urgent.mSteps[0].mGang = true;
+  f.Add(urgent);
+  f.AdvanceToPreemption();
+  const auto stops = f.RunPass().mStops;
+  REQUIRE(stops.size() == 2);
+  f.SetMaximum(4, 16);
+  for (const auto& stop : stops) {
+    f.Report(
+      stop.mServer, {}, { { 1, stop.mAttempt, TaskEndReason::eStopped, "" } });
+  }
+  const auto starts = f.RunPass().mStarts;
+  CHECK(std::none_of(starts.begin(), starts.end(), [](const auto& aStart) {
+    return aStart.mAttempt.mTask.mJob == "urgent";
+  }));
+}
+
+// Guards against the other copy of a task that is done: it is being stopped,
+// but runs until then.
+TEST_CASE("What runs of a task that is done counts until it has stopped")
+{
+  AccountFixture f;
+  f.Add(Fixture::MakeJob("a", 1, 4));
+  const auto first = f.RunPass().mStarts;
+  REQUIRE(first.size() == 1);
+  f.mScheduler.OnStart(f.mNow, first[0], StartResult::eNoCapacity, false);
+  f.mNow += milliseconds(300);
+  const auto second = f.StartAll();
+  REQUIRE(second.size() == 1);
+  REQUIRE(second[0].mAttempt.mAttemptNumber == 2);
+  // The first attempt was carried out late, and is done.
+  f.Report(first[0].mServer,
+           {},
+           { { 1, first[0].mAttempt, TaskEndReason::eDone, "" } });
+  CHECK(f.State("a") == JobState::eCompleted);
+  f.Add(Fixture::MakeJob("b", 1, 4));
+  CHECK(f.RunPass().mStarts.empty());
+  f.mNow += milliseconds(10);
+  f.Report(second[0].mServer, {}, {});
+  f.mNow += milliseconds(10);
+  CHECK(f.RunPass().mStarts.size() == 1);
+}
+
 TEST_CASE("A maximum that falls stops nothing and holds back further starts")
 {
   AccountFixture f;
--- a/flamingoloom/scheduler/scheduler_attempts.cpp
+++ b/flamingoloom/scheduler/scheduler_attempts.cpp
@@ -272,7 +272,7 @@
     HandleRunningTask(aNow - aReport.mDelay, *server, running);
   }
   ForgetStrays(*server, [&](const auto& aAttempt, const StrayAttempt& aStray) {
-    return aStray.mSeenAt <= aSentAt && runningNow.count(aAttempt) == 0;
+    return aStray.mSeenAt < aSentAt && runningNow.count(aAttempt) == 0;
   });
   const auto attempts = server->mAttempts;
   for (const auto& attempt : attempts) {
