Scheduler: room for urgent work, and work that is too late waits

When room is short, what waits is what costs callers least. Work that is too late for its callers comes after all that is not, whatever its priority, except within a guarantee; of it, the least work first. While the fleet is rather full, the racks with most room are kept for the urgent work that arrives during the time of a stop and a start, by the arrivals of the last 5 s. Small fleets, of which a rack is a large part, keep nothing.

--- a/flamingoloom/scheduler/placement.cpp
+++ b/flamingoloom/scheduler/placement.cpp
@@ -34,7 +34,7 @@
       aOutOfServiceDataCentres.count(server.mInfo.mDataCentre) == 0;
     if (usable) {
       mCandidates.push_back(
-        { &server, server.FreeCapacity(), {}, std::nullopt });
+        { &server, server.FreeCapacity(), {}, std::nullopt, false });
     }
   }
   for (Candidate& candidate : mCandidates) {
@@ -134,6 +134,7 @@
     const auto& info = candidate->mServer->mInfo;
     const auto& free = aWhenIdle ? info.mCapacity : candidate->mFree;
     if (!need.FitsIn(free) || !IsEligible(aStep, *candidate) ||
+        (!aWhenIdle && IsKeptFrom(aStep, *candidate)) ||
         (!aAllowRemote && IsRemote(aStep, *candidate))) {
       continue;
     }
--- a/flamingoloom/scheduler/placement.h
+++ b/flamingoloom/scheduler/placement.h
@@ -50,6 +50,11 @@
             const std::set<base::DataCentreId>& aOutOfServiceDataCentres,
             base::Time aNow);
 
+  // Keeps the racks with most room from work that is not urgent, as many as
+  // have aAccelerators, while the fleet is rather full. Call it before any
+  // placement. Work whose data is there, and long-running work, may use them.
+  void KeepForUrgentWork(std::int64_t aAccelerators);
+
   // Selects servers for as many of the tasks aIndices as there is free capacity
   // for. If aAllowRemote is false, only servers in the rack of the data
   // qualify.
@@ -119,6 +124,8 @@
     std::vector<Victim> mVictims;
     // Filled when the pass first needs them.
     std::optional<std::vector<ExpectedCompletion>> mExpectedCompletions;
+    // See KeepForUrgentWork.
+    bool mForUrgentWork = false;
   };
 
   // An assignment that requires preemption, and the tasks to preempt.
@@ -140,6 +147,8 @@
   // Returns whether the server meets the step's requirements, apart from
   // capacity.
   bool IsEligible(const StepState& aStep, const Candidate& aCandidate) const;
+  // Whether the server is kept for more urgent work than the step.
+  static bool IsKeptFrom(const StepState& aStep, const Candidate& aCandidate);
   // Whether the server is in another rack than the step's data.
   static bool IsRemote(const StepState& aStep, const Candidate& aCandidate);
 
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -52,6 +52,10 @@
   job.mUnfinishedOccurrences = job.mSpec.OccurrenceCount();
   job.mBeyondRate = mRates.IsBeyond(job.mSpec.mAccount, job.mSpec.mAcceptedMs);
   mActiveJobs.emplace(job.mSpec.mId, &job);
+  if (job.mSpec.mRules.mPriority == 0 && !job.mSpec.mSteps.empty()) {
+    const auto& step = job.mSpec.mSteps.front();
+    mUrgentDemand.Record(aNow, step.mTaskCount * step.mPerTask.mAccelerators);
+  }
   job.mObjective = aNow +
                    std::chrono::duration_cast<base::Duration>(
                      job.mSpec.LongestChain() * job.mSpec.mRules.mStretch) +
@@ -441,6 +445,7 @@
     return;
   }
   Placement placement(mFleet, mOutOfServiceDataCentres, aNow);
+  placement.KeepForUrgentWork(mUrgentDemand.ExpectedAccelerators(aNow));
   // Capacity that is being freed by preemption for one step is not given to
   // others, not even to more urgent ones, which preempt work of their own.
   // Capacity that is only reserved may be used by more urgent steps.
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -40,6 +40,8 @@
 #include "flamingoloom/scheduler/job_progress.h"
 #include "flamingoloom/scheduler/placement.h"
 #include "flamingoloom/scheduler/server.h"
+#include "flamingoloom/scheduler/urgent_demand.h"
+#include "flamingoloom/scheduler/waiting_order.h"
 #include "flamingoloom/scheduler/waiting_report.h"
 
 namespace flamingoloom::scheduler {
@@ -439,6 +441,8 @@
   base::Time mWaitingReportedAt;
   FleetSummary mSummary;
   std::set<base::DataCentreId> mOutOfServiceDataCentres;
+  // Of jobs of priority 0.
+  UrgentDemand mUrgentDemand;
   AccountLimits mLimits;
   base::Time mTermsValidUntil = base::Time::max();
   AccountRates mRates;
--- a/flamingoloom/scheduler/scheduler_placement.cpp
+++ b/flamingoloom/scheduler/scheduler_placement.cpp
@@ -44,6 +44,13 @@
 constexpr base::Duration kMaxWaitBesideIdleCapacity =
   std::chrono::milliseconds(2000);
 
+// Returns the weighted core-seconds that the waiting tasks need.
+double RemainingWork(const StepState& aStep)
+{
+  return aStep.Spec().mPerTask.WeightedCores() * aStep.mWaitingTasks *
+         std::chrono::duration<double>(aStep.Spec().mEstimate).count();
+}
+
 // Whether a long-running task waits that was started before: it is down until
 // it runs again.
 bool IsServiceDown(const StepState& aStep)
@@ -88,25 +95,20 @@
   }
   const auto overShare = AccountsOverShare();
   const auto key = [&](const WaitingStep& aWaitingStep) {
-    const Job& job = *aWaitingStep.mStep->mJob;
-    // Jobs that can still meet their objective come first. After three times
-    // the objective a job earns no credit any more.
-    const auto noCreditAfter =
-      job.mAcceptedAt + (job.mObjective - job.mAcceptedAt) * 3;
-    const auto expectedEnd = aNow + aWaitingStep.mStep->Spec().mEstimate;
-    const int lateness = expectedEnd <= job.mObjective  ? 0
-                         : expectedEnd <= noCreditAfter ? 1
-                                                        : 2;
-    // A service that is down comes before all work that has an end, however
-    // urgent: while the fleet is full, waiting for its turn would not end.
-    return std::make_tuple(!IsServiceDown(*aWaitingStep.mStep),
-                           job.mBeyondRate,
-                           job.mSpec.mRules.mPriority,
-                           overShare.count(job.mSpec.mAccount) > 0,
-                           lateness,
-                           job.mObjective,
-                           aWaitingStep.mStep->mOccurrence,
-                           aWaitingStep.mStep->mStep);
+    const StepState& step = *aWaitingStep.mStep;
+    const Job& job = *step.mJob;
+    const auto timeliness = TimelinessOf(
+      aNow, job.mAcceptedAt, job.mObjective, step.Spec().mEstimate);
+    const bool tooLate = timeliness == Timeliness::eTooLate;
+    const WaitingClaim claim{ !IsServiceDown(step),
+                              job.mBeyondRate,
+                              tooLate,
+                              job.mSpec.mRules.mPriority,
+                              overShare.count(job.mSpec.mAccount) > 0,
+                              timeliness == Timeliness::eLate,
+                              tooLate ? RemainingWork(step) : 0,
+                              job.mObjective };
+    return std::make_tuple(claim, step.mOccurrence, step.mStep);
   };
   std::sort(waitingSteps.begin(),
             waitingSteps.end(),
