--- a/flamingoloom/http/server.h
+++ b/flamingoloom/http/server.h
@@ -43,7 +43,7 @@
   // Maximum number of connections. At the limit a new one takes the place of
   // the one that has been idle for the longest time, or that has been sending
   // its request for the longest time; without such a one it is closed.
-  int mMaxConnections = 975;
+  int mMaxConnections = 487;
   // Maximum memory, by an upper estimate, that all requests together take until
   // their responses are written. Further ones are rejected with status 503.
   std::size_t mMaxRequestMemory = std::size_t{ 16 } * 1024 * 1024;
