--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -341,13 +341,13 @@
   // Marks the steps as ready of which all dependencies are done.
   void UpdateReady(base::Time aNow, Occurrence& aOccurrence);
   // Returns the steps with waiting tasks in the order of their placement: first
-  // those within a guarantee, then by priority and objective.
+  // those within a guarantee, then as WaitingClaim compares them.
   std::vector<WaitingStep> WaitingStepsInOrder(base::Time aNow);
   // Adds a task to, or removes it from, what its account has running.
   void CountAttempt(const StepState& aStep);
   void UncountAttempt(const StepState& aStep);
-  // Records an attempt that nobody wants as running on the server, and forgets
-  // those that a report which was requested at aSentAt does not list.
+  // Records an attempt that nobody wants as running on the server. ForgetStrays
+  // forgets those for which aHasEnded returns true.
   void AddStray(base::Time aNow,
                 ServerState& aServer,
                 const jobs::TaskAttempt& aAttempt,
@@ -380,8 +380,11 @@
   // Determines for all jobs, in the order of their acceptance, which are beyond
   // the rates of their accounts.
   void RecordRates();
+  // Returns the number of guaranteed accelerators, or -1 for an unknown
+  // account.
   std::int64_t GuaranteedAccelerators(const base::AccountId& aAccount) const;
-  // Logs the accounts whose maximum holds back work since this pass.
+  // Logs the accounts whose maximum holds back work in this pass and did not in
+  // the last one.
   void LogAccountsAtMaximum();
   // Returns the accounts that use more than the share of the capacity that
   // their weight gives them beside the others with unfinished work.
