Test: more callers than there are connections leave their responses unread

A caller that reads nothing keeps its connection for the idle timeout, and an ordinary caller cannot connect meanwhile.

--- a/testing/hostile_callers/hostile_callers_test.cpp
+++ b/testing/hostile_callers/hostile_callers_test.cpp
@@ -116,5 +116,25 @@
   CheckEndless("", "GET /none HTTP/1.1\r\nHost: shop.example\r\n\r\n");
 }
 
+// More callers than there are connections leave their responses unread, for
+// longer than this test waits, so their connections never become idle.
+TEST_CASE("unread_crowd: all connections have responses that stay unread")
+{
+  constexpr int kUnreadCrowd = 40;
+  constexpr int kReceiveBytes = 4096;
+  auto limits = kLimits;
+  limits.mIdleTimeoutMs = 600'000;
+  InstanceProcess instance(limits);
+  const auto callers = PlayCrowd(
+    instance.CallerPort(),
+    kUnreadCrowd,
+    [&](RawCaller& aCaller) {
+      aCaller.Repeat("GET /none HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+                     kBytesOfSender);
+    },
+    kReceiveBytes);
+  CheckSound(instance);
+}
+
 } // namespace
 } // namespace flamingoloom::testing::hostile_callers
--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -55,7 +55,7 @@
   return true;
 }
 
-Json MakeConfiguration()
+Json MakeConfiguration(int aIdleTimeoutMs)
 {
   return { { "version", 7 },
            { "routes",
@@ -73,7 +73,7 @@
              { { "max-header-bytes", 16384 },
                { "max-body-bytes", 262144 },
                { "header-timeout-ms", 3000 },
-               { "idle-timeout-ms", 15000 } } },
+               { "idle-timeout-ms", aIdleTimeoutMs } } },
            { "tenants",
              { { { "name", "shop" },
                  { "api-keys", { kKey } },
@@ -103,7 +103,7 @@
   , mCallerPort(cluster::FreePort())
   , mReadinessPort(cluster::FreePort())
 {
-  mStore.Put("op", "config", MakeConfiguration());
+  mStore.Put("op", "config", MakeConfiguration(aLimits.mIdleTimeoutMs));
   if (aServerPort > 0) {
     mStore.Put("servers", "s-1", MakeServer(aServerPort));
   }
--- a/testing/hostile_callers/instance_process.h
+++ b/testing/hostile_callers/instance_process.h
@@ -19,11 +19,13 @@
 
 namespace flamingoloom::testing::hostile_callers {
 
-// The limits of the machine, as its settings file names them.
+// The limits of the machine, as its settings file names them, and the time
+// without a request or in which a response is not read, by the configuration.
 struct MachineLimits
 {
   int mMemoryMb = 160;
   int mDescriptors = 4100;
+  int mIdleTimeoutMs = 15000;
 
   friend bool operator==(const MachineLimits&, const MachineLimits&) = default;
 };
--- a/testing/hostile_callers/raw_peers.cpp
+++ b/testing/hostile_callers/raw_peers.cpp
@@ -45,9 +45,13 @@
 
 } // namespace
 
-RawCaller::RawCaller(int aPort)
+RawCaller::RawCaller(int aPort, int aReceiveBytes)
   : mSocket(socket(AF_INET, SOCK_STREAM, 0))
 {
+  if (aReceiveBytes > 0) {
+    setsockopt(
+      mSocket, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof aReceiveBytes);
+  }
   const auto address = Loopback(aPort);
   REQUIRE(connect(mSocket,
                   reinterpret_cast<const sockaddr*>(&address),
--- a/testing/hostile_callers/raw_peers.h
+++ b/testing/hostile_callers/raw_peers.h
@@ -16,8 +16,9 @@
 class RawCaller
 {
 public:
-  // Connects to the port on loopback.
-  explicit RawCaller(int aPort);
+  // Connects to the port on loopback. With aReceiveBytes it takes little more
+  // than these from the peer, as it reads nothing; 0 for the system's default.
+  explicit RawCaller(int aPort, int aReceiveBytes = 0);
   ~RawCaller();
   RawCaller(RawCaller&& aOther) noexcept;
   RawCaller(const RawCaller&) = delete;
@@ -37,12 +38,15 @@
 // Connects aCount callers, and calls aPlay for all of them at the same time.
 // Returns the connections, which are still open on this side.
 template <class Play>
-std::vector<RawCaller> PlayCrowd(int aPort, int aCount, const Play& aPlay)
+std::vector<RawCaller> PlayCrowd(int aPort,
+                                 int aCount,
+                                 const Play& aPlay,
+                                 int aReceiveBytes = 0)
 {
   std::vector<RawCaller> callers;
   callers.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
-    callers.emplace_back(aPort);
+    callers.emplace_back(aPort, aReceiveBytes);
   }
   std::vector<std::thread> threads;
   threads.reserve(callers.size());
