HTTP: a connection whose response stays unread makes room for others

At the limit of connections the server closed idle connections, then those that send a request, but none whose response is being written.

--- a/flamingoloom/http/server.cpp
+++ b/flamingoloom/http/server.cpp
@@ -1,6 +1,7 @@
 #include "flamingoloom/http/server.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <cstdlib>
 #include <list>
 #include <optional>
@@ -34,8 +35,11 @@
   // Waits for the first byte of a request.
   eIdle,
   eReading,
-  // The handler has the request, or its response is being written.
+  // The handler has the request.
   eHandling,
+  // Its response is being written; that takes long only if the peer does not
+  // read it.
+  eWriting,
   eClosed,
 };
 
@@ -79,6 +83,9 @@
   std::list<Session*> mIdle;
   std::list<Session*> mReading;
   std::list<Session*> mHandling;
+  std::list<Session*> mWriting;
+  // Number of the last change of a phase.
+  std::uint64_t mPhaseChanges = 0;
   // Sum of the sessions' memory, and the part of it that is handled.
   std::size_t mRequestMemory = 0;
   std::size_t mHandledMemory = 0;
@@ -130,8 +137,7 @@
                             });
   }
 
-  // Closes the connection without a response. Nothing of the request has been
-  // passed to the handler.
+  // Closes the connection without a complete response.
   void Abandon()
   {
     EnterPhase(SessionPhase::eClosed);
@@ -139,6 +145,8 @@
   }
 
   std::size_t Memory() const { return mMemory; }
+  // Lower for a session that has been in its phase for longer.
+  std::uint64_t PhaseNumber() const { return mPhaseNumber; }
 
 private:
   void BeginRequest()
@@ -233,8 +241,6 @@
   // handler, and closes the connection.
   void RejectRequest(int aStatus)
   {
-    EnterPhase(SessionPhase::eHandling);
-    SetMemory(0);
     mParser.reset();
     mKeepAlive = false;
     Response response;
@@ -258,6 +264,8 @@
     mResponse.body() = std::move(aResponse.mBody);
     mResponse.keep_alive(!close);
     mResponse.prepare_payload();
+    SetMemory(0);
+    EnterPhase(SessionPhase::eWriting);
     auto self = shared_from_this();
     mStream.expires_after(mOwner->mLimits.mIdleTimeout);
     beast::http::async_write(
@@ -292,6 +300,8 @@
         return &mOwner->mReading;
       case SessionPhase::eHandling:
         return &mOwner->mHandling;
+      case SessionPhase::eWriting:
+        return &mOwner->mWriting;
       case SessionPhase::eClosed:
         break;
     }
@@ -311,6 +321,7 @@
     const auto memory = mMemory;
     SetMemory(0);
     mPhase = aPhase;
+    mPhaseNumber = ++mOwner->mPhaseChanges;
     if (auto* const sessions = ListOf(aPhase)) {
       mPosition = sessions->insert(sessions->end(), this);
       SetMemory(memory);
@@ -339,6 +350,7 @@
   bool mKeepAlive = true;
   SessionPhase mPhase = SessionPhase::eClosed;
   bool mWasOpened = false;
+  std::uint64_t mPhaseNumber = 0;
   std::list<Session*>::iterator mPosition;
   std::size_t mHeaderBytes = 0;
   std::size_t mMemory = 0;
@@ -350,7 +362,13 @@
     return true;
   }
   ++mCounters.mClosedConnections;
-  auto& candidates = mIdle.empty() ? mReading : mIdle;
+  const auto isOlder = [](const auto& aLeft, const auto& aRight) {
+    return aRight.empty() ||
+           (!aLeft.empty() &&
+            aLeft.front()->PhaseNumber() < aRight.front()->PhaseNumber());
+  };
+  auto& busy = isOlder(mReading, mWriting) ? mReading : mWriting;
+  auto& candidates = mIdle.empty() ? busy : mIdle;
   if (candidates.empty()) {
     return false;
   }
--- a/flamingoloom/http/server.h
+++ b/flamingoloom/http/server.h
@@ -41,8 +41,9 @@
   // to write a response.
   base::Duration mIdleTimeout = std::chrono::seconds(15);
   // Maximum number of connections. At the limit a new one takes the place of
-  // the one that has been idle for the longest time, or that has been sending
-  // its request for the longest time; without such a one it is closed.
+  // the one that has been idle for the longest time, else of the one that has
+  // been sending its request, or has left a response unread, for the longest
+  // time; without such a one it is closed.
   int mMaxConnections = 487;
   // Maximum memory, by an upper estimate, that all requests together take until
   // their responses are written. Further ones are rejected with status 503.
