--- a/testing/platform_world/cluster_simulation.cpp
+++ b/testing/platform_world/cluster_simulation.cpp
@@ -36,7 +36,9 @@
     queue.mHost = "host";
     queue.mPathPrefix = "/q/";
     configuration.mQueues = { queue };
-    configuration.mAccounts = { { base::AccountId("shop"), { "key" }, 8 } };
+    configuration.mAccounts = {
+      { base::AccountId("shop"), { "key" }, { 8, 0, {} } }
+    };
     return configuration;
   }
   std::optional<base::DataCentreId> OutOfServiceDataCentre(
--- a/testing/platform_world/instance_group.cpp
+++ b/testing/platform_world/instance_group.cpp
@@ -55,7 +55,9 @@
       queue.mPathPrefix = "/q/";
       configuration.mQueues.push_back(std::move(queue));
     }
-    configuration.mAccounts = { { base::AccountId("shop"), { "key" }, 8 } };
+    configuration.mAccounts = {
+      { base::AccountId("shop"), { "key" }, { 8, 0, {} } }
+    };
     return configuration;
   }
 
