--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -222,12 +222,15 @@
   Json listed = Json::array();
   bool more = false;
   const auto& table = aQuery["table"];
-  for (const auto& [partAndKey, row] : mTables[table]) {
-    const bool inRange =
-      partAndKey.first == aQuery["part"] &&
-      partAndKey.second >= aQuery["from"] &&
-      (aQuery["target"].empty() || partAndKey.second < aQuery["target"]);
-    if (!inRange || row.mDeleted) {
+  const auto& part = aQuery["part"];
+  const auto& target = aQuery["target"];
+  const auto& rows = mTables[table];
+  for (auto entry = rows.lower_bound({ part, aQuery["from"] });
+       entry != rows.end() && entry->first.first == part &&
+       (target.empty() || entry->first.second < target);
+       ++entry) {
+    const auto& [partAndKey, row] = *entry;
+    if (row.mDeleted) {
       continue;
     }
     if (listed.size() == kMaxRows) {
--- /dev/null
+++ b/testing/hostile_callers/accepted_requests_test.cpp
@@ -0,0 +1,211 @@
+// Requests within the limits of one request, and what they leave behind once
+// they are answered: in the instance that leads, in its store, and in the
+// instance that leads next. None checks a time or a share of requests.
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "testing/hostile_callers/instance_process.h"
+#include "testing/hostile_callers/raw_peers.h"
+
+namespace flamingoloom::testing::hostile_callers {
+namespace {
+
+constexpr MachineLimits kLimits{ .mMemoryMb = 40, .mDescriptors = 300 };
+constexpr int kCallers = 8;
+// Far from those that InstanceProcess hands in.
+constexpr int kFirstJob = 1'000'000;
+constexpr int kJobsOfCaller = 10'000;
+constexpr std::size_t kLongestSpecification = 4000;
+
+std::string LongJob()
+{
+  return R"({"specification":")" + std::string(kLongestSpecification, 's') +
+         R"(","steps":[{"count":1,"cpu":1000}]})";
+}
+
+// Calls aCall(caller, path, number) aCount times from each of kCallers, with a
+// job of its own each time.
+template <class SendRequests>
+void PlayCallers(InstanceProcess& aInstance,
+                 int aCount,
+                 const char* aPrefix,
+                 const SendRequests& aSend)
+{
+  std::vector<std::thread> threads;
+  threads.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    threads.emplace_back([&, i] {
+      KeepAliveCaller caller(aInstance.CallerPort());
+      for (int job = 0; job < aCount; ++job) {
+        aSend(caller, aPrefix + JobId(kFirstJob + i * kJobsOfCaller + job));
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+}
+
+void CheckSound(InstanceProcess& aInstance)
+{
+  REQUIRE(aInstance.IsAlive());
+  CHECK(aInstance.AnswersOrdinaryRequest(kGuestKey, kBatchPrefix));
+  CHECK(aInstance.TellsQueueLength(kBatchPrefix));
+  REQUIRE(aInstance.IsAlive());
+  CHECK(aInstance.PeakMemoryMb() <= kLimits.mMemoryMb);
+  CHECK(aInstance.OpenDescriptors() <= kLimits.mDescriptors);
+}
+
+// No server runs the jobs, so that each one that is accepted is kept. The other
+// account and the urgent work of the same account must not suffer from it.
+TEST_CASE("accepted_jobs: one account hands in jobs without end")
+{
+  constexpr int kJobs = 1250;
+  InstanceProcess instance(kLimits);
+  PlayCallers(instance,
+              kJobs,
+              kBatchPrefix,
+              [](KeepAliveCaller& aCaller, const std::string& aPath) {
+                aCaller.Call("POST", aPath, kShopKey, LongJob());
+              });
+  CheckSound(instance);
+  CHECK(instance.AnswersOrdinaryRequest(kShopKey, kUrgentPrefix));
+  // The instance that leads next reads all of it at once.
+  instance.Restart();
+  CheckSound(instance);
+  CHECK(instance.AnswersOrdinaryRequest(kShopKey, kUrgentPrefix));
+}
+
+// Jobs that have ended are kept for their callers.
+TEST_CASE("cancelled_jobs: jobs are handed in and cancelled without end")
+{
+  constexpr int kJobs = 900;
+  InstanceProcess instance(kLimits);
+  PlayCallers(instance,
+              kJobs,
+              kBatchPrefix,
+              [](KeepAliveCaller& aCaller, const std::string& aPath) {
+                aCaller.Call("POST", aPath, kShopKey, LongJob());
+                aCaller.Call("DELETE", aPath, kShopKey, "");
+              });
+  CheckSound(instance);
+  instance.Restart();
+  CheckSound(instance);
+}
+
+// A task takes more memory in the leader than in the request.
+TEST_CASE("many_tasks: small requests with many tasks")
+{
+  constexpr int kJobs = 4;
+  InstanceProcess instance(kLimits);
+  std::string body = R"({"steps":[)";
+  for (int i = 0; i < 150; ++i) {
+    body += i == 0 ? "" : ",";
+    body += R"({"count":500})";
+  }
+  body += "]}";
+  PlayCallers(instance,
+              kJobs,
+              kBatchPrefix,
+              [&body](KeepAliveCaller& aCaller, const std::string& aPath) {
+                aCaller.Call("POST", aPath, kShopKey, body);
+              });
+  CheckSound(instance);
+  instance.Restart();
+  CheckSound(instance);
+}
+
+// All occurrences are due at once.
+TEST_CASE("many_occurrences: a small request with many occurrences")
+{
+  InstanceProcess instance(kLimits);
+  instance.Call(
+    "POST",
+    kBatchPrefix + JobId(kFirstJob),
+    R"({"steps":[{"count":1}],"times":100000,"start-at-ms":1,"interval-ms":0})");
+  CheckSound(instance);
+  instance.Restart();
+  CheckSound(instance);
+}
+
+// Its row is larger than a row of the store may be, although the request is
+// within the limits: its caller was asked to come back each time.
+TEST_CASE("large_row: a job of 180 steps, each after all before it")
+{
+  InstanceProcess instance(kLimits);
+  std::string body = R"({"steps":[)";
+  std::string after;
+  for (int i = 0; i < 180; ++i) {
+    body += i == 0 ? "{" : R"(,{"after":[)" + after + "],";
+    body += R"("count":1,"cpu":1000})";
+    after += (i == 0 ? "" : ",") + std::to_string(i);
+  }
+  const auto path = kBatchPrefix + JobId(kFirstJob);
+  CHECK(instance.Call("POST", path, body + "]}") == 200);
+  CHECK(instance.Call("GET", path) == 200);
+  CheckSound(instance);
+  instance.Restart();
+  CHECK(instance.Call("GET", path) == 200);
+  CheckSound(instance);
+}
+
+// No compression makes this job fit into a row, so it can never be accepted: a
+// response that asks its caller to come back would be repeated for ever.
+TEST_CASE("unstorable_job: a job that does not fit into a row of the store")
+{
+  InstanceProcess instance(kLimits);
+  std::string body = R"({"steps":[)";
+  unsigned random = 1;
+  for (int i = 0; i < 400; ++i) {
+    body += i == 0 ? "" : ",";
+    body += R"({"requirements":")";
+    for (int k = 0; k < 500; ++k) {
+      random = random * 1664525U + 1013904223U;
+      body += static_cast<char>('0' + (random >> 26));
+      if (body.back() == '\\') {
+        body.back() = 'z';
+      }
+    }
+    body += R"("})";
+  }
+  const int status =
+    instance.Call("POST", kBatchPrefix + JobId(kFirstJob), body + "]}");
+  CHECK(status >= 400);
+  CHECK(status < 429);
+  CheckSound(instance);
+}
+
+// The length of each queue with a job is in one row, which the leader writes
+// with each renewal of its lease.
+TEST_CASE("many_queues: one job in each of many queues")
+{
+  constexpr int kQueuesOfCaller = 300;
+  auto limits = kLimits;
+  limits.mMoreQueues = kCallers * kQueuesOfCaller;
+  InstanceProcess instance(limits);
+  std::vector<std::thread> threads;
+  threads.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    threads.emplace_back([&, i] {
+      KeepAliveCaller caller(instance.CallerPort());
+      for (int k = 0; k < kQueuesOfCaller; ++k) {
+        const int queue = i * kQueuesOfCaller + k;
+        caller.Call("POST",
+                    kMoreQueuesPrefix + std::to_string(queue) + "/" +
+                      JobId(kFirstJob + queue),
+                    kShopKey,
+                    R"({"steps":[{"count":1}]})");
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  CheckSound(instance);
+}
+
+} // namespace
+} // namespace flamingoloom::testing::hostile_callers
--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -23,9 +23,6 @@
 
 namespace {
 
-constexpr const char* kHost = "shop.example";
-constexpr const char* kKey = "d4a3hwrr6x73d3zji9n7";
-constexpr const char* kPrefix = "/quotes/";
 constexpr int kCallTimeoutMs = 5000;
 // Far beyond what a start or an answer takes, so that the tests do not depend
 // on the machine's speed.
@@ -55,29 +52,45 @@
   return true;
 }
 
-Json MakeConfiguration(int aIdleTimeoutMs)
+Json MakeQueue(const std::string& aName,
+               const std::string& aPrefix,
+               int aPriority)
 {
+  return { { "name", aName },          { "host", kHost },
+           { "path-prefix", aPrefix }, { "target-latency-ms", 3000 },
+           { "priority", aPriority },  { "service", "desk" },
+           { "max-attempts", 2 },      { "stretch", 3.0 },
+           { "public", false } };
+}
+
+Json MakeAccount(const char* aName, const char* aKey, int aAccelerators)
+{
+  return { { "name", aName },
+           { "api-keys", { aKey } },
+           { "guaranteed", { { "gpus", aAccelerators } } } };
+}
+
+Json MakeConfiguration(const MachineLimits& aLimits)
+{
+  Json queues = Json::array({ MakeQueue("quotes", kUrgentPrefix, 0),
+                              MakeQueue("batch", kBatchPrefix, 1) });
+  for (int i = 0; i < aLimits.mMoreQueues; ++i) {
+    const auto number = std::to_string(i);
+    queues.push_back(MakeQueue("further-queue-with-a-name-" + number,
+                               kMoreQueuesPrefix + number + "/",
+                               1));
+  }
   return { { "version", 7 },
-           { "routes",
-             { { { "name", "quotes" },
-                 { "host", kHost },
-                 { "path-prefix", kPrefix },
-                 { "target-latency-ms", 3000 },
-                 { "priority", 0 },
-                 { "service", "desk" },
-                 { "max-attempts", 2 },
-                 { "stretch", 3.0 },
-                 { "public", false } } } },
+           { "routes", std::move(queues) },
            { "services", Json::array() },
            { "limits",
              { { "max-header-bytes", 16384 },
                { "max-body-bytes", 262144 },
                { "header-timeout-ms", 3000 },
-               { "idle-timeout-ms", aIdleTimeoutMs } } },
+               { "idle-timeout-ms", aLimits.mIdleTimeoutMs } } },
            { "tenants",
-             { { { "name", "shop" },
-                 { "api-keys", { kKey } },
-                 { "guaranteed", { { "gpus", 8 } } } } } } };
+             { MakeAccount("shop", kShopKey, 8),
+               MakeAccount("guest", kGuestKey, 0) } } };
 }
 
 Json MakeServer(int aPort)
@@ -102,12 +115,12 @@
   , mFolder(MakeFolder())
   , mCallerPort(cluster::FreePort())
   , mReadinessPort(cluster::FreePort())
+  , mMetricsPort(cluster::FreePort())
 {
-  mStore.Put("op", "config", MakeConfiguration(aLimits.mIdleTimeoutMs));
+  mStore.Put("op", "config", MakeConfiguration(aLimits));
   if (aServerPort > 0) {
     mStore.Put("servers", "s-1", MakeServer(aServerPort));
   }
-  const int metricsPort = cluster::FreePort();
   const Json settings{ { "node-name", "frontend-1" },
                        { "ip", "127.0.0.1" },
                        { "zone", "nordur-a" },
@@ -115,7 +128,8 @@
                        { "listen-addresses",
                          { { "frontend", Loopback(mCallerPort) },
                            { "readiness", Loopback(mReadinessPort) } } },
-                       { "internal-port-range", { metricsPort, metricsPort } },
+                       { "internal-port-range",
+                         { mMetricsPort, mMetricsPort } },
                        { "limits",
                          { { "cpu-share", 0.25 },
                            { "cores", 1 },
@@ -124,30 +138,55 @@
                            { "link-mbps", 1000.0 } } },
                        { "bounds", Json::object() },
                        { "platform", { { "address", mStore.Address() } } } };
-  const auto path = mFolder + "/settings.json";
-  std::ofstream(path) << settings.dump(2);
+  std::ofstream(mFolder + "/settings.json") << settings.dump(2);
   mLoop = std::thread([this] {
     const auto work = boost::asio::make_work_guard(mRuntime.Loop());
     mRuntime.Loop().run();
   });
-  Launch(path);
+  Launch();
   REQUIRE(WaitUntil([this] { return IsReady(); }));
 }
 
 InstanceProcess::~InstanceProcess()
 {
-  if (mId > 0) {
-    kill(mId, SIGKILL);
-    waitpid(mId, nullptr, 0);
-  }
+  Kill();
   mRuntime.Loop().stop();
   mLoop.join();
   std::error_code ignored;
   std::filesystem::remove_all(mFolder, ignored);
 }
 
-void InstanceProcess::Launch(const std::string& aSettings)
+void InstanceProcess::Kill()
+{
+  if (mId > 0) {
+    kill(mId, SIGKILL);
+    waitpid(mId, nullptr, 0);
+    mId = 0;
+  }
+}
+
+void InstanceProcess::Restart()
 {
+  Kill();
+  Launch();
+  REQUIRE(WaitUntil([this] { return !IsAlive() || (IsReady() && HasLed()); }));
+}
+
+bool InstanceProcess::HasLed() const
+{
+  std::ifstream log(mFolder + "/log");
+  std::string line;
+  while (std::getline(log, line)) {
+    if (line.find("event=jobs_loaded") != std::string::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void InstanceProcess::Launch()
+{
+  const auto settings = mFolder + "/settings.json";
   const char* const program = std::getenv("FLAMINGOLOOM_INSTANCE");
   REQUIRE(program != nullptr);
   const auto log = mFolder + "/log";
@@ -155,14 +194,15 @@
   if (mId == 0) {
     // The process ends with the test.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int file = open(log.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0644);
+    const int file =
+      open(log.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0644);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
     constexpr int kFilesToClose = 4096;
     for (int other = STDERR_FILENO + 1; other < kFilesToClose; ++other) {
       close(other);
     }
-    setenv("FLAMINGOLOOM_SETTINGS", aSettings.c_str(), 1);
+    setenv("FLAMINGOLOOM_SETTINGS", settings.c_str(), 1);
     execl(program, program, nullptr);
     _exit(127);
   }
@@ -211,21 +251,59 @@
     std::distance(begin(files), std::filesystem::directory_iterator()));
 }
 
-bool InstanceProcess::AnswersOrdinaryRequest()
+int InstanceProcess::Call(const char* aMethod,
+                          const std::string& aPath,
+                          const std::string& aBody) const
+{
+  const auto answer = cluster::Call(
+    Loopback(mCallerPort),
+    aMethod,
+    aPath,
+    { { "Host", kHost }, { "Key", kShopKey }, { "Deadline-Ms", "3000" } },
+    aBody,
+    kCallTimeoutMs);
+  return answer ? answer->mStatus : 0;
+}
+
+bool InstanceProcess::AnswersOrdinaryRequest(const char* aKey,
+                                             const char* aPrefix)
 {
-  return WaitUntil([this] {
-    constexpr std::size_t kJobIdLength = 16;
-    auto job = std::to_string(mNextJob++);
-    job.insert(0, kJobIdLength - job.size(), '0');
+  return WaitUntil([&] {
     const auto answer = cluster::Call(
       Loopback(mCallerPort),
       "POST",
-      kPrefix + job,
-      { { "Host", kHost }, { "Key", kKey }, { "Deadline-Ms", "3000" } },
+      aPrefix + JobId(mNextJob++),
+      { { "Host", kHost }, { "Key", aKey }, { "Deadline-Ms", "3000" } },
       R"({"specification":"quote","steps":[{"count":1,"cpu":1000}]})",
       kCallTimeoutMs);
     return answer && answer->mStatus == 200;
   });
 }
 
+bool InstanceProcess::TellsQueueLength(const std::string& aPrefix)
+{
+  // Longer than a length is told after the leader has ended.
+  std::this_thread::sleep_for(seconds(3));
+  return WaitUntil([&] { return Call("GET", aPrefix) == 200; });
+}
+
+bool InstanceProcess::AnswersProbes() const
+{
+  const auto metrics = cluster::Call(Loopback(mMetricsPort),
+                                     "GET",
+                                     "/metrics",
+                                     { { "Host", "node" } },
+                                     "",
+                                     kCallTimeoutMs);
+  return IsReady() && metrics && metrics->mStatus == 200;
+}
+
+std::string JobId(int aNumber)
+{
+  constexpr std::size_t kJobIdLength = 16;
+  auto id = std::to_string(aNumber);
+  id.insert(0, kJobIdLength - id.size(), '0');
+  return id;
+}
+
 } // namespace flamingoloom::testing::hostile_callers
--- a/testing/hostile_callers/instance_process.h
+++ b/testing/hostile_callers/instance_process.h
@@ -1,5 +1,5 @@
-// One instance as a process on loopback, beside a stand-in for the store whose
-// configuration has one queue.
+// One instance as a process on loopback, beside a stand-in for the store. Its
+// configuration has two accounts, and queues for urgent and for batch work.
 //
 //   InstanceProcess instance({ .mMemoryMb = 40, .mDescriptors = 300 });
 //   RawCaller caller(instance.CallerPort());
@@ -19,6 +19,15 @@
 
 namespace flamingoloom::testing::hostile_callers {
 
+inline constexpr const char* kHost = "shop.example";
+inline constexpr const char* kShopKey = "d4a3hwrr6x73d3zji9n7";
+inline constexpr const char* kGuestKey = "m2f9x07qkq51v8s3c6te";
+// Prefixes of the queues with priority 0 and 1.
+inline constexpr const char* kUrgentPrefix = "/quotes/";
+inline constexpr const char* kBatchPrefix = "/batch/";
+// Prefix of the first of MachineLimits::mMoreQueues; their numbers follow.
+inline constexpr const char* kMoreQueuesPrefix = "/more-";
+
 // The limits of the machine, as its settings file names them, and the time
 // without a request or in which a response is not read, by the configuration.
 struct MachineLimits
@@ -26,10 +35,15 @@
   int mMemoryMb = 160;
   int mDescriptors = 4100;
   int mIdleTimeoutMs = 15000;
+  // Queues beside the two of each instance.
+  int mMoreQueues = 0;
 
   friend bool operator==(const MachineLimits&, const MachineLimits&) = default;
 };
 
+// The id of a job, from a number.
+std::string JobId(int aNumber);
+
 class InstanceProcess
 {
 public:
@@ -41,6 +55,8 @@
   InstanceProcess& operator=(const InstanceProcess&) = delete;
 
   int CallerPort() const { return mCallerPort; }
+  int ReadinessPort() const { return mReadinessPort; }
+  int MetricsPort() const { return mMetricsPort; }
   // Whether the process has not ended.
   bool IsAlive() const;
   // The largest resident memory that the process has had, in megabytes.
@@ -49,11 +65,27 @@
   int OpenDescriptors() const;
   // Hands in one job on a connection of its own, and again while it is refused
   // with 503. Returns whether it was accepted.
-  bool AnswersOrdinaryRequest();
+  bool AnswersOrdinaryRequest(const char* aKey = kShopKey,
+                              const char* aPrefix = kUrgentPrefix);
+  // Whether the length of the queue is told, which needs an instance that has
+  // led for some seconds. Asks again for a while.
+  bool TellsQueueLength(const std::string& aPrefix);
+  // The status of one request of the account of kShopKey, 0 without a response.
+  int Call(const char* aMethod,
+           const std::string& aPath,
+           const std::string& aBody = "") const;
+  // Whether readiness and metrics are served.
+  bool AnswersProbes() const;
+  // Kills the process, starts it again with its store as it is, and waits until
+  // it leads or has ended.
+  void Restart();
 
 private:
-  void Launch(const std::string& aSettings);
+  void Launch();
+  void Kill();
   bool IsReady() const;
+  // Whether the process has restored the jobs of the store, to lead.
+  bool HasLed() const;
 
   review::Runtime mRuntime;
   review::Store mStore;
@@ -61,6 +93,7 @@
   std::string mFolder;
   int mCallerPort = 0;
   int mReadinessPort = 0;
+  int mMetricsPort = 0;
   int mNextJob = 1;
   mutable pid_t mId = 0;
 };
--- a/testing/hostile_callers/raw_peers.cpp
+++ b/testing/hostile_callers/raw_peers.cpp
@@ -1,10 +1,12 @@
 #include "testing/hostile_callers/raw_peers.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <string_view>
 #include <utility>
 
 #include <doctest/doctest.h>
@@ -85,6 +87,84 @@
   }
 }
 
+KeepAliveCaller::KeepAliveCaller(int aPort)
+  : mPort(aPort)
+{
+}
+
+KeepAliveCaller::~KeepAliveCaller()
+{
+  Close();
+}
+
+bool KeepAliveCaller::Connect()
+{
+  if (mSocket >= 0) {
+    return true;
+  }
+  mSocket = socket(AF_INET, SOCK_STREAM, 0);
+  const int enabled = 1;
+  setsockopt(mSocket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+  const timeval timeout{ kSendTimeoutS, 0 };
+  setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  SetSendTimeout(mSocket);
+  const auto address = Loopback(mPort);
+  if (connect(mSocket,
+              reinterpret_cast<const sockaddr*>(&address),
+              sizeof address) != 0) {
+    Close();
+  }
+  return mSocket >= 0;
+}
+
+void KeepAliveCaller::Close()
+{
+  if (mSocket >= 0) {
+    close(std::exchange(mSocket, -1));
+  }
+}
+
+int KeepAliveCaller::Call(const std::string& aMethod,
+                          const std::string& aPath,
+                          const std::string& aKey,
+                          const std::string& aBody)
+{
+  const auto request =
+    aMethod + " " + aPath + " HTTP/1.1\r\nHost: shop.example\r\nKey: " + aKey +
+    "\r\nDeadline-Ms: 3000\r\nContent-Length: " + std::to_string(aBody.size()) +
+    "\r\n\r\n" + aBody;
+  const int status =
+    Connect() && SendAll(mSocket, request) ? ReadResponse() : 0;
+  if (status == 0) {
+    Close();
+  }
+  return status;
+}
+
+int KeepAliveCaller::ReadResponse()
+{
+  static constexpr std::string_view kLength = "Content-Length: ";
+  std::string response;
+  std::size_t needed = 0;
+  while (needed == 0 || response.size() < needed) {
+    char part[4096];
+    const auto count = recv(mSocket, part, sizeof part, 0);
+    if (count <= 0) {
+      return 0;
+    }
+    response.append(part, static_cast<std::size_t>(count));
+    const auto headEnd = response.find("\r\n\r\n");
+    if (needed == 0 && headEnd != std::string::npos) {
+      const auto length = response.find(kLength);
+      needed =
+        headEnd + 4 +
+        (length < headEnd ? std::stoul(response.substr(length + kLength.size()))
+                          : 0);
+    }
+  }
+  return std::stoi(response.substr(std::string_view("HTTP/1.1 ").size()));
+}
+
 RawServer::RawServer(std::string aHead, std::string aPart, std::size_t aBytes)
   : mHead(std::move(aHead))
   , mPart(std::move(aPart))
--- a/testing/hostile_callers/raw_peers.h
+++ b/testing/hostile_callers/raw_peers.h
@@ -35,6 +35,33 @@
   int mSocket;
 };
 
+// A caller that sends well-formed requests, one after the other, on a
+// connection that it keeps open.
+class KeepAliveCaller
+{
+public:
+  explicit KeepAliveCaller(int aPort);
+  ~KeepAliveCaller();
+  KeepAliveCaller(const KeepAliveCaller&) = delete;
+  KeepAliveCaller& operator=(const KeepAliveCaller&) = delete;
+
+  // Returns the status of the response; 0 if there is none, or the connection
+  // is closed.
+  int Call(const std::string& aMethod,
+           const std::string& aPath,
+           const std::string& aKey,
+           const std::string& aBody);
+
+private:
+  bool Connect();
+  void Close();
+  // Returns the status of a response without a body, or with a Content-Length.
+  int ReadResponse();
+
+  const int mPort;
+  int mSocket = -1;
+};
+
 // Connects aCount callers, and calls aPlay for all of them at the same time.
 // Returns the connections, which are still open on this side.
 template <class Play>
