Jobs that are larger than a row are compressed, or refused for good

Callers got 503 each time for a job within the limits of a request whose row is longer than a row of the store may be, and came back for ever.

Cause: the row was sent as it was; the store rejected it with 400, which the API took for an outage. A row holds 64 KiB of base64, which are 48 KiB.

A longer encoding is compressed now; what is still too long is refused with 413 before any call to the store. 180 steps, each after all before it, are 107 KB as JSON. The job's value is encoded once for all tries, and steps and payload are not kept while it is stored. Shorter rows are as before, so other versions read them.

--- a/flamingoloom/jobs/records.cpp
+++ b/flamingoloom/jobs/records.cpp
@@ -1,5 +1,6 @@
 #include "flamingoloom/jobs/records.h"
 
+#include "flamingoloom/base/compression.h"
 #include "flamingoloom/json/decode.h"
 
 namespace flamingoloom::jobs {
@@ -9,6 +10,9 @@
 namespace {
 
 constexpr char kCancelSuffix[] = ".c";
+// Limit of the memory that a decompressed value may take; the JSON of the
+// largest request of a caller takes about as much.
+constexpr std::size_t kMaxDecompressedBytes = std::size_t{ 4 } * 1024 * 1024;
 
 Json EncodeResources(const Resources& aResources)
 {
@@ -108,6 +112,28 @@
   return json::Decode<T>(aWhat, "store", aValue, aDecode);
 }
 
+std::string CompressIfLong(std::string aText)
+{
+  return aText.size() <= kMaxValueBytes ? std::move(aText)
+                                        : base::Compress(aText);
+}
+
+// As ParseAndDecode, for the result of CompressIfLong. No JSON that is encoded
+// here begins like compressed data.
+template <class T, class Decoder>
+base::Expected<T> DecompressAndDecode(const char* aWhat,
+                                      const std::string& aValue,
+                                      Decoder aDecode)
+{
+  if (aValue.empty() || aValue.front() == '{') {
+    return ParseAndDecode<T>(aWhat, aValue, aDecode);
+  }
+  return base::Decompress(aWhat, "store", aValue, kMaxDecompressedBytes)
+    .and_then([&](const std::string& aText) {
+      return ParseAndDecode<T>(aWhat, aText, aDecode);
+    });
+}
+
 } // namespace
 
 const std::vector<std::string>& JobPartitions()
@@ -159,32 +185,37 @@
   for (const auto& step : aJob.mSteps) {
     steps.push_back(EncodeStepSpec(step));
   }
-  return Json{
-    { "account", aJob.mAccount.Value() }, { "rules", EncodeRules(aJob.mRules) },
-    { "payload", aJob.mPayload },         { "steps", std::move(steps) },
-    { "occurrences", aJob.mOccurrences }, { "firstDueMs", aJob.mFirstDueMs },
-    { "intervalMs", aJob.mIntervalMs },   { "acceptedMs", aJob.mAcceptedMs }
-  }.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return CompressIfLong(
+    Json{ { "account", aJob.mAccount.Value() },
+          { "rules", EncodeRules(aJob.mRules) },
+          { "payload", aJob.mPayload },
+          { "steps", std::move(steps) },
+          { "occurrences", aJob.mOccurrences },
+          { "firstDueMs", aJob.mFirstDueMs },
+          { "intervalMs", aJob.mIntervalMs },
+          { "acceptedMs", aJob.mAcceptedMs } }
+      .dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
 base::Expected<JobSpec> DecodeJob(const std::string& aId,
                                   const std::string& aValue)
 {
-  return ParseAndDecode<JobSpec>("read job", aValue, [&](const Json& aJson) {
-    JobSpec job;
-    job.mId = aId;
-    job.mAccount = base::AccountId(aJson.at("account").get<std::string>());
-    job.mRules = DecodeRules(aJson.at("rules"));
-    job.mPayload = aJson.at("payload");
-    for (const auto& step : aJson.at("steps")) {
-      job.mSteps.push_back(DecodeStepSpec(step));
-    }
-    job.mOccurrences = aJson.at("occurrences");
-    job.mFirstDueMs = aJson.at("firstDueMs");
-    job.mIntervalMs = aJson.at("intervalMs");
-    job.mAcceptedMs = aJson.at("acceptedMs");
-    return job;
-  });
+  return DecompressAndDecode<JobSpec>(
+    "read job", aValue, [&](const Json& aJson) {
+      JobSpec job;
+      job.mId = aId;
+      job.mAccount = base::AccountId(aJson.at("account").get<std::string>());
+      job.mRules = DecodeRules(aJson.at("rules"));
+      job.mPayload = aJson.at("payload");
+      for (const auto& step : aJson.at("steps")) {
+        job.mSteps.push_back(DecodeStepSpec(step));
+      }
+      job.mOccurrences = aJson.at("occurrences");
+      job.mFirstDueMs = aJson.at("firstDueMs");
+      job.mIntervalMs = aJson.at("intervalMs");
+      job.mAcceptedMs = aJson.at("acceptedMs");
+      return job;
+    });
 }
 
 std::string EncodeState(const StateRecord& aState)
--- a/flamingoloom/jobs/records.h
+++ b/flamingoloom/jobs/records.h
@@ -91,6 +91,12 @@
   friend bool operator==(const StepRecord&, const StepRecord&) = default;
 };
 
+// The longest value that fits into a row of the store. Rows hold 64 KiB of
+// base64, which is a third longer than the value.
+inline constexpr std::size_t kMaxValueBytes = std::size_t{ 48 } * 1024;
+
+// The encoding is compressed if it is longer than kMaxValueBytes otherwise, and
+// may still be longer then. Earlier versions cannot decode compressed jobs.
 std::string EncodeJob(const JobSpec& aJob);
 base::Expected<JobSpec> DecodeJob(const std::string& aId,
                                   const std::string& aValue);
--- a/flamingoloom/jobs/records_test.cpp
+++ b/flamingoloom/jobs/records_test.cpp
@@ -35,6 +35,25 @@
   CHECK(DecodeJob(job.mId, EncodeJob(job)).value() == job);
 }
 
+// Guards against a job within the limits of requests that no row can hold: its
+// caller was asked to come back for ever.
+TEST_CASE("A job whose steps have many dependencies fits into a row")
+{
+  auto job = SampleJob();
+  job.mSteps.resize(1);
+  for (int i = 1; i < 360; ++i) {
+    StepSpec step = job.mSteps.front();
+    for (int k = 0; k < i; ++k) {
+      step.mDependsOn.push_back(k);
+    }
+    job.mSteps.push_back(step);
+  }
+  const auto value = EncodeJob(job);
+  CHECK(value.size() <= kMaxValueBytes);
+  CHECK(DecodeJob(job.mId, value).value() == job);
+  CHECK(!DecodeJob(job.mId, value.substr(0, value.size() / 2)));
+}
+
 // Guards against a new leader that misreads the assignments which the previous
 // leader stored.
 TEST_CASE("Step and state records are the same after encoding and decoding")
--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -150,6 +150,20 @@
     aThen(response);
     return;
   }
+  job->mId = resolved->mJob;
+  job->mAccount = resolved->mAccount;
+  job->mRules = resolved->mQueue->mRules;
+  job->mAcceptedMs = mPorts.mLoop->UnixMs();
+  auto value = jobs::EncodeJob(*job);
+  if (value.size() > jobs::kMaxValueBytes) {
+    mPorts.mLog->Write("job_refused",
+                       { { "job", resolved->mJob },
+                         { "account", resolved->mAccount.Value() },
+                         { "reason", "too_large" },
+                         { "bytes", std::to_string(value.size()) } });
+    aThen(MakeResponse(CallerStatus::eTooLarge));
+    return;
+  }
   if (!mStoreReachable || !mStoreBreaker.Allows(mPorts.mLoop->Now())) {
     mPorts.mLog->Write(
       "job_refused",
@@ -158,108 +172,101 @@
     aThen(RetryLater());
     return;
   }
-  job->mId = resolved->mJob;
-  job->mAccount = resolved->mAccount;
-  job->mRules = resolved->mQueue->mRules;
-  job->mAcceptedMs = mPorts.mLoop->UnixMs();
-  const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
-  StoreJob(std::move(*job), until, 1, false, std::move(aThen));
+  StoreJob(std::make_shared<const Submission>(
+             Submission{ resolved->mJob,
+                         resolved->mAccount,
+                         resolved->mQueue->mRules.mQueue,
+                         std::move(value),
+                         mPorts.mLoop->Now() + aTarget.mCallerTimeout,
+                         std::move(aThen) }),
+           1,
+           false);
 }
 
-void JobApi::StoreJob(jobs::JobSpec aJob,
-                      Time aUntil,
+void JobApi::StoreJob(const SubmissionPtr& aSubmission,
                       int aCallAttempt,
-                      bool aUnknown,
-                      Callback aThen)
+                      bool aUnknown)
 {
+  const auto& id = aSubmission->mJob;
   const Transaction transaction{
-    jobs::PartitionOfJob(aJob.mId),
+    jobs::PartitionOfJob(id),
     // A cancellation may have been stored before the job.
-    { { jobs::kJobTable, jobs::CancelKey(aJob.mId), 0 } },
-    { { jobs::kJobTable, aJob.mId, jobs::EncodeJob(aJob), 0 } }
+    { { jobs::kJobTable, jobs::CancelKey(id), 0 } },
+    { { jobs::kJobTable, id, aSubmission->mValue, 0 } }
   };
   const Time sentAt = mPorts.mLoop->Now();
   mPorts.mStore->Commit(
     transaction,
-    CallTimeout(aUntil),
-    [this,
-     sentAt,
-     job = std::move(aJob),
-     aUntil,
-     aCallAttempt,
-     aUnknown,
-     then = std::move(aThen)](base::Expected<CommitResult> aResult) {
+    CallTimeout(aSubmission->mUntil),
+    [this, sentAt, submission = aSubmission, aCallAttempt, aUnknown](
+      base::Expected<CommitResult> aResult) {
       mStoreBreaker.RecordCall(
         mPorts.mLoop->Now(), sentAt, aResult.has_value());
       if (aResult && aResult->mApplied) {
         RespondToSubmit(
-          job, aCallAttempt, CallerStatus::eAccepted, "accepted", then);
+          *submission, aCallAttempt, CallerStatus::eAccepted, "accepted");
         return;
       }
       if (aResult) {
         bool stored = false;
         for (const auto& current : aResult->mCurrent) {
-          stored = stored ||
-                   (current.mTable == jobs::kJobTable &&
-                    current.mRow.mKey == job.mId && current.mRow.mVersion > 0);
+          stored = stored || (current.mTable == jobs::kJobTable &&
+                              current.mRow.mKey == submission->mJob &&
+                              current.mRow.mVersion > 0);
         }
         // Stored by an earlier call of the caller or of this instance, or
         // cancelled before it arrived.
-        RespondToSubmit(job,
+        RespondToSubmit(*submission,
                         aCallAttempt,
                         stored ? CallerStatus::eAccepted
                                : CallerStatus::eRetryLater,
-                        stored ? "already_stored" : "cancelled_before",
-                        then);
+                        stored ? "already_stored" : "cancelled_before");
         return;
       }
       const bool unknown =
         aUnknown || aResult.error().mCode == ErrorCode::eOutcomeUnknown;
-      if (!MayRetry(aUntil, aCallAttempt, unknown)) {
-        GiveUpSubmit(job, aCallAttempt, unknown, then);
+      if (!MayRetry(submission->mUntil, aCallAttempt, unknown)) {
+        GiveUpSubmit(*submission, aCallAttempt, unknown);
         return;
       }
-      mPorts.mLoop->After(mSettings.mRetryDelay,
-                          [this, job, aUntil, aCallAttempt, unknown, then] {
-                            // The process may have stood still meanwhile.
-                            if (MayRetry(aUntil, aCallAttempt, unknown)) {
-                              StoreJob(
-                                job, aUntil, aCallAttempt + 1, unknown, then);
-                            } else {
-                              GiveUpSubmit(job, aCallAttempt, unknown, then);
-                            }
-                          });
+      mPorts.mLoop->After(
+        mSettings.mRetryDelay, [this, submission, aCallAttempt, unknown] {
+          // The process may have stood still meanwhile.
+          if (MayRetry(submission->mUntil, aCallAttempt, unknown)) {
+            StoreJob(submission, aCallAttempt + 1, unknown);
+          } else {
+            GiveUpSubmit(*submission, aCallAttempt, unknown);
+          }
+        });
     });
 }
 
-void JobApi::GiveUpSubmit(const jobs::JobSpec& aJob,
+void JobApi::GiveUpSubmit(const Submission& aSubmission,
                           int aCallAttempt,
-                          bool aUnknown,
-                          const Callback& aThen)
+                          bool aUnknown)
 {
-  RespondToSubmit(aJob,
+  RespondToSubmit(aSubmission,
                   aCallAttempt,
                   aUnknown ? CallerStatus::eUnknown : CallerStatus::eRetryLater,
-                  aUnknown ? "unknown" : "store_refused",
-                  aThen);
+                  aUnknown ? "unknown" : "store_refused");
 }
 
-void JobApi::RespondToSubmit(const jobs::JobSpec& aJob,
+void JobApi::RespondToSubmit(const Submission& aSubmission,
                              int aCallAttempt,
                              CallerStatus aStatus,
-                             const char* aOutcome,
-                             const Callback& aThen)
+                             const char* aOutcome)
 {
   mPorts.mLog->Write(
     "job_submitted",
-    { { "job", aJob.mId },
-      { "account", aJob.mAccount.Value() },
-      { "queue", aJob.mRules.mQueue },
+    { { "job", aSubmission.mJob },
+      { "account", aSubmission.mAccount.Value() },
+      { "queue", aSubmission.mQueue },
       { "outcome", aOutcome },
       { "tries", std::to_string(aCallAttempt) },
       { "config", std::to_string(mConfiguration->mVersion) } });
-  aThen(aStatus == CallerStatus::eRetryLater ? RetryLater()
-                                             : MakeResponse(aStatus));
+  aSubmission.mThen(aStatus == CallerStatus::eRetryLater
+                      ? RetryLater()
+                      : MakeResponse(aStatus));
 }
 
 void JobApi::ReadRow(
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -26,6 +26,8 @@
   eNoSuchJob,
   eUnknownKey,
   eMalformed,
+  // The job was not accepted: it does not fit into a row of the store.
+  eTooLarge,
   // The job was certainly not accepted, or not cancelled; the caller may retry
   // later.
   eRetryLater,
@@ -150,22 +152,32 @@
   // through aThen and returns nullopt.
   std::optional<ResolvedTarget> Resolve(const CallerTarget& aTarget,
                                         const Callback& aThen);
-  void StoreJob(jobs::JobSpec aJob,
-                base::Time aUntil,
+  // A job that is being stored.
+  struct Submission
+  {
+    std::string mJob;
+    base::AccountId mAccount;
+    std::string mQueue;
+    // The encoded job.
+    std::string mValue;
+    base::Time mUntil;
+    Callback mThen;
+  };
+  using SubmissionPtr = std::shared_ptr<const Submission>;
+
+  // aUnknown is whether an earlier call may have stored the job.
+  void StoreJob(const SubmissionPtr& aSubmission,
                 int aCallAttempt,
-                bool aUnknown,
-                Callback aThen);
+                bool aUnknown);
   // Responds that the job was not stored, or may have been if aUnknown is set.
-  void GiveUpSubmit(const jobs::JobSpec& aJob,
+  void GiveUpSubmit(const Submission& aSubmission,
                     int aCallAttempt,
-                    bool aUnknown,
-                    const Callback& aThen);
+                    bool aUnknown);
   // Responds and logs aOutcome.
-  void RespondToSubmit(const jobs::JobSpec& aJob,
+  void RespondToSubmit(const Submission& aSubmission,
                        int aCallAttempt,
                        CallerStatus aStatus,
-                       const char* aOutcome,
-                       const Callback& aThen);
+                       const char* aOutcome);
   // aUnknown is whether an earlier call may have stored the marker.
   void MarkCancelled(const std::string& aJob,
                      base::Time aUntil,
--- a/flamingoloom/node/operator_snapshot.cpp
+++ b/flamingoloom/node/operator_snapshot.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include <zlib.h>
-
+#include "flamingoloom/base/compression.h"
 #include "flamingoloom/base/digest.h"
 #include "flamingoloom/json/decode.h"
 
@@ -135,37 +134,15 @@
   return limits;
 }
 
-Expected<std::string> Decompress(const std::string& aCompressed)
+Expected<std::string> DecompressPart(const std::string& aCompressedPart)
 {
-  constexpr std::size_t kTypicalRatio = 8;
-  int status = Z_BUF_ERROR;
-  std::string text;
-  for (std::size_t capacity =
-         std::min(kMaxPartBytes, aCompressed.size() * kTypicalRatio + 1);
-       status == Z_BUF_ERROR && text.size() < kMaxPartBytes;
-       capacity = std::min(kMaxPartBytes, capacity * 2)) {
-    text.resize(capacity);
-    uLongf size = text.size();
-    status = uncompress(reinterpret_cast<Bytef*>(text.data()),
-                        &size,
-                        reinterpret_cast<const Bytef*>(aCompressed.data()),
-                        aCompressed.size());
-    if (status == Z_OK) {
-      text.resize(size);
-      return text;
-    }
-  }
-  return MakeError(ErrorCode::eInvalid,
-                   kDecodeStep,
-                   "store",
-                   status == Z_BUF_ERROR ? "a part is truncated or too large"
-                                         : "a part is not compressed data");
+  return base::Decompress(kDecodeStep, "store", aCompressedPart, kMaxPartBytes);
 }
 
 Expected<std::vector<Queue>> DecodePart(const std::string& aCompressedPart,
                                         const std::string& aDigest)
 {
-  return Decompress(aCompressedPart)
+  return DecompressPart(aCompressedPart)
     .and_then([&](const std::string& aPart) -> Expected<std::vector<Queue>> {
       if (PartDigest(aPart) != aDigest) {
         return MakeError(ErrorCode::eNotFound,
@@ -215,20 +192,12 @@
 
 std::string CompressPart(const std::string& aPart)
 {
-  uLongf size = compressBound(aPart.size());
-  std::string compressed(size, '\0');
-  // Cannot fail with a buffer of this size, but for want of memory.
-  compress(reinterpret_cast<Bytef*>(compressed.data()),
-           &size,
-           reinterpret_cast<const Bytef*>(aPart.data()),
-           aPart.size());
-  compressed.resize(size);
-  return compressed;
+  return base::Compress(aPart);
 }
 
 Expected<std::string> DigestOfCompressedPart(const std::string& aCompressedPart)
 {
-  return Decompress(aCompressedPart).map(PartDigest);
+  return DecompressPart(aCompressedPart).map(PartDigest);
 }
 
 std::string SnapshotId(const std::string& aHead)
