Renewals do not fail when many queues have jobs

After one job in each of 2,400 queues no instance could renew its lease, so none led for longer than 1.5 s and nothing was scheduled.

Cause: each renewal writes the lengths of all queues that have waiting jobs into one row. Callers decide how many these are; above 64 KiB the store rejects the transaction, and with it the renewal.

The row is compressed if it is too long. If it still is, the renewal goes without it, and callers who ask for a length are asked to come back.

--- a/flamingoloom/jobs/records.cpp
+++ b/flamingoloom/jobs/records.cpp
@@ -282,12 +282,13 @@
 
 std::string EncodeQueueLengths(const QueueLengths& aLengths)
 {
-  return Json(aLengths).dump(-1, ' ', false, Json::error_handler_t::replace);
+  return CompressIfLong(
+    Json(aLengths).dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
 base::Expected<QueueLengths> DecodeQueueLengths(const std::string& aValue)
 {
-  return ParseAndDecode<QueueLengths>(
+  return DecompressAndDecode<QueueLengths>(
     "read queue lengths", aValue, [](const Json& aJson) {
       return aJson.get<QueueLengths>();
     });
--- a/flamingoloom/jobs/records.h
+++ b/flamingoloom/jobs/records.h
@@ -108,6 +108,7 @@
 // Number of jobs of which no task has started, by queue. Queues without such
 // jobs have no entry.
 using QueueLengths = std::map<std::string, std::int64_t>;
+// Compressed as jobs are.
 std::string EncodeQueueLengths(const QueueLengths& aLengths);
 base::Expected<QueueLengths> DecodeQueueLengths(const std::string& aValue);
 
--- a/flamingoloom/jobs/records_test.cpp
+++ b/flamingoloom/jobs/records_test.cpp
@@ -54,6 +54,19 @@
   CHECK(!DecodeJob(job.mId, value.substr(0, value.size() / 2)));
 }
 
+// Guards against lengths of queues that exceed a row: the store would reject
+// the leader's renewal, which holds them.
+TEST_CASE("The lengths of thousands of queues fit into a row")
+{
+  QueueLengths lengths;
+  for (int i = 0; i < 5000; ++i) {
+    lengths["a-queue-with-a-long-name-" + std::to_string(i)] = i % 7;
+  }
+  const auto value = EncodeQueueLengths(lengths);
+  CHECK(value.size() <= kMaxValueBytes);
+  CHECK(DecodeQueueLengths(value).value() == lengths);
+}
+
 // Guards against a new leader that misreads the assignments which the previous
 // leader stored.
 TEST_CASE("Step and state records are the same after encoding and decoding")
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -220,10 +220,17 @@
   const Time sentAt = mPorts.mLoop->Now();
   auto renewal = mElection.Renewal(sentAt);
   if (const auto lengths = mLeader->QueueLengths()) {
-    renewal.mChanges.push_back({ kLeaderTable,
-                                 kQueueLengthsKey,
-                                 jobs::EncodeQueueLengths(*lengths),
-                                 std::nullopt });
+    auto value = jobs::EncodeQueueLengths(*lengths);
+    // The store would reject the whole renewal. Callers who ask for a length
+    // are asked to come back instead.
+    if (value.size() <= jobs::kMaxValueBytes) {
+      renewal.mChanges.push_back(
+        { kLeaderTable, kQueueLengthsKey, std::move(value), std::nullopt });
+    } else {
+      mPorts.mLog->Write("queue_lengths_too_large",
+                         { { "queues", std::to_string(lengths->size()) },
+                           { "bytes", std::to_string(value.size()) } });
+    }
   }
   PublishOperators();
   const auto snapshot = mReplica->PublishedId();
