Leader: of jobs that have ended only the keys of their rows are kept

Causes: an ended job was kept with its specification, steps and tasks for 150 s. A new leader read the rows of all jobs into memory, copied them, and decoded them beside the copies.

20 s after its end, when no start of it can still be carried out and no task is placed, a job is compacted to its account, times and keys. A new leader decides from the state and the steps, which it reads first, and drops the rows of such jobs page by page; the rows of the others are freed as they are decoded. The same holds when the watch has to read the table again.

--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -313,4 +313,14 @@
   return mScheduler.QueueLengths();
 }
 
+std::optional<admission::MemoryUse> Leader::Memory() const
+{
+  if (mPhase != Phase::eScheduling) {
+    return std::nullopt;
+  }
+  auto use = mScheduler.Memory();
+  use.Add(mCancelMemory);
+  return use;
+}
+
 } // namespace flamingoloom::node
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -43,6 +43,10 @@
   base::Duration mLeaseBeyondLeadership = std::chrono::milliseconds(12000);
   // How long jobs in a final state are kept for callers.
   base::Duration mFinalJobRetention = std::chrono::seconds(150);
+  // How long their steps and tasks are kept. A start may be carried out some
+  // seconds late, and its task may then run until its lease ends, at most 12 s
+  // after the last one that was granted.
+  base::Duration mFinalTaskRetention = std::chrono::seconds(20);
   base::Duration mGarbageCollectionInterval = std::chrono::seconds(5);
   // A store that is slow by a factor of 92 responds after 0.7 s.
   base::Duration mReadTimeout = std::chrono::milliseconds(1000);
@@ -82,6 +86,9 @@
 
   // nullopt until the stored jobs are restored, and after Stop.
   std::optional<jobs::QueueLengths> QueueLengths() const;
+  // The memory of all jobs, and of cancellations of unknown ones; nullopt as
+  // above.
+  std::optional<admission::MemoryUse> Memory() const;
 
   // The row kLeaseBoundsKey that is to be stored with the next renewal; nullopt
   // if the stored one still holds. aToStoreMs returns what the store's clock
@@ -112,8 +119,24 @@
   // Reads what the predecessor has left about leases, then loads the tables.
   void LoadLeaseBounds();
   void Load(std::size_t aTableIndex, const std::string& aFrom);
+  // Take over a page of the tables of states and steps.
+  void LoadStates(const std::vector<Row>& aRows);
+  void LoadSteps(std::vector<Row> aRows);
+  // Decides about the rows of steps of one job that were read last: of a job
+  // that has ended, only their keys are kept.
+  void FinishLoadingSteps();
+  // Whether the state that was read is final, and its end so long ago that no
+  // start of the job can still be carried out.
+  bool HasEndedLongAgo(const std::string& aJob) const;
   void FinishLoading();
-  void OnJobRows(const std::vector<Row>& aRows);
+  // Frees the value of a row of the table of jobs that is not needed any more:
+  // the job is known, or has ended and is taken over from it.
+  void OnJobRowRead(Row& aRow);
+  void OnJobRows(std::vector<Row> aRows);
+  // Restores the states and steps that were read while loading. aRows are those
+  // of the table of jobs.
+  void RestoreRows(base::Time aNow, const std::vector<Row>& aRows);
+  void OnCancellation(const Row& aRow);
   // Reads what has changed in the server list, or all of it if
   // mServerListVersion is 0, and does so again after an interval.
   void PollServerList();
@@ -201,15 +224,25 @@
   std::map<std::string, std::int64_t> mUnreadableServers;
   int mUnreadableRows = 0;
   std::shared_ptr<TableWatch> mJobWatch;
-  // Rows that were read while loading.
-  std::vector<Row> mLoadedStates;
+  // What was read while loading: states by job; the rows of steps of the job
+  // that was read last, and of those that have not ended; by job the rows of
+  // steps of those that have ended.
+  std::map<std::string, jobs::StateRecord> mLoadedStates;
+  std::vector<Row> mStepsOfLastJob;
   std::vector<Row> mLoadedSteps;
+  std::set<std::string> mUnfinishedJobs;
+  std::map<std::string, std::vector<std::pair<int, int>>> mEndedStepRows;
   // Rows of states and steps whose jobs an interrupted garbage collection has
   // removed.
   std::vector<scheduler::RowChange> mOrphanedRows;
-  // Cancellation markers of unknown jobs, by job, with the time at which each
-  // was first observed.
-  std::map<std::string, base::Time> mUnmatchedCancels;
+  // A cancellation marker of an unknown job.
+  struct UnmatchedCancel
+  {
+    base::Time mObservedAt;
+    base::AccountId mAccount;
+  };
+  std::map<std::string, UnmatchedCancel> mUnmatchedCancels;
+  admission::MemoryUse mCancelMemory;
   // Transactions of the last garbage collection that were not committed.
   std::vector<Transaction> mPendingRemovals;
   std::int64_t mStoreMs = 0;
--- a/flamingoloom/node/leader_garbage_collection.cpp
+++ b/flamingoloom/node/leader_garbage_collection.cpp
@@ -18,6 +18,8 @@
     CommitRemovals(std::exchange(mPendingRemovals, {}), 0);
     return;
   }
+  mScheduler.CompactEndedJobs(
+    StoreNowMs() - base::ToMilliseconds(mTiming.mFinalTaskRetention));
   std::map<std::string, std::vector<scheduler::RowChange>> jobRows;
   auto rows = std::move(mOrphanedRows);
   mOrphanedRows.clear();
@@ -40,13 +42,16 @@
   }
   for (auto cancel = mUnmatchedCancels.begin();
        cancel != mUnmatchedCancels.end();) {
-    if (mPorts.mLoop->Now() - cancel->second < mTiming.mFinalJobRetention) {
+    if (mPorts.mLoop->Now() - cancel->second.mObservedAt <
+        mTiming.mFinalJobRetention) {
       ++cancel;
       continue;
     }
     remove(jobRows[jobs::PartitionOfJob(cancel->first)],
            jobs::kJobTable,
            jobs::CancelKey(cancel->first));
+    mCancelMemory.Add({ cancel->second.mAccount, false },
+                      -admission::kCancellationMemory);
     cancel = mUnmatchedCancels.erase(cancel);
   }
   // Job rows are removed before state rows: a job without a state row counts as
--- a/flamingoloom/node/table_watch.cpp
+++ b/flamingoloom/node/table_watch.cpp
@@ -6,12 +6,14 @@
                        std::string aTable,
                        std::vector<std::string> aPartitions,
                        TableWatchTiming aTiming,
-                       OnChange aOnChange)
+                       OnChange aOnChange,
+                       OnRead aOnRead)
   : mPorts(aPorts)
   , mTable(std::move(aTable))
   , mPartitions(std::move(aPartitions))
   , mTiming(aTiming)
   , mOnChange(std::move(aOnChange))
+  , mOnRead(std::move(aOnRead))
 {
 }
 
@@ -58,10 +60,15 @@
         snapshot.mStoreNowMs = aPage->mStoreNowMs;
         snapshot.mReceivedAt = self->mPorts.mLoop->Now();
       }
-      auto& rows = snapshot.mRows;
-      rows.insert(rows.end(), aPage->mRows.begin(), aPage->mRows.end());
+      const auto next =
+        aPage->mRows.empty() ? "" : aPage->mRows.back().mKey + '\0';
+      for (auto& row : aPage->mRows) {
+        if (self->mOnRead) {
+          self->mOnRead(row);
+        }
+        snapshot.mRows.push_back(std::move(row));
+      }
       if (aPage->mMore && !aPage->mRows.empty()) {
-        const auto next = aPage->mRows.back().mKey + '\0';
         self->ReadPage(aPartitionIndex, next, std::move(snapshot));
         return;
       }
@@ -69,12 +76,12 @@
         self->ReadPage(aPartitionIndex + 1, "", std::move(snapshot));
         return;
       }
-      self->ApplySnapshot(snapshot);
+      self->ApplySnapshot(std::move(snapshot));
       self->WaitForChanges();
     });
 }
 
-void TableWatch::ApplySnapshot(const Snapshot& aSnapshot)
+void TableWatch::ApplySnapshot(Snapshot aSnapshot)
 {
   RecordContact(aSnapshot.mStoreNowMs, aSnapshot.mReceivedAt);
   mVersion = aSnapshot.mVersion;
@@ -82,21 +89,23 @@
   std::vector<Row> changes;
   auto removed = std::move(mVersions);
   mVersions.clear();
-  for (const auto& row : aSnapshot.mRows) {
+  for (auto& row : aSnapshot.mRows) {
     const auto known = removed.find(row.mKey);
-    if (known == removed.end() || known->second != row.mVersion) {
-      changes.push_back(row);
-    }
+    const bool changed =
+      known == removed.end() || known->second != row.mVersion;
     if (known != removed.end()) {
       removed.erase(known);
     }
     mVersions[row.mKey] = row.mVersion;
+    if (changed) {
+      changes.push_back(std::move(row));
+    }
   }
   for (const auto& [key, version] : removed) {
     changes.push_back({ key, std::nullopt, mVersion });
   }
   mComplete = true;
-  mOnChange(changes);
+  mOnChange(std::move(changes));
 }
 
 void TableWatch::WaitForChanges()
@@ -139,7 +148,7 @@
       }
       self->mVersion = std::max(self->mVersion, aRows->mVersion);
       if (!changes.empty()) {
-        self->mOnChange(changes);
+        self->mOnChange(std::move(changes));
       }
       if (!self->mStopped) {
         self->WaitForChanges();
--- a/flamingoloom/node/table_watch.h
+++ b/flamingoloom/node/table_watch.h
@@ -37,14 +37,18 @@
 {
 public:
   // Called with the changed rows; removed rows have no value.
-  using OnChange = std::function<void(const std::vector<Row>&)>;
+  using OnChange = std::function<void(std::vector<Row>)>;
+  // Called with each row of a full snapshot as its page is read, which may be
+  // more than once. It may replace the value by one that takes less memory.
+  using OnRead = std::function<void(Row&)>;
 
   // aPartitions are all partitions that hold rows of the table.
   TableWatch(Ports aPorts,
              std::string aTable,
              std::vector<std::string> aPartitions,
              TableWatchTiming aTiming,
-             OnChange aOnChange);
+             OnChange aOnChange,
+             OnRead aOnRead = {});
 
   // Reads a full snapshot first.
   void Start();
@@ -82,7 +86,7 @@
   void ReadPage(std::size_t aPartitionIndex,
                 const std::string& aFrom,
                 Snapshot aEarlierPages);
-  void ApplySnapshot(const Snapshot& aSnapshot);
+  void ApplySnapshot(Snapshot aSnapshot);
   void WaitForChanges();
   void RetryAfter(base::Duration aDelay);
   // Retries a failed call.
@@ -95,6 +99,7 @@
   const std::vector<std::string> mPartitions;
   const TableWatchTiming mTiming;
   const OnChange mOnChange;
+  const OnRead mOnRead;
   std::map<std::string, std::int64_t> mVersions;
   std::int64_t mVersion = 0;
   base::Time mLastContact;
--- a/flamingoloom/scheduler/job_progress.cpp
+++ b/flamingoloom/scheduler/job_progress.cpp
@@ -72,6 +72,11 @@
   return record;
 }
 
+admission::MemoryClass MemoryClassOf(const Job& aJob)
+{
+  return admission::ClassOf(aJob.mSpec.mAccount, aJob.mSpec.mRules.mPriority);
+}
+
 Occurrence MakeOccurrence(Job& aJob, int aOccurrence)
 {
   Occurrence occurrence;
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "flamingoloom/admission/memory_use.h"
 #include "flamingoloom/base/ids.h"
 #include "flamingoloom/base/time.h"
 #include "flamingoloom/jobs/records.h"
@@ -147,10 +148,27 @@
   // Its account had submitted as many jobs as its rate allows when it was
   // accepted.
   bool mBeyondRate = false;
+  // Bytes that are counted for the job.
+  std::int64_t mMemory = 0;
 
   bool IsFinal() const { return jobs::IsFinal(mState); }
 };
 
+// What is kept of a job some time after its end, until its rows are removed.
+struct EndedJob
+{
+  admission::MemoryClass mMemoryClass;
+  std::int64_t mAcceptedMs = 0;
+  std::int64_t mEndedAtStoreMs = 0;
+  bool mCancelled = false;
+  // Occurrence and step of each row of a step.
+  std::vector<std::pair<int, int>> mStepRows;
+
+  friend bool operator==(const EndedJob&, const EndedJob&) = default;
+};
+
+admission::MemoryClass MemoryClassOf(const Job& aJob);
+
 Occurrence MakeOccurrence(Job& aJob, int aOccurrence);
 
 // Restores the state of a step from the record that a previous leader stored.
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -41,6 +41,9 @@
 
 void Scheduler::AddJob(Time aNow, jobs::JobSpec aSpec)
 {
+  if (IsEndedJob(aSpec.mId)) {
+    return;
+  }
   const auto [entry, added] = mJobs.try_emplace(aSpec.mId);
   if (!added) {
     return;
@@ -48,6 +51,8 @@
   entry->second = std::make_unique<Job>();
   Job& job = *entry->second;
   job.mSpec = std::move(aSpec);
+  job.mMemory = admission::JobMemory(job.mSpec);
+  mMemory.Add(MemoryClassOf(job), job.mMemory);
   job.mAcceptedAt = aNow;
   job.mUnfinishedOccurrences = job.mSpec.OccurrenceCount();
   job.mBeyondRate = mRates.IsBeyond(job.mSpec.mAccount, job.mSpec.mAcceptedMs);
@@ -182,6 +187,11 @@
 
 bool Scheduler::Cancel(const std::string& aJob)
 {
+  const auto ended = mEndedJobs.find(aJob);
+  if (ended != mEndedJobs.end()) {
+    ended->second.mCancelled = true;
+    return true;
+  }
   const auto entry = mJobs.find(aJob);
   if (entry == mJobs.end()) {
     return false;
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -119,6 +119,17 @@
 
   // Jobs. Adds an accepted job; does nothing if the job is known already.
   void AddJob(base::Time aNow, jobs::JobSpec aSpec);
+  // Adds a job of which a previous leader has stored the end, and of which no
+  // attempt can be under way.
+  void AddEndedJob(const std::string& aJob, EndedJob aEnded);
+  bool IsEndedJob(const std::string& aJob) const
+  {
+    return mEndedJobs.count(aJob) > 0;
+  }
+  bool IsKnownJob(const std::string& aJob) const
+  {
+    return IsEndedJob(aJob) || mJobs.count(aJob) > 0;
+  }
   // Restore what a previous leader stored. Call these after AddJob and before
   // Resume. They return false for a job or step that is not known.
   bool RestoreState(const std::string& aJob, const jobs::StateRecord& aState);
@@ -223,6 +234,12 @@
   // Removes some of the jobs that became final before aStoreMs on the store's
   // steady clock, and returns them.
   std::vector<ExpiredJob> TakeExpiredJobs(std::int64_t aStoreMs);
+  // Keeps only what EndedJob holds of the jobs that became final before
+  // aStoreMs, unless attempts of them may still run. No start of such a job may
+  // still be carried out.
+  void CompactEndedJobs(std::int64_t aStoreMs);
+  // The memory of all jobs, by an upper estimate.
+  const admission::MemoryUse& Memory() const { return mMemory; }
   // Returns the state of the fleet as of the last report of waiting work, which
   // passes make once a second.
   const FleetSummary& Summary() const { return mSummary; }
@@ -230,10 +247,15 @@
   jobs::QueueLengths QueueLengths() const;
 
   const Fleet& ServerFleet() const { return mFleet; }
+  // Without those that were compacted.
   const std::map<std::string, std::unique_ptr<Job>>& Jobs() const
   {
     return mJobs;
   }
+  const std::map<std::string, EndedJob>& EndedJobs() const
+  {
+    return mEndedJobs;
+  }
 
 private:
   struct WaitingStep
@@ -262,6 +284,9 @@
   void SetState(Job& aJob, jobs::JobState aState);
   void AddStepRow(StepState& aStep, Batch& aBatch);
   void AddStateRow(Job& aJob, std::int64_t aStoreNowMs, Batch& aBatch);
+  // Returns whether the job is final, its end is stored before aStoreMs, and
+  // none of its tasks is placed.
+  static bool HasEndedBefore(const Job& aJob, std::int64_t aStoreMs);
 
   // Assigns a waiting task to a server, which begins a new attempt.
   void Assign(StepState& aStep,
@@ -437,6 +462,9 @@
   // The jobs of mJobs that are not final. Those that are, which are kept for
   // callers, are many more.
   std::map<std::string, Job*> mActiveJobs;
+  // Not in mJobs.
+  std::map<std::string, EndedJob> mEndedJobs;
+  admission::MemoryUse mMemory;
   Fleet mFleet;
   // Servers with completions that are not stored yet.
   std::set<base::ServerId> mServersToAcknowledge;
--- a/flamingoloom/scheduler/scheduler_accounts.cpp
+++ b/flamingoloom/scheduler/scheduler_accounts.cpp
@@ -48,20 +48,34 @@
 void Scheduler::RecordRates()
 {
   mRates.Reset();
-  std::vector<Job*> byAcceptance;
-  byAcceptance.reserve(mJobs.size());
+  struct Accepted
+  {
+    std::int64_t mAcceptedMs;
+    const base::AccountId* mAccount;
+    // Null for a job that has ended.
+    Job* mJob;
+  };
+  std::vector<Accepted> byAcceptance;
+  byAcceptance.reserve(mJobs.size() + mEndedJobs.size());
   for (const auto& [id, job] : mJobs) {
-    byAcceptance.push_back(job.get());
+    byAcceptance.push_back(
+      { job->mSpec.mAcceptedMs, &job->mSpec.mAccount, job.get() });
+  }
+  for (const auto& [id, job] : mEndedJobs) {
+    byAcceptance.push_back(
+      { job.mAcceptedMs, &job.mMemoryClass.mAccount, nullptr });
   }
   std::stable_sort(byAcceptance.begin(),
                    byAcceptance.end(),
-                   [](const Job* aLeft, const Job* aRight) {
-                     return aLeft->mSpec.mAcceptedMs <
-                            aRight->mSpec.mAcceptedMs;
+                   [](const Accepted& aLeft, const Accepted& aRight) {
+                     return aLeft.mAcceptedMs < aRight.mAcceptedMs;
                    });
-  for (Job* job : byAcceptance) {
-    job->mBeyondRate =
-      mRates.IsBeyond(job->mSpec.mAccount, job->mSpec.mAcceptedMs);
+  for (const auto& accepted : byAcceptance) {
+    const bool beyond =
+      mRates.IsBeyond(*accepted.mAccount, accepted.mAcceptedMs);
+    if (accepted.mJob != nullptr) {
+      accepted.mJob->mBeyondRate = beyond;
+    }
   }
 }
 
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -20,9 +20,6 @@
 // Of these, rows that nobody waits for get at least this many, so that
 // completions are acknowledged in time also under a lasting load.
 constexpr std::size_t kMinProgressRowsPerBatch = 20;
-// Limits the work of garbage collection in one call, so that scheduling goes on
-// beside it.
-constexpr std::size_t kMaxExpiredJobsPerCall = 40;
 // The store accepts transactions of up to 1 MB; this leaves room for base64
 // encoding.
 constexpr std::size_t kMaxBytesPerBatch = std::size_t{ 500 } * 1024;
@@ -227,36 +224,4 @@
   return commands;
 }
 
-std::vector<ExpiredJob> Scheduler::TakeExpiredJobs(std::int64_t aStoreMs)
-{
-  std::vector<ExpiredJob> expired;
-  for (auto entry = mJobs.begin();
-       entry != mJobs.end() && expired.size() < kMaxExpiredJobsPerCall;) {
-    const Job& job = *entry->second;
-    bool busy =
-      job.mStateDirty || !job.IsFinal() || job.mEndedAtStoreMs >= aStoreMs;
-    ExpiredJob candidate{ entry->first, job.mCancelled, {} };
-    for (const auto& [number, occurrence] : job.mOccurrences) {
-      for (const auto& step : occurrence.mSteps) {
-        busy =
-          busy || step->mDirty ||
-          std::any_of(step->mTasks.begin(),
-                      step->mTasks.end(),
-                      [](const Task& aTask) { return IsPlaced(aTask.mPhase); });
-        if (step->mHasRow) {
-          candidate.mStepKeys.push_back(
-            jobs::StepKey(entry->first, number, step->mStep));
-        }
-      }
-    }
-    if (busy) {
-      ++entry;
-      continue;
-    }
-    expired.push_back(std::move(candidate));
-    entry = mJobs.erase(entry);
-  }
-  return expired;
-}
-
 } // namespace flamingoloom::scheduler
