Accepted jobs are bounded by the memory of the instance that leads

One key, eight connections and valid jobs with a specification of 4,000 bytes grew the leader on settings of 40 MB to 62 MB with 10,000 jobs (184 MB with 33,072), and the next leader to 154 MB; 32 requests of 1.7 KB with 75,000 tasks each to 472 MB; one job with 100,000 due occurrences to 67 MB.

Cause: only the bytes of a request were limited. What it leaves behind was not, neither by number nor by the tasks that it asks for.

Each job is counted by an upper estimate. Each account has two parts, for its urgent jobs and its others. So neither an account that sends most nor many of them can take the room of one that sends a little. The leader publishes its count with its renewals, when it has changed; each instance adds what it has accepted since, and bounds that by itself, so that many instances do not give away the same room.

A refusal is 429 with a time to come back, or 413 for a job that could never be accepted. It is sent only if the job's row was looked up, as an earlier request may have stored it; beyond 20 of these a second and account the answer is 504, which leaves that open. Cancellations of unknown jobs leave a row too and are counted alike. Known jobs can always be cancelled.

--- a/flamingoloom/event_loop/metrics.cpp
+++ b/flamingoloom/event_loop/metrics.cpp
@@ -56,6 +56,11 @@
         .Help("Requests of callers given up at the limit of memory.")
         .Register(*mRegistry)
         .Add({}))
+  , mJobMemory(prometheus::BuildGauge()
+                 .Name("flamingoloom_job_memory_bytes")
+                 .Help("Memory of all jobs as the leader estimates it")
+                 .Register(*mRegistry)
+                 .Add({}))
   , mServers(
       prometheus::BuildGauge()
         .Name("flamingoloom_servers")
@@ -110,6 +115,11 @@
   mRejectedRequests.Set(static_cast<double>(aRejected));
 }
 
+void Metrics::SetJobMemory(std::int64_t aBytes)
+{
+  mJobMemory.Set(static_cast<double>(aBytes));
+}
+
 void Metrics::SetFleet(const scheduler::FleetSummary& aSummary)
 {
   const auto setServers = [this](const char* aState, int aCount) {
--- a/flamingoloom/event_loop/metrics.h
+++ b/flamingoloom/event_loop/metrics.h
@@ -49,6 +49,10 @@
   // memory.
   void SetCallers(int aOpen, unsigned long aClosed, unsigned long aRejected);
 
+  // Sets the memory of all jobs as the leader estimates it; 0 on other
+  // instances.
+  void SetJobMemory(std::int64_t aBytes);
+
   // Sets the numbers of servers and accelerators as the leader knows them; all
   // are 0 on other instances.
   void SetFleet(const scheduler::FleetSummary& aSummary);
@@ -66,6 +70,7 @@
   prometheus::Gauge& mCallerConnections;
   prometheus::Gauge& mClosedCallers;
   prometheus::Gauge& mRejectedRequests;
+  prometheus::Gauge& mJobMemory;
   prometheus::Family<prometheus::Gauge>& mServers;
   prometheus::Family<prometheus::Gauge>& mAccelerators;
   std::map<std::string, prometheus::Counter*> mEventCounters;
--- a/flamingoloom/event_loop/metrics_test.cpp
+++ b/flamingoloom/event_loop/metrics_test.cpp
@@ -38,5 +38,14 @@
         std::string::npos);
 }
 
+// Guards against a limit that is reached without anything that shows it.
+TEST_CASE("The memory of jobs is shown")
+{
+  Metrics metrics;
+  metrics.SetJobMemory(5000);
+  CHECK(metrics.Text().find("flamingoloom_job_memory_bytes 5000") !=
+        std::string::npos);
+}
+
 } // namespace
 } // namespace flamingoloom::event_loop
--- a/flamingoloom/node/election.h
+++ b/flamingoloom/node/election.h
@@ -33,6 +33,9 @@
 inline constexpr double kClockSlack = 1.02;
 // The holder writes this row with its renewals; see jobs::QueueLengths.
 inline constexpr const char* kQueueLengthsKey = "queues";
+// The holder writes this row with a renewal when it has changed; see
+// admission::MemoryUse.
+inline constexpr const char* kJobMemoryKey = "memory";
 
 struct ElectionTiming
 {
--- a/flamingoloom/node/instance.cpp
+++ b/flamingoloom/node/instance.cpp
@@ -64,6 +64,12 @@
   return mLeader ? mLeader->Fleet() : scheduler::FleetSummary{};
 }
 
+std::int64_t Instance::JobMemory() const
+{
+  const auto use = mLeader ? mLeader->Memory() : std::nullopt;
+  return use ? use->Total() : 0;
+}
+
 void Instance::CheckReadiness()
 {
   ChooseOperatorSource();
@@ -104,9 +110,13 @@
       const auto bounds = DecodeLeaseBounds(row.mValue.value_or(""));
       mObservedLeaseBounds = bounds ? std::optional(*bounds) : std::nullopt;
     }
+    if (row.mKey == kJobMemoryKey) {
+      OnJobMemory(row);
+    }
     if (row.mKey != kQueueLengthsKey) {
       continue;
     }
+    mApi.OnJobsCounted(mLeaderWatch->LastContact());
     auto lengths = jobs::DecodeQueueLengths(row.mValue.value_or(""));
     if (lengths) {
       // The rows may have waited for this process.
@@ -125,6 +135,19 @@
   ScheduleClaim();
 }
 
+void Instance::OnJobMemory(const Row& aRow)
+{
+  auto use = admission::DecodeMemoryUse(aRow.mValue.value_or(""));
+  if (!use) {
+    mPorts.mLog->Write(
+      "row_unreadable",
+      { { "key", aRow.mKey }, { "error", use.error().ToString() } });
+    return;
+  }
+  mApi.SetJobMemory(std::move(*use));
+  mApi.OnJobsCounted(mLeaderWatch->LastContact());
+}
+
 void Instance::ScheduleClaim()
 {
   const auto at = mElection.ClaimAt();
@@ -198,6 +221,7 @@
           // return before the object is destroyed.
           mPorts.mLoop->After(base::Duration(0), [this] { EndLeadership(); });
         });
+      mSentJobMemory.clear();
       if (mOperators.mConfiguration) {
         mLeader->SetConfiguration(*mOperators.mConfiguration);
       }
@@ -211,6 +235,35 @@
     });
 }
 
+void Instance::AddCounts(Transaction& aRenewal)
+{
+  const auto lengths = mLeader->QueueLengths();
+  const auto memory = mLeader->Memory();
+  if (!lengths || !memory) {
+    return;
+  }
+  auto value = jobs::EncodeQueueLengths(*lengths);
+  // The store would reject the whole renewal. Callers who ask for a length are
+  // asked to come back instead.
+  const bool fits = value.size() <= jobs::kMaxValueBytes;
+  if (fits) {
+    aRenewal.mChanges.push_back(
+      { kLeaderTable, kQueueLengthsKey, std::move(value), std::nullopt });
+  } else {
+    mPorts.mLog->Write("queue_lengths_too_large",
+                       { { "queues", std::to_string(lengths->size()) },
+                         { "bytes", std::to_string(value.size()) } });
+  }
+  auto use =
+    admission::EncodeMemoryUse(*memory, mSettings.mApi.mAdmission.mLimit);
+  // Either row tells the other instances that the leader counts.
+  if (use != mSentJobMemory || !fits) {
+    mSentJobMemory = use;
+    aRenewal.mChanges.push_back(
+      { kLeaderTable, kJobMemoryKey, std::move(use), std::nullopt });
+  }
+}
+
 void Instance::Renew()
 {
   if (!mLeader || !mElection.IsLeading() || mRenewalsInFlight > 0) {
@@ -219,19 +272,7 @@
   ++mRenewalsInFlight;
   const Time sentAt = mPorts.mLoop->Now();
   auto renewal = mElection.Renewal(sentAt);
-  if (const auto lengths = mLeader->QueueLengths()) {
-    auto value = jobs::EncodeQueueLengths(*lengths);
-    // The store would reject the whole renewal. Callers who ask for a length
-    // are asked to come back instead.
-    if (value.size() <= jobs::kMaxValueBytes) {
-      renewal.mChanges.push_back(
-        { kLeaderTable, kQueueLengthsKey, std::move(value), std::nullopt });
-    } else {
-      mPorts.mLog->Write("queue_lengths_too_large",
-                         { { "queues", std::to_string(lengths->size()) },
-                           { "bytes", std::to_string(value.size()) } });
-    }
-  }
+  AddCounts(renewal);
   PublishOperators();
   const auto snapshot = mReplica->PublishedId();
   if (snapshot && HasLeaderRead()) {
@@ -258,6 +299,9 @@
       if (!mLeader) {
         return;
       }
+      if (!aResult || !aResult->mApplied) {
+        mSentJobMemory.clear();
+      }
       if (aResult && aResult->mApplied && bounds) {
         mLeader->OnLeaseBoundsStored(*bounds);
       }
--- a/flamingoloom/node/instance.h
+++ b/flamingoloom/node/instance.h
@@ -73,6 +73,9 @@
   // The servers as this instance knows them while it is the leader; empty
   // otherwise.
   scheduler::FleetSummary Fleet() const;
+  // The memory of all jobs in bytes, by an upper estimate, while this instance
+  // is the leader; 0 otherwise.
+  std::int64_t JobMemory() const;
   // How long ago the active configuration was certainly the newest one.
   base::Duration ConfigurationAge() const;
 
@@ -105,9 +108,12 @@
   // When the state of the operators' table was certainly the newest one.
   base::Time ConfirmedAt() const;
   void OnLeaderRows(const std::vector<Row>& aRows);
+  void OnJobMemory(const Row& aRow);
   void ScheduleClaim();
   void TryClaim();
   void Renew();
+  // Adds the rows of what the leader has counted to a renewal.
+  void AddCounts(Transaction& aRenewal);
   void EndLeadership();
   // Releases leadership, and leaves aBounds to the successor.
   void Release(const std::optional<LeaseBounds>& aBounds);
@@ -130,6 +136,8 @@
   std::shared_ptr<TableWatch> mLeaderWatch;
   std::shared_ptr<SnapshotReplica> mReplica;
   std::shared_ptr<Leader> mLeader;
+  // The row kJobMemoryKey that the current leader, this instance, last sent.
+  std::string mSentJobMemory;
   // As observed in the leader's table. A claim is applied only if no renewal
   // has come after what was observed, so this is what the predecessor left.
   std::optional<LeaseBounds> mObservedLeaseBounds;
--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -1,6 +1,7 @@
 #include "flamingoloom/node/job_api.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "flamingoloom/jobs/records.h"
 
@@ -50,6 +51,7 @@
 JobApi::JobApi(Ports aPorts, JobApiSettings aSettings)
   : mPorts(aPorts)
   , mSettings(aSettings)
+  , mAdmission(aSettings.mAdmission)
 {
 }
 
@@ -58,6 +60,7 @@
 {
   if (!mConfiguration || aConfiguration->mVersion > mConfiguration->mVersion) {
     mConfiguration = std::move(aConfiguration);
+    mAdmission.SetAccounts(mConfiguration->mAccounts.size());
   }
 }
 
@@ -68,6 +71,13 @@
   return response;
 }
 
+CallerResponse JobApi::NoRoom() const
+{
+  CallerResponse response = MakeResponse(CallerStatus::eNoRoom);
+  response.mRetryAfter = mSettings.mNoRoomRetryAfter;
+  return response;
+}
+
 std::optional<JobApi::ResolvedTarget> JobApi::Resolve(
   const CallerTarget& aTarget,
   const Callback& aThen)
@@ -172,17 +182,62 @@
     aThen(RetryLater());
     return;
   }
+  const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
+  const auto admitted = mAdmission.TryAdmit(
+    mPorts.mLoop->Now(),
+    admission::ClassOf(job->mAccount, job->mRules.mPriority),
+    admission::JobMemory(*job));
+  if (!admitted) {
+    RefuseForMemory(*resolved, admitted.error(), until, aThen);
+    return;
+  }
   StoreJob(std::make_shared<const Submission>(
              Submission{ resolved->mJob,
                          resolved->mAccount,
                          resolved->mQueue->mRules.mQueue,
                          std::move(value),
-                         mPorts.mLoop->Now() + aTarget.mCallerTimeout,
+                         *admitted,
+                         until,
                          std::move(aThen) }),
            1,
            false);
 }
 
+void JobApi::RefuseForMemory(const ResolvedTarget& aResolved,
+                             admission::Refusal aRefusal,
+                             Time aUntil,
+                             const Callback& aThen)
+{
+  const bool tooLarge = aRefusal == admission::Refusal::eTooLarge;
+  mPorts.mLog->Write("job_refused",
+                     { { "job", aResolved.mJob },
+                       { "account", aResolved.mAccount.Value() },
+                       { "reason", tooLarge ? "too_large" : "no_memory" } });
+  if (tooLarge) {
+    aThen(MakeResponse(CallerStatus::eTooLarge));
+    return;
+  }
+  const Time now = mPorts.mLoop->Now();
+  auto& nextCheck = mNextRefusalCheck[aResolved.mAccount];
+  if (now < nextCheck) {
+    aThen(MakeResponse(CallerStatus::eUnknown));
+    return;
+  }
+  nextCheck = now + mSettings.mRefusalCheckInterval;
+  ReadRow(
+    jobs::kJobTable,
+    jobs::PartitionOfJob(aResolved.mJob),
+    aResolved.mJob,
+    aUntil,
+    1,
+    [this, aThen](const std::optional<std::string>& aValue) {
+      aThen(aValue ? MakeResponse(CallerStatus::eAccepted) : NoRoom());
+    },
+    [aThen](const CallerResponse&) {
+      aThen(MakeResponse(CallerStatus::eUnknown));
+    });
+}
+
 void JobApi::StoreJob(const SubmissionPtr& aSubmission,
                       int aCallAttempt,
                       bool aUnknown)
@@ -256,6 +311,11 @@
                              CallerStatus aStatus,
                              const char* aOutcome)
 {
+  // What was stored by an earlier request was counted with that.
+  if (aStatus == CallerStatus::eRetryLater ||
+      std::string_view(aOutcome) == "already_stored") {
+    mAdmission.Withdraw(aSubmission.mTicket);
+  }
   mPorts.mLog->Write(
     "job_submitted",
     { { "job", aSubmission.mJob },
@@ -442,12 +502,34 @@
         aThen(MakeResponse(CallerStatus::eNoSuchJob));
         return;
       }
-      const bool known = aState.has_value();
+      if (aState) {
+        MarkCancelled(job, account, until, 1, false, aThen);
+        return;
+      }
       // Unknown jobs are marked too: their submission may still be in flight.
+      const auto admitted =
+        mAdmission.TryAdmit(mPorts.mLoop->Now(),
+                            admission::MemoryClass{ account, false },
+                            admission::kCancellationMemory);
+      if (!admitted) {
+        mPorts.mLog->Write("cancel_refused",
+                           { { "job", job },
+                             { "account", account.Value() },
+                             { "reason", "no_memory" } });
+        aThen(NoRoom());
+        return;
+      }
       MarkCancelled(
-        job, until, 1, false, [known, aThen](CallerResponse aResponse) {
-          if (aResponse.mCallerStatus == CallerStatus::eCancelled && !known) {
+        job,
+        account,
+        until,
+        1,
+        false,
+        [this, ticket = *admitted, aThen](CallerResponse aResponse) {
+          if (aResponse.mCallerStatus == CallerStatus::eCancelled) {
             aResponse.mCallerStatus = CallerStatus::eNoSuchJob;
+          } else if (aResponse.mCallerStatus == CallerStatus::eRetryLater) {
+            mAdmission.Withdraw(ticket);
           }
           aThen(aResponse);
         });
@@ -456,21 +538,28 @@
 }
 
 void JobApi::MarkCancelled(const std::string& aJob,
+                           const base::AccountId& aAccount,
                            Time aUntil,
                            int aCallAttempt,
                            bool aUnknown,
                            Callback aThen)
 {
-  const Transaction transaction{
-    jobs::PartitionOfJob(aJob),
-    {},
-    { { jobs::kJobTable, jobs::CancelKey(aJob), "", std::nullopt } }
-  };
+  const Transaction transaction{ jobs::PartitionOfJob(aJob),
+                                 {},
+                                 { { jobs::kJobTable,
+                                     jobs::CancelKey(aJob),
+                                     aAccount.Value(),
+                                     std::nullopt } } };
   mPorts.mStore->Commit(
     transaction,
     CallTimeout(aUntil),
-    [this, aJob, aUntil, aCallAttempt, aUnknown, then = std::move(aThen)](
-      base::Expected<CommitResult> aResult) {
+    [this,
+     aJob,
+     aAccount,
+     aUntil,
+     aCallAttempt,
+     aUnknown,
+     then = std::move(aThen)](base::Expected<CommitResult> aResult) {
       if (aResult && aResult->mApplied) {
         mPorts.mLog->Write("cancel_stored", { { "job", aJob } });
         then(MakeResponse(CallerStatus::eCancelled));
@@ -481,11 +570,12 @@
         (!aResult && aResult.error().mCode == ErrorCode::eOutcomeUnknown);
       // Writing the cancellation marker again has no further effect.
       if (MayRetry(aUntil, aCallAttempt, false)) {
-        mPorts.mLoop->After(mSettings.mRetryDelay,
-                            [this, aJob, aUntil, aCallAttempt, unknown, then] {
-                              MarkCancelled(
-                                aJob, aUntil, aCallAttempt + 1, unknown, then);
-                            });
+        mPorts.mLoop->After(
+          mSettings.mRetryDelay,
+          [this, aJob, aAccount, aUntil, aCallAttempt, unknown, then] {
+            MarkCancelled(
+              aJob, aAccount, aUntil, aCallAttempt + 1, unknown, then);
+          });
         return;
       }
       then(unknown ? MakeResponse(CallerStatus::eUnknown) : RetryLater());
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -6,10 +6,12 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "flamingoloom/admission/job_admission.h"
 #include "flamingoloom/jobs/records.h"
 #include "flamingoloom/node/configuration.h"
 #include "flamingoloom/node/ports.h"
@@ -26,7 +28,8 @@
   eNoSuchJob,
   eUnknownKey,
   eMalformed,
-  // The job was not accepted: it does not fit into a row of the store.
+  // The job was not accepted: it does not fit into a row of the store, or into
+  // the memory for jobs.
   eTooLarge,
   // The job was certainly not accepted, or not cancelled; the caller may retry
   // later.
@@ -34,6 +37,9 @@
   // The job was not accepted: a gang in it is larger than what its account may
   // have running.
   eOverMaximum,
+  // The job was not accepted, or not cancelled: the jobs of its account take as
+  // much memory as they may.
+  eNoRoom,
   // The job may have been accepted, or cancelled; a retry with the same id
   // shows whether it was.
   eUnknown,
@@ -44,7 +50,7 @@
   CallerStatus mCallerStatus = CallerStatus::eRetryLater;
   jobs::JobState mState = jobs::JobState::eQueued;
   std::int64_t mPendingJobs = 0;
-  // Set for eRetryLater and eOverMaximum only.
+  // Set for eRetryLater, eOverMaximum and eNoRoom only.
   base::Duration mRetryAfter{ 0 };
 };
 
@@ -81,6 +87,14 @@
   // Share by which a gang may exceed the maximum if nothing else of its account
   // runs.
   double mLimitTolerance = 0.0;
+  admission::JobAdmissionSettings mAdmission;
+  // How long a caller is asked to wait whose account's jobs take as much memory
+  // as they may. Jobs take seconds to end.
+  base::Duration mNoRoomRetryAfter = std::chrono::seconds(5);
+  // Interval between two reads for one account that show whether a job that is
+  // refused for want of memory was stored by an earlier request. In between
+  // the outcome is told as unknown, so that refusals cost few calls.
+  base::Duration mRefusalCheckInterval = std::chrono::milliseconds(50);
 };
 
 // A circuit breaker for the store's writes: while they fail or are slow,
@@ -129,6 +143,14 @@
   // aNow is when aLengths was received.
   void SetQueueLengths(base::Time aNow, jobs::QueueLengths aLengths);
 
+  // The memory of all jobs as the leader has published it.
+  void SetJobMemory(admission::MemoryUse aUse)
+  {
+    mAdmission.OnPublished(std::move(aUse));
+  }
+  // A leader has published at aNow what it has counted.
+  void OnJobsCounted(base::Time aNow) { mAdmission.OnCounted(aNow); }
+
   // aReadJob decodes the job from the request's body; it is called only if the
   // queue and the key are valid.
   void Submit(const CallerTarget& aTarget,
@@ -160,11 +182,17 @@
     std::string mQueue;
     // The encoded job.
     std::string mValue;
+    admission::JobAdmission::Ticket mTicket = 0;
     base::Time mUntil;
     Callback mThen;
   };
   using SubmissionPtr = std::shared_ptr<const Submission>;
 
+  // Responds to a submission that is not admitted.
+  void RefuseForMemory(const ResolvedTarget& aResolved,
+                       admission::Refusal aRefusal,
+                       base::Time aUntil,
+                       const Callback& aThen);
   // aUnknown is whether an earlier call may have stored the job.
   void StoreJob(const SubmissionPtr& aSubmission,
                 int aCallAttempt,
@@ -178,8 +206,10 @@
                        int aCallAttempt,
                        CallerStatus aStatus,
                        const char* aOutcome);
-  // aUnknown is whether an earlier call may have stored the marker.
+  // aUnknown is whether an earlier call may have stored the marker. The leader
+  // counts the markers of unknown jobs for aAccount.
   void MarkCancelled(const std::string& aJob,
+                     const base::AccountId& aAccount,
                      base::Time aUntil,
                      int aCallAttempt,
                      bool aUnknown,
@@ -203,6 +233,7 @@
   bool MayRetry(base::Time aUntil, int aCallAttempt, bool aUnknown) const;
   base::Duration CallTimeout(base::Time aUntil) const;
   CallerResponse RetryLater() const;
+  CallerResponse NoRoom() const;
 
   const Ports mPorts;
   const JobApiSettings mSettings;
@@ -210,6 +241,9 @@
   base::Time mConfigurationValidUntil;
   bool mStoreReachable = false;
   StoreCircuitBreaker mStoreBreaker;
+  admission::JobAdmission mAdmission;
+  // When the next refusal of an account may be checked.
+  std::map<base::AccountId, base::Time> mNextRefusalCheck;
   jobs::QueueLengths mQueueLengths;
   std::optional<base::Time> mQueueLengthsReceivedAt;
 };
--- a/testing/platform_world/job_api_test.cpp
+++ b/testing/platform_world/job_api_test.cpp
@@ -35,7 +35,8 @@
 
 struct Fixture
 {
-  Fixture()
+  explicit Fixture(node::JobApiSettings aSettings = {})
+    : mApi{ { &mLoop, &mStoreConnection, nullptr, nullptr, &mLog }, aSettings }
   {
     mApi.SetConfiguration(
       std::make_shared<const node::Configuration>(OneQueue()));
@@ -48,10 +49,42 @@
   StoreConnection mStoreConnection{ mStore, mClock };
   ClockLoop mLoop{ mClock };
   SilentLog mLog;
-  node::JobApi mApi{ { &mLoop, &mStoreConnection, nullptr, nullptr, &mLog },
-                     {} };
+  node::JobApi mApi;
 };
 
+// Room for some jobs of Job, of which the leader counts none.
+node::JobApiSettings SmallMemory()
+{
+  node::JobApiSettings settings;
+  settings.mAdmission.mLimit = 100'000;
+  settings.mAdmission.mUncountedDivisor = 8;
+  return settings;
+}
+
+node::CallerResponse SubmitJob(Fixture& aFixture, const jobs::JobSpec& aJob)
+{
+  node::CallerResponse response;
+  aFixture.mApi.Submit(
+    { "host", "/q/" + aJob.mId, "", seconds(3) },
+    [&aJob] { return base::Expected<jobs::JobSpec>(aJob); },
+    [&response](const node::CallerResponse& aResponse) {
+      response = aResponse;
+    });
+  aFixture.mClock.RunFor(seconds(1));
+  return response;
+}
+
+node::CallerResponse CancelJob(Fixture& aFixture, const std::string& aJob)
+{
+  node::CallerResponse response;
+  aFixture.mApi.Cancel({ "host", "/q/" + aJob, "", seconds(3) },
+                       [&response](const node::CallerResponse& aResponse) {
+                         response = aResponse;
+                       });
+  aFixture.mClock.RunFor(seconds(1));
+  return response;
+}
+
 // Guards against submissions that queue behind each other in one partition of
 // the store: with 250 ms for a transaction, a partition applies only 4 a
 // second.
@@ -156,5 +189,70 @@
   CHECK(refused.mRetryAfter.count() > 0);
 }
 
+// Guards against jobs that are accepted without end, and against a refusal of
+// one that an earlier request has stored: it says that the job never runs.
+TEST_CASE("Jobs beyond the memory are refused, but for those that are stored")
+{
+  Fixture fixture(SmallMemory());
+  int accepted = 0;
+  while (SubmitJob(fixture, Job(accepted)).mCallerStatus ==
+         node::CallerStatus::eAccepted) {
+    ++accepted;
+    REQUIRE(accepted < 100);
+  }
+  CHECK(accepted > 0);
+  const auto refused = SubmitJob(fixture, Job(accepted));
+  CHECK(refused.mCallerStatus == node::CallerStatus::eNoRoom);
+  CHECK(refused.mRetryAfter.count() > 0);
+  CHECK(SubmitJob(fixture, Job(0)).mCallerStatus ==
+        node::CallerStatus::eAccepted);
+  // What was accepted can be cancelled all the same.
+  CHECK(CancelJob(fixture, Job(0).mId).mCallerStatus ==
+        node::CallerStatus::eCancelled);
+  fixture.mApi.OnJobsCounted(fixture.mClock.Now() + seconds(3));
+  CHECK(SubmitJob(fixture, Job(accepted)).mCallerStatus ==
+        node::CallerStatus::eAccepted);
+}
+
+// Guards against refusals that cost the store as many reads as there are
+// requests. What is not looked up is not said to be refused.
+TEST_CASE("Of refusals in quick succession only some are looked up")
+{
+  auto settings = SmallMemory();
+  settings.mRefusalCheckInterval = seconds(10);
+  Fixture fixture(settings);
+  int number = 0;
+  while (SubmitJob(fixture, Job(number)).mCallerStatus ==
+         node::CallerStatus::eAccepted) {
+    ++number;
+  }
+  CHECK(SubmitJob(fixture, Job(number)).mCallerStatus ==
+        node::CallerStatus::eUnknown);
+}
+
+// Guards against markers that are stored for any id that is made up.
+TEST_CASE("Cancellations of unknown jobs are refused beyond the memory")
+{
+  Fixture fixture(SmallMemory());
+  int marked = 0;
+  while (CancelJob(fixture, Job(marked).mId).mCallerStatus ==
+         node::CallerStatus::eNoSuchJob) {
+    ++marked;
+    REQUIRE(marked < 100);
+  }
+  CHECK(marked > 0);
+  CHECK(CancelJob(fixture, Job(marked).mId).mCallerStatus ==
+        node::CallerStatus::eNoRoom);
+}
+
+// Guards against a caller that is asked to come back for ever.
+TEST_CASE("A job that can never be accepted is refused for good")
+{
+  Fixture fixture(SmallMemory());
+  auto job = Job(1);
+  job.mSteps[0].mTaskCount = 500;
+  CHECK(SubmitJob(fixture, job).mCallerStatus == node::CallerStatus::eTooLarge);
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
