Leader: commands that are sent to servers at once are bounded

Cause: all tasks that fit are started as soon as their assignments are stored, and tasks without resources fit without end. The specification was copied into the command, the call, its check before sending and the body.

Commands share the specification of their job. The leader sends as many as fit into a sixteenth of the machine's memory until they are answered, urgent starts first; a quarter of that is kept for these and for stops, so that others that get no answer do not hold them back. The rest waits in the scheduler. In calm nothing waits: a start counts for some 4.5 KB, which are 2,300 starts in flight on a machine of 160 MB.

--- a/flamingoloom/node/leader.cpp
+++ b/flamingoloom/node/leader.cpp
@@ -55,6 +55,11 @@
 
 void Leader::Start()
 {
+  mCommandsInFlight.emplace(mTiming.mCommandBudget, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCommandEnded();
+    }
+  });
   LoadLeaseBounds();
 }
 
@@ -283,10 +288,11 @@
     // deposed leader. A server that has restarted does not know that yet.
     return;
   }
-  const auto commands = mScheduler.TakeCommands();
+  const auto commands = mScheduler.TakeCommands(mCommandsInFlight->Left());
   for (const auto& stop : commands.mStops) {
     if (ServerSession* session = SessionFor(stop.mServer)) {
-      session->Stop(stop);
+      session->Stop(stop,
+                    mCommandsInFlight->Count(scheduler::kStopCommandMemory));
     }
   }
   for (const auto& start : commands.mStarts) {
@@ -296,8 +302,24 @@
         mPorts.mLoop->Now(), start, scheduler::StartResult::eTooLate, false);
       continue;
     }
-    session->Start(start);
+    session->Start(start,
+                   mCommandsInFlight->Count(scheduler::CommandMemory(start)));
+  }
+}
+
+void Leader::OnCommandEnded()
+{
+  if (mSendPending || mPhase != Phase::eScheduling ||
+      !mScheduler.HasCommands()) {
+    return;
   }
+  mSendPending = true;
+  mPorts.mLoop->After(base::Duration(0), [self = shared_from_this()] {
+    self->mSendPending = false;
+    if (self->mPhase == Phase::eScheduling) {
+      self->SendCommands();
+    }
+  });
 }
 
 std::int64_t Leader::StoreNowMs() const
--- a/flamingoloom/node/leader.h
+++ b/flamingoloom/node/leader.h
@@ -54,6 +54,10 @@
   // A store that is slow by a factor of 92 responds after 0.7 s.
   base::Duration mReadTimeout = std::chrono::milliseconds(1000);
   base::Duration mCommitTimeout = std::chrono::milliseconds(1000);
+  // Memory of the commands that are being sent to servers. A command to a
+  // server that does not respond counts for up to 1.8 s.
+  scheduler::CommandBudget mCommandBudget{ std::int64_t{ 10 } * 1024 * 1024,
+                                           std::int64_t{ 2560 } * 1024 };
   // Delay after a failed commit; it doubles up to mMaxCommitRetryDelay, since
   // the platform charges for rejected calls too.
   base::Duration mCommitRetryDelay = std::chrono::milliseconds(50);
@@ -172,8 +176,9 @@
   // Identifies the current batch among those of all epochs.
   std::string BatchName() const;
   // Sends the commands of the scheduler that may be sent, or keeps them until
-  // the lease is renewed.
+  // the lease is renewed, or earlier ones have ended.
   void SendCommands();
+  void OnCommandEnded();
   // Logs once how long it took until the listed servers had responded to this
   // epoch, so that tasks may start on them.
   void LogFencing();
@@ -252,6 +257,8 @@
   std::vector<Transaction> mPendingRemovals;
   std::int64_t mStoreMs = 0;
   base::Time mStoreMsReadAt;
+  std::optional<CommandsInFlight> mCommandsInFlight;
+  bool mSendPending = false;
   bool mCommitting = false;
   // Number of this epoch's current batch, and the version of the row kBatchKey.
   std::uint64_t mBatchNumber = 0;
--- a/flamingoloom/node/server_session.cpp
+++ b/flamingoloom/node/server_session.cpp
@@ -281,9 +281,12 @@
   RequestReport();
 }
 
-void ServerSession::Start(const scheduler::StartCommand& aCommand)
+void ServerSession::Start(const scheduler::StartCommand& aCommand,
+                          CommandsInFlight::Counted aCounted)
 {
-  SendStart({ aCommand });
+  StartCall call{ aCommand };
+  call.mCounted = std::move(aCounted);
+  SendStart(std::move(call));
 }
 
 void ServerSession::SendStart(StartCall aCall)
@@ -361,7 +364,8 @@
                   aCall.mNumber + 1,
                   true,
                   aCall.mStraysUntil,
-                  aCall.mStraysUntil });
+                  aCall.mStraysUntil,
+                  aCall.mCounted });
       return;
     }
   } else {
@@ -370,27 +374,29 @@
   mEvents.mOnStart(aCall.mCommand, aResponse.mResult, aCall.mEarlierUnknown);
 }
 
-void ServerSession::Stop(const scheduler::StopCommand& aCommand)
+void ServerSession::Stop(const scheduler::StopCommand& aCommand,
+                         CommandsInFlight::Counted aCounted)
 {
-  mPorts.mServers->Stop(mServer,
-                        aCommand,
-                        mToken,
-                        mTiming.mCommandTimeout,
-                        [self = shared_from_this(), aCommand](bool aResponded) {
-                          if (self->mClosed) {
-                            return;
-                          }
-                          if (aResponded) {
-                            self->mEvents.mOnStop(aCommand, true);
-                            return;
-                          }
-                          self->mPorts.mLoop->After(
-                            self->mTiming.mRetryDelay, [self, aCommand] {
-                              if (!self->mClosed) {
-                                self->mEvents.mOnStop(aCommand, false);
-                              }
-                            });
-                        });
+  mPorts.mServers->Stop(
+    mServer,
+    aCommand,
+    mToken,
+    mTiming.mCommandTimeout,
+    [self = shared_from_this(), aCommand, counted = std::move(aCounted)](
+      bool aResponded) {
+      if (self->mClosed) {
+        return;
+      }
+      if (aResponded) {
+        self->mEvents.mOnStop(aCommand, true);
+        return;
+      }
+      self->mPorts.mLoop->After(self->mTiming.mRetryDelay, [self, aCommand] {
+        if (!self->mClosed) {
+          self->mEvents.mOnStop(aCommand, false);
+        }
+      });
+    });
 }
 
 } // namespace flamingoloom::node
--- a/flamingoloom/node/server_session.h
+++ b/flamingoloom/node/server_session.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "flamingoloom/node/commands_in_flight.h"
 #include "flamingoloom/node/ports.h"
 
 namespace flamingoloom::node {
@@ -109,8 +110,11 @@
   // Requests a report that grants a lease, now that one may be granted. Does
   // nothing if the server does not respond.
   void RequestLease();
-  void Start(const scheduler::StartCommand& aCommand);
-  void Stop(const scheduler::StopCommand& aCommand);
+  // aCounted is kept until the command has ended, with all of its calls.
+  void Start(const scheduler::StartCommand& aCommand,
+             CommandsInFlight::Counted aCounted);
+  void Stop(const scheduler::StopCommand& aCommand,
+            CommandsInFlight::Counted aCounted);
   void Close() { mClosed = true; }
 
 private:
@@ -139,6 +143,7 @@
     // the earlier calls and by all of them.
     base::Time mEarlierStrayUntil;
     base::Time mStraysUntil;
+    CommandsInFlight::Counted mCounted;
   };
   void SendStart(StartCall aCall);
   // aMinClockMs is the least that the server's clock showed when the call was
--- a/flamingoloom/scheduler/job_progress.h
+++ b/flamingoloom/scheduler/job_progress.h
@@ -134,7 +134,9 @@
 
 struct Job
 {
+  // Without the payload.
   jobs::JobSpec mSpec;
+  std::shared_ptr<const std::string> mPayload;
   jobs::JobState mState = jobs::JobState::eQueued;
   base::Time mAcceptedAt;
   std::int64_t mEndedAtStoreMs = 0;
--- a/flamingoloom/scheduler/scheduler.cpp
+++ b/flamingoloom/scheduler/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "flamingoloom/scheduler/scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingoloom::scheduler {
 
@@ -53,6 +54,8 @@
   job.mSpec = std::move(aSpec);
   job.mMemory = admission::JobMemory(job.mSpec);
   mMemory.Add(MemoryClassOf(job), job.mMemory);
+  job.mPayload =
+    std::make_shared<const std::string>(std::exchange(job.mSpec.mPayload, {}));
   job.mAcceptedAt = aNow;
   job.mUnfinishedOccurrences = job.mSpec.OccurrenceCount();
   job.mBeyondRate = mRates.IsBeyond(job.mSpec.mAccount, job.mSpec.mAcceptedMs);
--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -93,6 +94,20 @@
   std::vector<StopCommand> mStops;
 };
 
+// The memory that commands may take until they are answered, in bytes.
+struct CommandBudget
+{
+  std::int64_t mBytes = std::numeric_limits<std::int64_t>::max();
+  // The part of it that only stops and starts of priority 0 may use.
+  std::int64_t mReservedBytes = 0;
+
+  friend bool operator==(const CommandBudget&, const CommandBudget&) = default;
+};
+
+// Upper estimates of the memory of a command that is being sent.
+std::int64_t CommandMemory(const StartCommand& aStart);
+inline constexpr std::int64_t kStopCommandMemory = 4096;
+
 // A final job that is no longer kept, with the keys of its rows to delete.
 struct ExpiredJob
 {
@@ -218,8 +233,10 @@
   std::vector<base::ServerId> OnStored(base::Time aNow, const Batch& aBatch);
   // Returns whether there are commands to send.
   bool HasCommands() const { return !mStarts.empty() || !mStops.empty(); }
-  // Returns the commands that may be sent now, and removes them here.
-  TaskCommands TakeCommands();
+  // Returns the commands that may be sent now, and removes them here: stops,
+  // then starts by their priority, as long as aBudget allows. What it does not
+  // allow waits for the next call.
+  TaskCommands TakeCommands(CommandBudget aBudget = {});
 
   // Returns the highest number of a completion of the server that may be
   // acknowledged, as it is stored with all before it.
@@ -496,6 +513,7 @@
   std::uint64_t mStoredChangeNumber = 0;
   // Tasks whose assignment is in the batch that is being stored.
   std::vector<std::pair<StepState*, int>> mAssignedInBatch;
+  // By priority, from the call of TakeCommands on that left them here.
   std::vector<StartCommand> mStarts;
   std::set<StopCommand> mStops;
 };
--- a/flamingoloom/scheduler/scheduler_memory_test.cpp
+++ b/flamingoloom/scheduler/scheduler_memory_test.cpp
@@ -80,6 +80,38 @@
   CHECK(expired[0].mCancelled);
 }
 
+// Guards against thousands of starts that are sent at once, each with its copy
+// of the specification, and against urgent work that waits behind them.
+TEST_CASE("Starts beyond the budget wait, urgent ones at the front")
+{
+  Fixture fixture;
+  fixture.AddServers(2);
+  auto job = Fixture::MakeJob("a", 8, 1);
+  job.mPayload = std::string(4000, 'x');
+  fixture.Add(job);
+  fixture.mScheduler.Schedule(fixture.mNow, fixture.mUnixMs);
+  fixture.Store();
+  auto urgent = Fixture::MakeJob("b", 1, 1);
+  urgent.mRules.mPriority = 0;
+  fixture.Add(urgent);
+  fixture.mScheduler.Schedule(fixture.mNow, fixture.mUnixMs);
+  fixture.Store();
+  StartCommand large;
+  large.mPayload = std::make_shared<const std::string>(job.mPayload);
+  const auto bytes = CommandMemory(large);
+  // The urgent start is small. Of the others one fits beside it, since the
+  // room of another is reserved.
+  const auto first = fixture.mScheduler.TakeCommands({ 3 * bytes, bytes });
+  REQUIRE(first.mStarts.size() == 2);
+  CHECK(first.mStarts[0].mAttempt.mTask.mJob == "b");
+  CHECK(first.mStarts[1].mAttempt.mTask.mJob == "a");
+  CHECK(*first.mStarts[1].mPayload == job.mPayload);
+  CHECK(fixture.mScheduler.HasCommands());
+  CHECK(fixture.mScheduler.TakeCommands({ bytes, bytes }).mStarts.empty());
+  CHECK(fixture.mScheduler.TakeCommands().mStarts.size() == 7);
+  CHECK(!fixture.mScheduler.HasCommands());
+}
+
 // Guards against a change of leader that gives an account its rate anew: jobs
 // that have ended count too.
 TEST_CASE("Jobs that have ended count for the rate of their account")
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -204,23 +204,53 @@
     const bool gang = step->Spec().mGang;
     mStarts.push_back({ task.mServer,
                         { step->Name(index), task.mAttemptNumber },
-                        step->mJob->mSpec.mPayload,
+                        step->mJob->mPayload,
                         gang ? step->mGangCheckpoint : task.mCheckpoint,
-                        {} });
+                        {},
+                        step->mJob->mSpec.mRules.mPriority });
   }
   return acknowledged;
 }
 
-TaskCommands Scheduler::TakeCommands()
+std::int64_t CommandMemory(const StartCommand& aStart)
+{
+  // The call's state; the payload is copied into the body, where each byte may
+  // be escaped by several.
+  constexpr std::int64_t kCallBytes = 4096;
+  constexpr std::int64_t kBytesPerPayloadByte = 3;
+  return kCallBytes + kBytesPerPayloadByte *
+                        static_cast<std::int64_t>(aStart.mPayload->size());
+}
+
+TaskCommands Scheduler::TakeCommands(CommandBudget aBudget)
 {
   TaskCommands commands;
-  commands.mStarts = std::exchange(mStarts, {});
+  while (!mStops.empty() && aBudget.mBytes >= kStopCommandMemory) {
+    aBudget.mBytes -= kStopCommandMemory;
+    commands.mStops.push_back(
+      std::move(mStops.extract(mStops.begin()).value()));
+  }
   // A start that has waited may have been given up.
-  std::erase_if(commands.mStarts, [this](const StartCommand& aStart) {
+  std::erase_if(mStarts, [this](const StartCommand& aStart) {
     return !IsStartWanted(aStart);
   });
-  commands.mStops.assign(mStops.begin(), mStops.end());
-  mStops.clear();
+  std::stable_sort(mStarts.begin(),
+                   mStarts.end(),
+                   [](const StartCommand& aLeft, const StartCommand& aRight) {
+                     return aLeft.mPriority < aRight.mPriority;
+                   });
+  auto start = mStarts.begin();
+  for (; start != mStarts.end(); ++start) {
+    const auto reserved =
+      start->mPriority == 0 ? std::int64_t{ 0 } : aBudget.mReservedBytes;
+    const auto bytes = CommandMemory(*start);
+    if (aBudget.mBytes - reserved < bytes) {
+      break;
+    }
+    aBudget.mBytes -= bytes;
+    commands.mStarts.push_back(std::move(*start));
+  }
+  mStarts.erase(mStarts.begin(), start);
   return commands;
 }
 
--- a/flamingoloom/scheduler/server.h
+++ b/flamingoloom/scheduler/server.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -94,10 +95,14 @@
 {
   base::ServerId mServer;
   jobs::TaskAttempt mAttempt;
-  std::string mPayload;
+  // That of the job, which all of its commands share. Never null.
+  std::shared_ptr<const std::string> mPayload =
+    std::make_shared<const std::string>();
   std::string mCheckpoint;
   // Issued by the advisor; empty if the queue needs none.
   std::string mTicket;
+  // 0 is the most urgent priority.
+  int mPriority = 0;
 };
 
 struct StopCommand
--- a/testing/hostile_callers/accepted_requests_test.cpp
+++ b/testing/hostile_callers/accepted_requests_test.cpp
@@ -1,6 +1,7 @@
 // Requests within the limits of one request, and what they leave behind once
 // they are answered: in the instance that leads, in its store, and in the
 // instance that leads next. None checks a time or a share of requests.
+#include <chrono>
 #include <string>
 #include <thread>
 #include <vector>
@@ -118,6 +119,34 @@
   CheckSound(instance);
 }
 
+// Tasks that ask for nothing fit onto one server without end, so that all of
+// them are started at once. Each start carries the specification. The callers
+// come back while they are refused.
+TEST_CASE("started_tasks: many tasks that need nothing are started at once")
+{
+  constexpr int kJobs = 3;
+  constexpr int kTries = 20;
+  constexpr auto kRetryDelay = std::chrono::milliseconds(250);
+  UnresponsiveServer server;
+  InstanceProcess instance(kLimits, server.Port());
+  const auto body = R"({"specification":")" +
+                    std::string(kLongestSpecification, 's') +
+                    R"(","steps":[{"count":500}]})";
+  PlayCallers(instance,
+              kJobs,
+              kBatchPrefix,
+              [&](KeepAliveCaller& aCaller, const std::string& aPath) {
+                for (int i = 0; i < kTries; ++i) {
+                  if (aCaller.Call("POST", aPath, kShopKey, body) == 200) {
+                    return;
+                  }
+                  std::this_thread::sleep_for(kRetryDelay);
+                }
+              });
+  CheckSound(instance);
+  CHECK(server.Starts() > 0);
+}
+
 // All occurrences are due at once.
 TEST_CASE("many_occurrences: a small request with many occurrences")
 {
--- a/testing/hostile_callers/raw_peers.cpp
+++ b/testing/hostile_callers/raw_peers.cpp
@@ -165,6 +165,38 @@
   return std::stoi(response.substr(std::string_view("HTTP/1.1 ").size()));
 }
 
+UnresponsiveServer::UnresponsiveServer()
+  : mRuntime("/dev/null")
+  , mServer(std::make_shared<review::HttpServer>(
+      mRuntime.Loop(),
+      [this](const review::Request& aRequest,
+             const review::Responder& aRespond) {
+        if (aRequest.mTarget == "/run-start") {
+          ++mStarts;
+          return;
+        }
+        const review::Json report{
+          { "clock-ms", static_cast<std::int64_t>(mRuntime.NowMs()) + 1 },
+          { "born", 1 },
+          { "running-tasks", review::Json::array() },
+          { "finished", review::Json::array() }
+        };
+        aRespond({ 200, {}, report.dump() });
+      }))
+{
+  mServer->Start();
+  mLoop = std::thread([this] {
+    const auto work = boost::asio::make_work_guard(mRuntime.Loop());
+    mRuntime.Loop().run();
+  });
+}
+
+UnresponsiveServer::~UnresponsiveServer()
+{
+  mRuntime.Loop().stop();
+  mLoop.join();
+}
+
 RawServer::RawServer(std::string aHead, std::string aPart, std::size_t aBytes)
   : mHead(std::move(aHead))
   , mPart(std::move(aPart))
--- a/testing/hostile_callers/raw_peers.h
+++ b/testing/hostile_callers/raw_peers.h
@@ -4,12 +4,16 @@
 
 #include <atomic>
 #include <cstddef>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "review/standins/http_server.h"
+#include "review/standins/runtime.h"
+
 namespace flamingoloom::testing::hostile_callers {
 
 // A connection to an instance.
@@ -86,6 +90,27 @@
   return callers;
 }
 
+// A backend server that reports itself as idle and leaves each start command
+// unanswered.
+class UnresponsiveServer
+{
+public:
+  UnresponsiveServer();
+  ~UnresponsiveServer();
+  UnresponsiveServer(const UnresponsiveServer&) = delete;
+  UnresponsiveServer& operator=(const UnresponsiveServer&) = delete;
+
+  int Port() const { return mServer->Port(); }
+  // Start commands that have arrived.
+  int Starts() const { return mStarts; }
+
+private:
+  review::Runtime mRuntime;
+  std::shared_ptr<review::HttpServer> mServer;
+  std::atomic<int> mStarts{ 0 };
+  std::thread mLoop;
+};
+
 // A backend server that answers each connection with the same bytes: a head
 // once, then a part again and again.
 class RawServer
--- a/testing/platform_world/server_session_test.cpp
+++ b/testing/platform_world/server_session_test.cpp
@@ -298,7 +298,7 @@
     if (restarted) {
       fixture.mServer.Restart();
     }
-    fixture.mSession->Start({});
+    fixture.mSession->Start({}, nullptr);
     CHECK(fixture.mStraysUntil > fixture.mClock.Now() + seconds(20));
     fixture.mClock.RunFor(milliseconds(4));
     CHECK(fixture.mRestarts == (restarted ? 1 : 0));
@@ -328,7 +328,7 @@
   for (const auto& change : changes) {
     RestartFixture fixture;
     fixture.mServer.SetConnected(false);
-    fixture.mSession->Start({});
+    fixture.mSession->Start({}, nullptr);
     const auto& request = fixture.mServer.LastStart();
     REQUIRE(request.mMaySend);
     CHECK(request.mMaySend());
