flamingoloomd: the memory of requests is bounded

Causes: each of 64 connections may send 1 MB, and as much again of framing, which the library keeps as one line. A document takes up to 20 times its text. Threads get heaps of their own in which freed memory stays.

Requests are counted while they are received and decoded; beyond 48 MB those of more than 64 KB are refused, ordinary ones never. A document has at most 100,000 values. The allocator uses four heaps and returns large blocks.

--- a/flamingoloom/config/settings.cpp
+++ b/flamingoloom/config/settings.cpp
@@ -76,6 +76,7 @@
   LimitSettings limits;
   Read(aSection, "maxBodyBytes", limits.mMaxBodyBytes);
   Read(aSection, "maxHeaderBytes", limits.mMaxHeaderBytes);
+  Read(aSection, "maxRequestMemoryBytes", limits.mMaxRequestMemoryBytes);
   Read(aSection, "maxConnections", limits.mMaxConnections);
   Read(aSection, "httpThreads", limits.mHttpThreads);
   return limits;
@@ -204,7 +205,8 @@
 
 json ToJson(const Settings& aSettings)
 {
-  const auto& [maxBody, maxHeader, maxConnections, threads] = aSettings.mLimits;
+  const auto& [maxBody, maxHeader, maxMemory, maxConnections, threads] =
+    aSettings.mLimits;
   return {
     { "instance",
       { { "id", aSettings.mInstance.mId.Value() },
@@ -220,6 +222,7 @@
     { "limits",
       { { "maxBodyBytes", maxBody },
         { "maxHeaderBytes", maxHeader },
+        { "maxRequestMemoryBytes", maxMemory },
         { "maxConnections", maxConnections },
         { "httpThreads", threads } } },
     { "keys", KeysToJson(aSettings.mKeys) },
--- a/flamingoloom/config/settings.h
+++ b/flamingoloom/config/settings.h
@@ -67,6 +67,8 @@
 {
   std::size_t mMaxBodyBytes = std::size_t{ 1 } << 20U;
   std::size_t mMaxHeaderBytes = std::size_t{ 16 } << 10U;
+  // Memory of the requests that are received or decoded at the same time.
+  std::size_t mMaxRequestMemoryBytes = std::size_t{ 48 } << 20U;
   int mMaxConnections = 1024;
   // Number of threads that serve HTTP requests. A request that waits for its
   // answer occupies a thread for the whole time.
--- a/flamingoloom/config/settings_schema.cpp
+++ b/flamingoloom/config/settings_schema.cpp
@@ -80,6 +80,10 @@
           "type": "integer", "minimum": 1024, "maximum": 1048576,
           "description": "a whole number of bytes from 1024 to 1048576"
         },
+        "maxRequestMemoryBytes": {
+          "type": "integer", "minimum": 1048576, "maximum": 1099511627776,
+          "description": "a whole number of bytes from 1048576 to 1099511627776"
+        },
         "maxConnections": {
           "type": "integer", "minimum": 1, "maximum": 65536,
           "description": "a whole number from 1 to 65536"
--- a/flamingoloom/config/settings_test.cpp
+++ b/flamingoloom/config/settings_test.cpp
@@ -222,6 +222,7 @@
   document["logs"] = { { "format", "json" }, { "level", "debug" } };
   document["limits"] = { { "maxBodyBytes", 2048 },
                          { "maxHeaderBytes", 4096 },
+                         { "maxRequestMemoryBytes", 8388608 },
                          { "maxConnections", 5 },
                          { "httpThreads", 6 } };
   document["ownership"] = { { "leaseMs", 3000 },
--- a/flamingoloom/daemon/daemon.cpp
+++ b/flamingoloom/daemon/daemon.cpp
@@ -57,6 +57,7 @@
   settings.mThreads = static_cast<std::size_t>(aSettings.mLimits.mHttpThreads);
   settings.mMaxBodyBytes = aSettings.mLimits.mMaxBodyBytes;
   settings.mMaxHeaderBytes = aSettings.mLimits.mMaxHeaderBytes;
+  settings.mMaxRequestMemory = aSettings.mLimits.mMaxRequestMemoryBytes;
   return settings;
 }
 
--- a/flamingoloom/daemon/main.cpp
+++ b/flamingoloom/daemon/main.cpp
@@ -2,6 +2,7 @@
 // shutdown; a second one terminates the process immediately.
 #include <csignal>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
 
 #include <CLI/CLI.hpp>
@@ -43,8 +44,19 @@
   pthread_sigmask(SIG_UNBLOCK, &aSignals, nullptr);
 }
 
+// Each connection has a thread. By default the allocator gives most of them a
+// heap of their own, in which the memory of a large request stays.
+void ConfigureAllocator()
+{
+  constexpr int kMaxHeaps = 4;
+  constexpr int kMinMappedBytes = 128 * 1024;
+  mallopt(M_ARENA_MAX, kMaxHeaps);
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+}
+
 int Run(const config::Settings& aSettings)
 {
+  ConfigureAllocator();
   sigset_t signals = BlockStopSignals();
   auto daemon = daemon::Daemon::Start(aSettings);
   if (!daemon) {
--- a/flamingoloom/frontend/http_server.cpp
+++ b/flamingoloom/frontend/http_server.cpp
@@ -1,5 +1,6 @@
 #include "flamingoloom/frontend/http_server.h"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <optional>
@@ -159,6 +160,11 @@
   , mAdmission(aAdmission)
   , mHandler(std::move(aHandler))
   , mConnections(aSettings.mThreads)
+  , mRequestMemory(
+      // The longest request has room if it is the only one.
+      std::max(aSettings.mMaxRequestMemory,
+               (kMemoryPerReceivedByte + kMemoryPerDecodedByte) *
+                 (aSettings.mMaxBodyBytes + aSettings.mMaxHeaderBytes)))
 {
   Configure();
   RegisterHandlers();
@@ -237,6 +243,19 @@
   // All paths go to one handler, and the router matches them: the library would
   // try the regular expression of each route in turn.
   auto handle = [this](const Request& aRequest, Response& aResponse) {
+    const auto bytes = aRequest.body.size();
+    CountedMemory decoded(mRequestMemory);
+    if (!decoded.TryAdd(kMemoryPerDecodedByte * bytes,
+                        bytes <= kOrdinaryRequestBytes)) {
+      WriteReply(ErrorReply({ ErrorCode::eBusy,
+                              "read request",
+                              "instance",
+                              "too many large requests; this one was not "
+                              "executed",
+                              "body" }),
+                 aResponse);
+      return;
+    }
     WriteReply(mHandler(ToApiRequest(aRequest)), aResponse);
   };
   Get(".*", handle);
@@ -285,7 +304,7 @@
 void HttpServer::ServeConnection(int aSocket)
 {
   SetNoDelay(aSocket);
-  SocketStream stream(aSocket, mSettings);
+  SocketStream stream(aSocket, mSettings, mRequestMemory);
   bool open = mConnections.MarkIdle(aSocket);
   while (open && stream.WaitForRequest()) {
     mConnections.MarkBusy(aSocket);
@@ -313,6 +332,7 @@
   // must then be idle, so that it can be evicted.
   bool open = mConnections.MarkIdle(aStream.socket());
   ok = aStream.Flush() && ok;
+  aStream.EndRequest();
   if (admitted.mCounted) {
     mAdmission.EndRequest();
   }
--- a/flamingoloom/frontend/http_server.h
+++ b/flamingoloom/frontend/http_server.h
@@ -12,6 +12,7 @@
 #include "flamingoloom/frontend/api_message.h"
 #include "flamingoloom/frontend/connection_set.h"
 #include "flamingoloom/frontend/refusal.h"
+#include "flamingoloom/frontend/request_memory.h"
 #include "flamingoloom/frontend/settings.h"
 #include "flamingoloom/frontend/socket_stream.h"
 
@@ -61,6 +62,7 @@
   Admission& mAdmission;
   const RequestHandler mHandler;
   ConnectionSet mConnections;
+  RequestMemory mRequestMemory;
   std::promise<void> mAccepting;
   std::thread mThread;
 };
--- a/flamingoloom/frontend/json_codec_test.cpp
+++ b/flamingoloom/frontend/json_codec_test.cpp
@@ -91,6 +91,25 @@
   CHECK(DecodeAnswer(truncated).error().mField == "answerBytes");
 }
 
+// Guards against a body of many small values, which takes 20 times its size.
+TEST_CASE("a document with too many values is rejected")
+{
+  const auto decode = [](int aValues) {
+    std::string text = R"({"account":"a","kind":"k","payload":"","more":[[])";
+    for (int i = 1; i < aValues; ++i) {
+      text += ",[]";
+    }
+    return DecodeSubmission(
+      text + "]}", { std::chrono::seconds(1), std::chrono::seconds(2) });
+  };
+  const auto rejected = decode(100'001);
+  REQUIRE(!rejected);
+  CHECK(rejected.error().mMessage == "the document has too many values");
+  const auto otherwise = decode(10);
+  REQUIRE(!otherwise);
+  CHECK(otherwise.error().mField == "more");
+}
+
 TEST_CASE("an error in a nested object names the path of the field")
 {
   auto views = DecodeDataCentres(R"({"dataCentres":[{"dataCentre":"d"}]})");
--- a/flamingoloom/frontend/json_reader.cpp
+++ b/flamingoloom/frontend/json_reader.cpp
@@ -12,6 +12,10 @@
 using nlohmann::json;
 
 constexpr int kMaxNestingDepth = 32;
+// Values, arrays and objects of a document, with their keys. Far above what the
+// largest configuration has; each takes some 60 bytes, the smallest ones 20
+// times their text.
+constexpr int kMaxValues = 100'000;
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kMaxKeyLength = 128;
 
@@ -49,17 +53,25 @@
                                const std::string& aPeer)
 {
   bool tooDeep = false;
+  int values = 0;
   json document = json::parse(
     aText,
-    [&tooDeep](int aDepth, json::parse_event_t, json&) {
+    [&](int aDepth, json::parse_event_t aEvent, json&) {
+      const bool ends = aEvent == json::parse_event_t::array_end ||
+                        aEvent == json::parse_event_t::object_end;
+      values += ends ? 0 : 1;
       tooDeep = tooDeep || aDepth > kMaxNestingDepth;
-      return !tooDeep;
+      return !tooDeep && values <= kMaxValues;
     },
     false);
   if (tooDeep) {
     return base::MakeError(
       ErrorCode::eInvalid, aStep, aPeer, "the document is nested too deeply");
   }
+  if (values > kMaxValues) {
+    return base::MakeError(
+      ErrorCode::eInvalid, aStep, aPeer, "the document has too many values");
+  }
   if (document.is_discarded()) {
     return base::MakeError(
       ErrorCode::eInvalid, aStep, aPeer, "the text is not valid JSON");
--- a/flamingoloom/frontend/settings.h
+++ b/flamingoloom/frontend/settings.h
@@ -20,6 +20,11 @@
   std::size_t mMaxBodyBytes = std::size_t{ 1 } << 20;
   // Limit for the request line and the headers together.
   std::size_t mMaxHeaderBytes = std::size_t{ 16 } << 10;
+  // Memory, by an upper estimate, of the requests that are received or decoded
+  // at the same time. Beyond it larger requests than 64 KB are refused with
+  // 503, or their connections are closed. Raised to what the longest request
+  // takes.
+  std::size_t mMaxRequestMemory = std::size_t{ 48 } << 20;
   // Connections that are idle for longer between requests are closed.
   base::Duration mIdleTimeout = std::chrono::seconds(30);
   // Limit for receiving one request, and separately for sending its response.
--- a/flamingoloom/frontend/socket_stream.cpp
+++ b/flamingoloom/frontend/socket_stream.cpp
@@ -20,9 +20,12 @@
 
 } // namespace
 
-SocketStream::SocketStream(int aSocket, const FrontendSettings& aSettings)
+SocketStream::SocketStream(int aSocket,
+                           const FrontendSettings& aSettings,
+                           RequestMemory& aMemory)
   : mSocket(aSocket)
   , mSettings(aSettings)
+  , mMemory(aMemory)
 {
 }
 
@@ -34,6 +37,7 @@
 void SocketStream::BeginRequest()
 {
   mRemainingBytes = mSettings.mMaxHeaderBytes;
+  mRequestBytes = 0;
   mDeadline = Clock::now() + mSettings.mTransferTimeout;
 }
 
@@ -84,7 +88,11 @@
   }
   std::size_t count =
     std::min({ aSize, mInputEnd - mInputStart, mRemainingBytes });
-  if (count == 0) {
+  mRequestBytes += count;
+  // The library keeps a header, a chunk extension or a trailer until its line
+  // ends, so their bytes count as those of the body.
+  if (count == 0 || !mMemory.TryAdd(kMemoryPerReceivedByte * count,
+                                    mRequestBytes <= kOrdinaryRequestBytes)) {
     return FailReceive();
   }
   std::memcpy(aData, mInput.data() + mInputStart, count);
--- a/flamingoloom/frontend/socket_stream.h
+++ b/flamingoloom/frontend/socket_stream.h
@@ -9,6 +9,7 @@
 
 #include <httplib.h>
 
+#include "flamingoloom/frontend/request_memory.h"
 #include "flamingoloom/frontend/settings.h"
 
 namespace flamingoloom::frontend::internal {
@@ -19,7 +20,10 @@
 class SocketStream final : public httplib::Stream
 {
 public:
-  SocketStream(int aSocket, const FrontendSettings& aSettings);
+  // aSettings and aMemory must outlive the stream.
+  SocketStream(int aSocket,
+               const FrontendSettings& aSettings,
+               RequestMemory& aMemory);
 
   // Waits for the first byte of the next request. Returns false when the
   // connection ends or after FrontendSettings::mIdleTimeout.
@@ -29,6 +33,8 @@
   void BeginRequest();
   // Applies the body size limit to the rest of the request.
   void BeginBody();
+  // The request is answered: its memory does not count any more.
+  void EndRequest() { mMemory.Clear(); }
 
   // Sends the buffered output. Returns false when the connection fails or
   // sending takes longer than FrontendSettings::mTransferTimeout.
@@ -64,6 +70,9 @@
   // Remaining bytes allowed for the current part (headers or body) of the
   // request.
   std::size_t mRemainingBytes = 0;
+  // Bytes of the current request that were read, and their memory.
+  std::size_t mRequestBytes = 0;
+  CountedMemory mMemory;
   Clock::time_point mDeadline;
   std::string mOutput;
   // Separate from mSendFailed, because an error response can still be sent
