An account's requests call the store at a limited rate

Eight connections that ask for jobs without end used up the reads that the store serves; the instance's own watches were rejected with 429 and it counted the store as lost (store_lost in hostile_many_questions on, with 400 reads a second).

Cause: the store's rate is for all instances, and each request of a caller calls it once or more, at any rate.

Beyond that questions and cancellations get 503. Jobs get 504, since an earlier request may have stored them and nothing looks that up.

--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -52,6 +52,8 @@
   : mPorts(aPorts)
   , mSettings(aSettings)
   , mAdmission(aSettings.mAdmission)
+  , mReadRates(aSettings.mCallRateWindow)
+  , mWriteRates(aSettings.mCallRateWindow)
 {
 }
 
@@ -61,6 +63,13 @@
   if (!mConfiguration || aConfiguration->mVersion > mConfiguration->mVersion) {
     mConfiguration = std::move(aConfiguration);
     mAdmission.SetAccounts(mConfiguration->mAccounts.size());
+    // Requests without an account share a rate.
+    mReadRates.SetRate({}, mSettings.mReadsPerSecond);
+    mWriteRates.SetRate({}, mSettings.mWritesPerSecond);
+    for (const auto& account : mConfiguration->mAccounts) {
+      mReadRates.SetRate(account.mId, mSettings.mReadsPerSecond);
+      mWriteRates.SetRate(account.mId, mSettings.mWritesPerSecond);
+    }
   }
 }
 
@@ -78,6 +87,13 @@
   return response;
 }
 
+bool JobApi::MayCallStore(scheduler::AccountRates& aRates,
+                          const base::AccountId& aAccount) const
+{
+  return !aRates.IsBeyond(
+    aAccount, base::ToMilliseconds(mPorts.mLoop->Now().time_since_epoch()));
+}
+
 std::optional<JobApi::ResolvedTarget> JobApi::Resolve(
   const CallerTarget& aTarget,
   const Callback& aThen)
@@ -183,6 +199,15 @@
     return;
   }
   const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
+  if (!MayCallStore(mWriteRates, resolved->mAccount)) {
+    mPorts.mLog->Write("job_refused",
+                       { { "job", resolved->mJob },
+                         { "account", resolved->mAccount.Value() },
+                         { "reason", "store_rate" } });
+    // An earlier request may have stored the job, which is not looked up.
+    aThen(MakeResponse(CallerStatus::eUnknown));
+    return;
+  }
   const auto admitted = mAdmission.TryAdmit(
     mPorts.mLoop->Now(),
     admission::ClassOf(job->mAccount, job->mRules.mPriority),
@@ -441,6 +466,13 @@
     return;
   }
   const auto account = resolved->mAccount;
+  if (!MayCallStore(mReadRates, account)) {
+    mPorts.mLog->Write(
+      "request_refused",
+      { { "path", aTarget.mPath }, { "reason", "store_rate" } });
+    aThen(RetryLater());
+    return;
+  }
   const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
   ReadState(
     resolved->mJob,
@@ -492,6 +524,14 @@
   }
   const auto job = resolved->mJob;
   const auto account = resolved->mAccount;
+  if (!MayCallStore(mWriteRates, account)) {
+    mPorts.mLog->Write("cancel_refused",
+                       { { "job", job },
+                         { "account", account.Value() },
+                         { "reason", "store_rate" } });
+    aThen(RetryLater());
+    return;
+  }
   const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
   ReadState(
     job,
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -15,6 +15,7 @@
 #include "flamingoloom/jobs/records.h"
 #include "flamingoloom/node/configuration.h"
 #include "flamingoloom/node/ports.h"
+#include "flamingoloom/scheduler/account_rates.h"
 
 namespace flamingoloom::node {
 
@@ -91,6 +92,13 @@
   // How long a caller is asked to wait whose account's jobs take as much memory
   // as they may. Jobs take seconds to end.
   base::Duration mNoRoomRetryAfter = std::chrono::seconds(5);
+  // Requests of one account in a second that read or write the store; 0 for no
+  // limit. The store serves a number of calls for all instances; beyond it the
+  // leader's are rejected too.
+  double mReadsPerSecond = 0;
+  double mWritesPerSecond = 0;
+  // Time over which an account may spread these requests.
+  base::Duration mCallRateWindow = std::chrono::seconds(2);
   // Interval between two reads for one account that show whether a job that is
   // refused for want of memory was stored by an earlier request. In between
   // the outcome is told as unknown, so that refusals cost few calls.
@@ -188,6 +196,10 @@
   };
   using SubmissionPtr = std::shared_ptr<const Submission>;
 
+  // Records a request of an account that calls the store. Returns whether it is
+  // within the account's rate.
+  bool MayCallStore(scheduler::AccountRates& aRates,
+                    const base::AccountId& aAccount) const;
   // Responds to a submission that is not admitted.
   void RefuseForMemory(const ResolvedTarget& aResolved,
                        admission::Refusal aRefusal,
@@ -242,6 +254,8 @@
   bool mStoreReachable = false;
   StoreCircuitBreaker mStoreBreaker;
   admission::JobAdmission mAdmission;
+  scheduler::AccountRates mReadRates;
+  scheduler::AccountRates mWriteRates;
   // When the next refusal of an account may be checked.
   std::map<base::AccountId, base::Time> mNextRefusalCheck;
   jobs::QueueLengths mQueueLengths;
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -142,11 +142,23 @@
                : 0;
 }
 
+bool Store::MayRead()
+{
+  constexpr double kSecondMs = 1000;
+  if (mRuntime.NowMs() - mSecondStartMs >= kSecondMs) {
+    mSecondStartMs = mRuntime.NowMs();
+    mReadsThisSecond = 0;
+  }
+  return mMaxReadsPerSecond == 0 || ++mReadsThisSecond <= mMaxReadsPerSecond;
+}
+
 void Store::Dispatch(const Request& aRequest, const Responder& aRespond)
 {
   const auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
   if (path == "/rows-tx") {
     Transact(Json::parse(aRequest.mBody), aRespond);
+  } else if (!MayRead()) {
+    aRespond({ 429 });
   } else if (path == "/rows-get") {
     Get(ParseQuery(aRequest.mTarget), aRespond);
   } else if (path == "/rows-feed") {
--- a/testing/hostile_callers/accepted_requests_test.cpp
+++ b/testing/hostile_callers/accepted_requests_test.cpp
@@ -27,13 +27,15 @@
          R"(","steps":[{"count":1,"cpu":1000}]})";
 }
 
-// Calls aCall(caller, path, number) aCount times from each of kCallers, with a
-// job of its own each time.
+// Calls aSend(caller, path) aCount times from each of kCallers, with the path
+// of another job each time. aFirstCaller tells these jobs from those of other
+// calls.
 template <class SendRequests>
 void PlayCallers(InstanceProcess& aInstance,
                  int aCount,
                  const char* aPrefix,
-                 const SendRequests& aSend)
+                 const SendRequests& aSend,
+                 int aFirstCaller = 0)
 {
   std::vector<std::thread> threads;
   threads.reserve(kCallers);
@@ -41,7 +43,9 @@
     threads.emplace_back([&, i] {
       KeepAliveCaller caller(aInstance.CallerPort());
       for (int job = 0; job < aCount; ++job) {
-        aSend(caller, aPrefix + JobId(kFirstJob + i * kJobsOfCaller + job));
+        aSend(caller,
+              aPrefix +
+                JobId(kFirstJob + (aFirstCaller + i) * kJobsOfCaller + job));
       }
     });
   }
@@ -80,6 +84,50 @@
   CHECK(instance.AnswersOrdinaryRequest(kShopKey, kUrgentPrefix));
 }
 
+// Followers accept jobs as well, and do not know of each other.
+TEST_CASE("accepted_by_two: jobs are handed in at the leader and a follower")
+{
+  constexpr int kJobs = 1250;
+  InstanceProcess first(kLimits);
+  first.AwaitLead();
+  InstanceProcess second(kLimits, first);
+  const auto flood = [](KeepAliveCaller& aCaller, const std::string& aPath) {
+    aCaller.Call("POST", aPath, kShopKey, LongJob());
+  };
+  std::thread other(
+    [&] { PlayCallers(second, kJobs, kBatchPrefix, flood, kCallers); });
+  PlayCallers(first, kJobs, kBatchPrefix, flood);
+  other.join();
+  CheckSound(first);
+  CheckSound(second);
+  CHECK(second.AnswersOrdinaryRequest(kShopKey, kUrgentPrefix));
+  // The follower takes the lead, with all that was accepted.
+  CHECK(first.Stop());
+  second.AwaitLead();
+  CheckSound(second);
+}
+
+// Each question costs up to two reads of the store, which all instances share.
+// The leader must not lose its lease for them.
+TEST_CASE("many_questions: an account asks for jobs without end")
+{
+  constexpr int kQuestions = 3000;
+  auto limits = kLimits;
+  limits.mReadsPerSecond = 400;
+  InstanceProcess instance(limits);
+  instance.AwaitLead();
+  PlayCallers(instance,
+              kQuestions,
+              kBatchPrefix,
+              [](KeepAliveCaller& aCaller, const std::string& aPath) {
+                aCaller.Call("GET", aPath, kShopKey, "");
+              });
+  CheckSound(instance);
+  CHECK(!instance.Logged("store_lost"));
+  CHECK(!instance.Logged("lead_lost"));
+  CHECK(!instance.Logged("lead_superseded"));
+}
+
 // Jobs that have ended are kept for their callers.
 TEST_CASE("cancelled_jobs: jobs are handed in and cancelled without end")
 {
--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -109,19 +109,58 @@
 
 } // namespace
 
-InstanceProcess::InstanceProcess(MachineLimits aLimits, int aServerPort)
+InstanceProcess::Platform::Platform(int aReadsPerSecond)
   : mRuntime("/dev/null")
   , mStore(mRuntime)
+{
+  mStore.SetMaxReadsPerSecond(aReadsPerSecond);
+}
+
+InstanceProcess::Platform::~Platform()
+{
+  mRuntime.Loop().stop();
+  mLoop.join();
+}
+
+InstanceProcess::InstanceProcess(MachineLimits aLimits, int aServerPort)
+  : InstanceProcess(aLimits,
+                    "frontend-1",
+                    std::make_shared<Platform>(aLimits.mReadsPerSecond))
+{
+  mPlatform->mStore.Put("op", "config", MakeConfiguration(aLimits));
+  if (aServerPort > 0) {
+    mPlatform->mStore.Put("servers", "s-1", MakeServer(aServerPort));
+  }
+  mPlatform->mLoop = std::thread([&runtime = mPlatform->mRuntime] {
+    const auto work = boost::asio::make_work_guard(runtime.Loop());
+    runtime.Loop().run();
+  });
+  Launch();
+  REQUIRE(WaitUntil([this] { return IsReady(); }));
+}
+
+InstanceProcess::InstanceProcess(MachineLimits aLimits,
+                                 const InstanceProcess& aFirst)
+  : InstanceProcess(aLimits, "frontend-2", aFirst.mPlatform)
+{
+  Launch();
+  REQUIRE(WaitUntil([this] { return IsReady(); }));
+}
+
+InstanceProcess::InstanceProcess(MachineLimits aLimits,
+                                 std::string aName,
+                                 std::shared_ptr<Platform> aPlatform)
+  : mPlatform(std::move(aPlatform))
   , mFolder(MakeFolder())
   , mCallerPort(cluster::FreePort())
   , mReadinessPort(cluster::FreePort())
   , mMetricsPort(cluster::FreePort())
 {
-  mStore.Put("op", "config", MakeConfiguration(aLimits));
-  if (aServerPort > 0) {
-    mStore.Put("servers", "s-1", MakeServer(aServerPort));
+  Json platform{ { "address", mPlatform->mStore.Address() } };
+  if (aLimits.mReadsPerSecond > 0) {
+    platform["reads-per-s"] = aLimits.mReadsPerSecond;
   }
-  const Json settings{ { "node-name", "frontend-1" },
+  const Json settings{ { "node-name", std::move(aName) },
                        { "ip", "127.0.0.1" },
                        { "zone", "nordur-a" },
                        { "region", "nordur" },
@@ -137,21 +176,13 @@
                            { "file-descriptors", aLimits.mDescriptors },
                            { "link-mbps", 1000.0 } } },
                        { "bounds", Json::object() },
-                       { "platform", { { "address", mStore.Address() } } } };
+                       { "platform", std::move(platform) } };
   std::ofstream(mFolder + "/settings.json") << settings.dump(2);
-  mLoop = std::thread([this] {
-    const auto work = boost::asio::make_work_guard(mRuntime.Loop());
-    mRuntime.Loop().run();
-  });
-  Launch();
-  REQUIRE(WaitUntil([this] { return IsReady(); }));
 }
 
 InstanceProcess::~InstanceProcess()
 {
   Kill();
-  mRuntime.Loop().stop();
-  mLoop.join();
   std::error_code ignored;
   std::filesystem::remove_all(mFolder, ignored);
 }
@@ -169,15 +200,35 @@
 {
   Kill();
   Launch();
+  AwaitLead();
+}
+
+void InstanceProcess::AwaitLead() const
+{
   REQUIRE(WaitUntil([this] { return !IsAlive() || (IsReady() && HasLed()); }));
 }
 
-bool InstanceProcess::HasLed() const
+bool InstanceProcess::Stop()
+{
+  if (!IsAlive()) {
+    return false;
+  }
+  kill(mId, SIGTERM);
+  int status = -1;
+  const bool ended =
+    WaitUntil([&] { return waitpid(mId, &status, WNOHANG) == mId; });
+  if (ended) {
+    mId = 0;
+  }
+  return ended && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+bool InstanceProcess::Logged(const std::string& aEvent) const
 {
   std::ifstream log(mFolder + "/log");
   std::string line;
   while (std::getline(log, line)) {
-    if (line.find("event=jobs_loaded") != std::string::npos) {
+    if (line.find("event=" + aEvent + " ") != std::string::npos) {
       return true;
     }
   }
--- a/testing/hostile_callers/instance_process.h
+++ b/testing/hostile_callers/instance_process.h
@@ -37,6 +37,8 @@
   int mIdleTimeoutMs = 15000;
   // Queues beside the two of each instance.
   int mMoreQueues = 0;
+  // Reads of rows that the store serves in a second; 0 for no limit.
+  int mReadsPerSecond = 0;
 
   friend bool operator==(const MachineLimits&, const MachineLimits&) = default;
 };
@@ -50,6 +52,8 @@
   // Starts the process and waits until it is ready. aServerPort is the port of
   // a backend server that the store lists, 0 for none.
   explicit InstanceProcess(MachineLimits aLimits, int aServerPort = 0);
+  // A further instance of the deployment of aFirst, which must outlive it.
+  InstanceProcess(MachineLimits aLimits, const InstanceProcess& aFirst);
   ~InstanceProcess();
   InstanceProcess(const InstanceProcess&) = delete;
   InstanceProcess& operator=(const InstanceProcess&) = delete;
@@ -79,17 +83,38 @@
   // Kills the process, starts it again with its store as it is, and waits until
   // it leads or has ended.
   void Restart();
+  // Ends the process with SIGTERM. Returns whether it ended by itself, with the
+  // status 0, within its grace period.
+  bool Stop();
+  // Whether the process has restored the jobs of the store, to lead, since it
+  // was started last.
+  bool HasLed() const { return Logged("jobs_loaded"); }
+  // Whether the process has written a line of aEvent since it was started last.
+  bool Logged(const std::string& aEvent) const;
+  // Waits until HasLed, or until the process has ended.
+  void AwaitLead() const;
 
 private:
   void Launch();
   void Kill();
   bool IsReady() const;
-  // Whether the process has restored the jobs of the store, to lead.
-  bool HasLed() const;
 
-  review::Runtime mRuntime;
-  review::Store mStore;
-  std::thread mLoop;
+  // The store, which runs on a thread of its own.
+  struct Platform
+  {
+    explicit Platform(int aReadsPerSecond);
+    ~Platform();
+
+    review::Runtime mRuntime;
+    review::Store mStore;
+    std::thread mLoop;
+  };
+
+  InstanceProcess(MachineLimits aLimits,
+                  std::string aName,
+                  std::shared_ptr<Platform> aPlatform);
+
+  std::shared_ptr<Platform> mPlatform;
   std::string mFolder;
   int mCallerPort = 0;
   int mReadinessPort = 0;
--- a/testing/platform_world/job_api_test.cpp
+++ b/testing/platform_world/job_api_test.cpp
@@ -254,5 +254,41 @@
   CHECK(SubmitJob(fixture, job).mCallerStatus == node::CallerStatus::eTooLarge);
 }
 
+// Guards against an account whose requests use up the calls that the store
+// serves, so that the leader cannot renew its lease.
+TEST_CASE("An account's requests call the store at a limited rate")
+{
+  node::JobApiSettings settings;
+  settings.mReadsPerSecond = settings.mWritesPerSecond = 5;
+  Fixture fixture(settings);
+  fixture.mClock.RunFor(seconds(1));
+  const auto countOf = [&fixture](auto aSend, node::CallerStatus aStatus) {
+    int count = 0;
+    for (int i = 0; i < 30; ++i) {
+      aSend(Job(i), [&count, aStatus](const node::CallerResponse& aResponse) {
+        count += aResponse.mCallerStatus == aStatus ? 1 : 0;
+      });
+    }
+    fixture.mClock.RunFor(seconds(1));
+    return count;
+  };
+  const auto query = [&fixture](const jobs::JobSpec& aJob, auto aThen) {
+    fixture.mApi.Query({ "host", "/q/" + aJob.mId, "", seconds(3) }, aThen);
+  };
+  const auto submit = [&fixture](const jobs::JobSpec& aJob, auto aThen) {
+    fixture.mApi.Submit(
+      { "host", "/q/" + aJob.mId, "", seconds(3) },
+      [&aJob] { return base::Expected<jobs::JobSpec>(aJob); },
+      aThen);
+  };
+  constexpr int kWithinWindow = 10;
+  CHECK(countOf(query, node::CallerStatus::eNoSuchJob) == kWithinWindow);
+  CHECK(countOf(submit, node::CallerStatus::eAccepted) == kWithinWindow);
+  // It is not known whether an earlier request has stored the others.
+  CHECK(countOf(submit, node::CallerStatus::eUnknown) > 0);
+  fixture.mClock.RunFor(seconds(2));
+  CHECK(countOf(query, node::CallerStatus::eFound) == kWithinWindow);
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
