--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -7,10 +7,14 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <netinet/in.h>
+#include <random>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include "review/cluster/http.h"
@@ -23,6 +27,7 @@
 
 namespace {
 
+constexpr int kFirstVersion = 7;
 constexpr int kCallTimeoutMs = 5000;
 // Far beyond what a start or an answer takes, so that the tests do not depend
 // on the machine's speed.
@@ -40,6 +45,31 @@
   return path;
 }
 
+// A port below those that the system gives to outgoing connections: these must
+// not take it while the process that listens there is started again.
+int ReservePort()
+{
+  constexpr int kFirstPort = 12000;
+  constexpr int kPorts = 20000;
+  std::random_device random;
+  for (;;) {
+    const int port = kFirstPort + static_cast<int>(random() % kPorts);
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(listener >= 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool isFree = bind(listener,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof address) == 0;
+    close(listener);
+    if (isFree) {
+      return port;
+    }
+  }
+}
+
 bool WaitUntil(const std::function<bool()>& aHolds)
 {
   const auto until = std::chrono::steady_clock::now() + kPatience;
@@ -70,7 +100,7 @@
            { "guaranteed", { { "gpus", aAccelerators } } } };
 }
 
-Json MakeConfiguration(const MachineLimits& aLimits)
+Json MakeConfiguration(const MachineLimits& aLimits, int aVersion)
 {
   Json queues = Json::array({ MakeQueue("quotes", kUrgentPrefix, 0),
                               MakeQueue("batch", kBatchPrefix, 1) });
@@ -80,7 +110,7 @@
                                kMoreQueuesPrefix + number + "/",
                                1));
   }
-  return { { "version", 7 },
+  return { { "version", aVersion },
            { "routes", std::move(queues) },
            { "services", Json::array() },
            { "limits",
@@ -127,7 +157,8 @@
                     "frontend-1",
                     std::make_shared<Platform>(aLimits.mReadsPerSecond))
 {
-  mPlatform->mStore.Put("op", "config", MakeConfiguration(aLimits));
+  mPlatform->mStore.Put(
+    "op", "config", MakeConfiguration(aLimits, kFirstVersion));
   if (aServerPort > 0) {
     mPlatform->mStore.Put("servers", "s-1", MakeServer(aServerPort));
   }
@@ -152,9 +183,9 @@
                                  std::shared_ptr<Platform> aPlatform)
   : mPlatform(std::move(aPlatform))
   , mFolder(MakeFolder())
-  , mCallerPort(cluster::FreePort())
-  , mReadinessPort(cluster::FreePort())
-  , mMetricsPort(cluster::FreePort())
+  , mCallerPort(ReservePort())
+  , mReadinessPort(ReservePort())
+  , mMetricsPort(ReservePort())
 {
   Json platform{ { "address", mPlatform->mStore.Address() } };
   if (aLimits.mReadsPerSecond > 0) {
@@ -196,6 +227,40 @@
   }
 }
 
+void InstanceProcess::Pause() const
+{
+  kill(mId, SIGSTOP);
+}
+
+void InstanceProcess::Resume() const
+{
+  kill(mId, SIGCONT);
+}
+
+void InstanceProcess::SetStoreDown(bool aDown) const
+{
+  boost::asio::post(mPlatform->mRuntime.Loop(), [platform = mPlatform, aDown] {
+    platform->mStore.SetDown(aDown);
+  });
+}
+
+void InstanceProcess::SetStoreSlow(bool aSlow) const
+{
+  boost::asio::post(mPlatform->mRuntime.Loop(), [platform = mPlatform, aSlow] {
+    platform->mStore.SetSlow(aSlow);
+  });
+}
+
+void InstanceProcess::ChangeConfiguration(const MachineLimits& aLimits,
+                                          int aVersion) const
+{
+  boost::asio::post(mPlatform->mRuntime.Loop(),
+                    [platform = mPlatform, aLimits, aVersion] {
+                      platform->mStore.Put(
+                        "op", "config", MakeConfiguration(aLimits, aVersion));
+                    });
+}
+
 void InstanceProcess::Restart()
 {
   Kill();
@@ -223,6 +288,16 @@
   return ended && WIFEXITED(status) && WEXITSTATUS(status) == 0;
 }
 
+std::string InstanceProcess::EndText() const
+{
+  std::ifstream log(mFolder + "/log");
+  std::string last;
+  for (std::string line; std::getline(log, line);) {
+    last = line;
+  }
+  return "wait status " + std::to_string(mStatus) + ", last line: " + last;
+}
+
 bool InstanceProcess::Logged(const std::string& aEvent) const
 {
   std::ifstream log(mFolder + "/log");
@@ -241,6 +316,10 @@
   const char* const program = std::getenv("FLAMINGOLOOM_INSTANCE");
   REQUIRE(program != nullptr);
   const auto log = mFolder + "/log";
+  // Closed by the start of the program. Until then the child has the
+  // descriptors of this process.
+  int started[2];
+  REQUIRE(pipe2(started, O_CLOEXEC) == 0);
   mId = fork();
   if (mId == 0) {
     // The process ends with the test.
@@ -251,12 +330,18 @@
     dup2(file, STDERR_FILENO);
     constexpr int kFilesToClose = 4096;
     for (int other = STDERR_FILENO + 1; other < kFilesToClose; ++other) {
-      close(other);
+      if (other != started[1]) {
+        close(other);
+      }
     }
     setenv("FLAMINGOLOOM_SETTINGS", settings.c_str(), 1);
     execl(program, program, nullptr);
     _exit(127);
   }
+  close(started[1]);
+  char none = 0;
+  REQUIRE(read(started[0], &none, 1) == 0);
+  close(started[0]);
 }
 
 bool InstanceProcess::IsReady() const
@@ -272,7 +357,7 @@
 
 bool InstanceProcess::IsAlive() const
 {
-  if (mId > 0 && waitpid(mId, nullptr, WNOHANG) != 0) {
+  if (mId > 0 && waitpid(mId, &mStatus, WNOHANG) != 0) {
     mId = 0;
   }
   return mId > 0;
@@ -304,13 +389,14 @@
 
 int InstanceProcess::Call(const char* aMethod,
                           const std::string& aPath,
-                          const std::string& aBody) const
+                          const std::string& aBody,
+                          const char* aKey) const
 {
   const auto answer = cluster::Call(
     Loopback(mCallerPort),
     aMethod,
     aPath,
-    { { "Host", kHost }, { "Key", kShopKey }, { "Deadline-Ms", "3000" } },
+    { { "Host", kHost }, { "Key", aKey }, { "Deadline-Ms", "3000" } },
     aBody,
     kCallTimeoutMs);
   return answer ? answer->mStatus : 0;
@@ -338,6 +424,16 @@
   return WaitUntil([&] { return Call("GET", aPrefix) == 200; });
 }
 
+int InstanceProcess::StatusOf(const std::string& aPath, const char* aKey) const
+{
+  int status = 0;
+  WaitUntil([&] {
+    status = Call("GET", aPath, "", aKey);
+    return status != 0 && status != 503;
+  });
+  return status;
+}
+
 bool InstanceProcess::AnswersProbes() const
 {
   const auto metrics = cluster::Call(Loopback(mMetricsPort),
--- a/testing/hostile_callers/instance_process.h
+++ b/testing/hostile_callers/instance_process.h
@@ -63,6 +63,8 @@
   int MetricsPort() const { return mMetricsPort; }
   // Whether the process has not ended.
   bool IsAlive() const;
+  // How a process that is not alive any more has ended.
+  std::string EndText() const;
   // The largest resident memory that the process has had, in megabytes.
   int PeakMemoryMb() const;
   // The descriptors that the process has open.
@@ -74,15 +76,29 @@
   // Whether the length of the queue is told, which needs an instance that has
   // led for some seconds. Asks again for a while.
   bool TellsQueueLength(const std::string& aPrefix);
-  // The status of one request of the account of kShopKey, 0 without a response.
+  // The status of one request, 0 without a response.
   int Call(const char* aMethod,
            const std::string& aPath,
-           const std::string& aBody = "") const;
+           const std::string& aBody = "",
+           const char* aKey = kShopKey) const;
+  // The status of a question for a job, once it is no 503.
+  int StatusOf(const std::string& aPath, const char* aKey) const;
   // Whether readiness and metrics are served.
   bool AnswersProbes() const;
   // Kills the process, starts it again with its store as it is, and waits until
   // it leads or has ended.
   void Restart();
+  // Kills the process, and starts it; it must not run then.
+  void Kill();
+  void Launch();
+  // Suspends the process, and lets it go on.
+  void Pause() const;
+  void Resume() const;
+  // Makes the store of all instances answer each call with 503, or slowly.
+  void SetStoreDown(bool aDown) const;
+  void SetStoreSlow(bool aSlow) const;
+  // Writes the configuration again, with another version.
+  void ChangeConfiguration(const MachineLimits& aLimits, int aVersion) const;
   // Ends the process with SIGTERM. Returns whether it ended by itself, with the
   // status 0, within its grace period.
   bool Stop();
@@ -94,11 +110,10 @@
   // Waits until HasLed, or until the process has ended.
   void AwaitLead() const;
 
-private:
-  void Launch();
-  void Kill();
+  // Whether the process tells that callers should be sent to it.
   bool IsReady() const;
 
+private:
   // The store, which runs on a thread of its own.
   struct Platform
   {
@@ -121,6 +136,7 @@
   int mMetricsPort = 0;
   int mNextJob = 1;
   mutable pid_t mId = 0;
+  mutable int mStatus = 0;
 };
 
 } // namespace flamingoloom::testing::hostile_callers
--- a/testing/hostile_callers/raw_peers.cpp
+++ b/testing/hostile_callers/raw_peers.cpp
@@ -141,6 +141,16 @@
   return status;
 }
 
+void KeepAliveCaller::SendRaw(const std::string& aText, int aCount)
+{
+  for (int i = 0; i < aCount && Connect(); ++i) {
+    if (!SendAll(mSocket, aText)) {
+      Close();
+      return;
+    }
+  }
+}
+
 int KeepAliveCaller::ReadResponse()
 {
   static constexpr std::string_view kLength = "Content-Length: ";
--- a/testing/hostile_callers/raw_peers.h
+++ b/testing/hostile_callers/raw_peers.h
@@ -55,10 +55,12 @@
            const std::string& aPath,
            const std::string& aKey,
            const std::string& aBody);
+  // Sends aText aCount times and reads nothing.
+  void SendRaw(const std::string& aText, int aCount);
+  void Close();
 
 private:
   bool Connect();
-  void Close();
   // Returns the status of a response without a body, or with a Content-Length.
   int ReadResponse();
 
