Refused requests leave the probe of the store to others

A request beyond its account's rate or memory took the circuit breaker's probe and was refused without a call, so that after an outage the breaker stayed open as long as an account sent enough of them.

The breaker is asked last. job_api_test has the case.

--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -190,12 +190,13 @@
     aThen(MakeResponse(CallerStatus::eTooLarge));
     return;
   }
-  if (!mStoreReachable || !mStoreBreaker.Allows(mPorts.mLoop->Now())) {
-    mPorts.mLog->Write(
-      "job_refused",
-      { { "job", resolved->mJob },
-        { "reason", mStoreReachable ? "store_slow" : "store_away" } });
+  const auto refuse = [this, &resolved, &aThen](const char* aReason) {
+    mPorts.mLog->Write("job_refused",
+                       { { "job", resolved->mJob }, { "reason", aReason } });
     aThen(RetryLater());
+  };
+  if (!mStoreReachable) {
+    refuse("store_away");
     return;
   }
   const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
@@ -216,6 +217,13 @@
     RefuseForMemory(*resolved, admitted.error(), until, aThen);
     return;
   }
+  // Comes last: a request that is refused otherwise must not use up the probe
+  // that shows whether the store is well again.
+  if (!mStoreBreaker.Allows(mPorts.mLoop->Now())) {
+    mAdmission.Withdraw(*admitted);
+    refuse("store_slow");
+    return;
+  }
   StoreJob(std::make_shared<const Submission>(
              Submission{ resolved->mJob,
                          resolved->mAccount,
--- a/testing/platform_world/job_api_test.cpp
+++ b/testing/platform_world/job_api_test.cpp
@@ -290,5 +290,37 @@
   CHECK(countOf(query, node::CallerStatus::eFound) == kWithinWindow);
 }
 
+// Guards against requests beyond a limit that use up the probes of the circuit
+// breaker: nothing of others was accepted then after an outage.
+TEST_CASE("A request that is refused leaves the probe of the store to others")
+{
+  node::JobApiSettings settings;
+  settings.mWritesPerSecond = 0.5;
+  Fixture fixture(settings);
+  fixture.mClock.RunFor(seconds(1));
+  auto configuration = OneQueue();
+  configuration.mVersion = 2;
+  configuration.mAccounts = { { base::AccountId("shop"), { "key" }, {} } };
+  fixture.mApi.SetConfiguration(
+    std::make_shared<const node::Configuration>(configuration));
+  const auto submit = [&fixture](int aNumber, const char* aKey) {
+    auto status = node::CallerStatus::eFound;
+    fixture.mApi.Submit(
+      { "host", "/q/" + Job(aNumber).mId, aKey, milliseconds(100) },
+      [aNumber] { return base::Expected<jobs::JobSpec>(Job(aNumber)); },
+      [&status](const node::CallerResponse& aResponse) {
+        status = aResponse.mCallerStatus;
+      });
+    fixture.mClock.RunFor(milliseconds(50));
+    return status;
+  };
+  fixture.mStoreConnection.SetFault(StoreFault::eRejectsCalls);
+  CHECK(submit(1, "") == node::CallerStatus::eRetryLater);
+  fixture.mStoreConnection.SetFault(StoreFault::eNone);
+  fixture.mClock.RunFor(milliseconds(400));
+  CHECK(submit(2, "") == node::CallerStatus::eUnknown);
+  CHECK(submit(3, "key") == node::CallerStatus::eAccepted);
+}
+
 } // namespace
 } // namespace flamingoloom::testing::platform_world
