Stops leave room for urgent starts in the commands that are being sent

Stops went first and could use all of the budget, so that with some thousand tasks on servers that do not respond no urgent start was sent.

Stops may use half of what is kept for urgent starts. scheduler_memory_test has the case.

--- a/flamingoloom/scheduler/scheduler.h
+++ b/flamingoloom/scheduler/scheduler.h
@@ -98,7 +98,7 @@
 struct CommandBudget
 {
   std::int64_t mBytes = std::numeric_limits<std::int64_t>::max();
-  // The part of it that only stops and starts of priority 0 may use.
+  // The part of it that only starts of priority 0 may use, and stops half of.
   std::int64_t mReservedBytes = 0;
 
   friend bool operator==(const CommandBudget&, const CommandBudget&) = default;
--- a/flamingoloom/scheduler/scheduler_memory_test.cpp
+++ b/flamingoloom/scheduler/scheduler_memory_test.cpp
@@ -112,6 +112,28 @@
   CHECK(!fixture.mScheduler.HasCommands());
 }
 
+// Guards against stops to servers that do not respond, which are sent again and
+// again and held back urgent starts.
+TEST_CASE("Stops leave room for urgent starts")
+{
+  Fixture fixture;
+  fixture.AddServers(1);
+  fixture.Add(Fixture::MakeJob("a", 4, 1));
+  REQUIRE(fixture.StartAll().size() == 4);
+  REQUIRE(fixture.mScheduler.Cancel("a"));
+  auto urgent = Fixture::MakeJob("b", 1, 1);
+  urgent.mRules.mPriority = 0;
+  fixture.Add(urgent);
+  fixture.mScheduler.Schedule(fixture.mNow, fixture.mUnixMs);
+  fixture.Store();
+  const auto reserved = 2 * CommandMemory({});
+  const auto commands = fixture.mScheduler.TakeCommands(
+    { kStopCommandMemory + reserved / 2, reserved });
+  CHECK(commands.mStops.size() == 1);
+  CHECK(commands.mStarts.size() == 1);
+  CHECK(fixture.mScheduler.TakeCommands().mStops.size() == 3);
+}
+
 // Guards against a change of leader that gives an account its rate anew: jobs
 // that have ended count too.
 TEST_CASE("Jobs that have ended count for the rate of their account")
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -225,7 +225,11 @@
 TaskCommands Scheduler::TakeCommands(CommandBudget aBudget)
 {
   TaskCommands commands;
-  while (!mStops.empty() && aBudget.mBytes >= kStopCommandMemory) {
+  // Stops that get no answer are sent again and again, so they must leave room
+  // for urgent starts too.
+  const auto reservedFromStops = aBudget.mReservedBytes / 2;
+  while (!mStops.empty() &&
+         aBudget.mBytes - reservedFromStops >= kStopCommandMemory) {
     aBudget.mBytes -= kStopCommandMemory;
     commands.mStops.push_back(
       std::move(mStops.extract(mStops.begin()).value()));
--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <netinet/in.h>
 #include <random>
 #include <sys/prctl.h>
@@ -328,12 +329,9 @@
       open(log.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0644);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
-    constexpr int kFilesToClose = 4096;
-    for (int other = STDERR_FILENO + 1; other < kFilesToClose; ++other) {
-      if (other != started[1]) {
-        close(other);
-      }
-    }
+    const auto keep = static_cast<unsigned>(started[1]);
+    close_range(STDERR_FILENO + 1, keep - 1, 0);
+    close_range(keep + 1, std::numeric_limits<unsigned>::max(), 0);
     setenv("FLAMINGOLOOM_SETTINGS", settings.c_str(), 1);
     execl(program, program, nullptr);
     _exit(127);
--- a/testing/hostile_callers/raw_peers.cpp
+++ b/testing/hostile_callers/raw_peers.cpp
@@ -182,7 +182,10 @@
       [this](const review::Request& aRequest,
              const review::Responder& aRespond) {
         if (aRequest.mTarget == "/run-start") {
+          // The connection of a request without a response is never closed.
+          constexpr double kFarTooLateMs = 5000;
           ++mStarts;
+          mRuntime.After(kFarTooLateMs, [aRespond] { aRespond({ 503 }); });
           return;
         }
         const review::Json report{
--- a/testing/hostile_callers/raw_peers.h
+++ b/testing/hostile_callers/raw_peers.h
@@ -92,8 +92,8 @@
   return callers;
 }
 
-// A backend server that reports itself as idle and leaves each start command
-// unanswered.
+// A backend server that reports itself as idle and responds to each start
+// command long after its caller has given up.
 class UnresponsiveServer
 {
 public:
