--- a/testing/hostile_callers/soak_test.cpp
+++ b/testing/hostile_callers/soak_test.cpp
@@ -84,6 +84,7 @@
   void Run()
   {
     std::vector<std::thread> threads;
+    threads.reserve(kCallers + 2);
     for (int i = 0; i < kCallers; ++i) {
       threads.emplace_back([this, i] { PlayHostileCaller(i); });
     }
@@ -94,6 +95,7 @@
     std::latch ended(static_cast<std::ptrdiff_t>(mInstances.size()));
     std::latch checked(1);
     std::vector<std::thread> starters;
+    starters.reserve(mInstances.size());
     for (std::size_t i = 0; i < mInstances.size(); ++i) {
       starters.emplace_back([&, i] {
         PlayInstanceTroubles(i);
--- a/testing/platform_world/ended_jobs_test.cpp
+++ b/testing/platform_world/ended_jobs_test.cpp
@@ -12,7 +12,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr SmallJob kShortJob{ 1, milliseconds(100), "key" };
+SmallJob ShortJob()
+{
+  return { 1, milliseconds(100), "key" };
+}
 
 std::size_t RowsOfJobs(SmallCluster& aCluster)
 {
@@ -47,11 +50,11 @@
   cluster.RunFor(seconds(3));
   constexpr int kJobs = 7;
   for (int job = 0; job < kJobs; ++job) {
-    cluster.SubmitUntilAccepted(job, kShortJob);
+    cluster.SubmitUntilAccepted(job, ShortJob());
   }
   cluster.RunFor(seconds(40));
   // The last one ends too late to be compacted.
-  cluster.SubmitUntilAccepted(kJobs, kShortJob);
+  cluster.SubmitUntilAccepted(kJobs, ShortJob());
   cluster.Cancel(0, 0);
   cluster.Cancel(0, kJobs + 1);
   cluster.RunFor(seconds(5));
@@ -59,7 +62,7 @@
   const auto starts = cluster.Orders().size();
   ChangeLeader(cluster);
   CHECK(cluster.AllDone());
-  cluster.SubmitUntilAccepted(kJobs + 2, kShortJob);
+  cluster.SubmitUntilAccepted(kJobs + 2, ShortJob());
   cluster.RunFor(seconds(5));
   CHECK(cluster.AllDone());
   CHECK(cluster.Orders().size() > starts);
@@ -76,7 +79,7 @@
   cluster.RunFor(seconds(3));
   constexpr int kJobs = 400;
   for (int job = 0; job < kJobs; ++job) {
-    cluster.SubmitUntilAccepted(job, kShortJob);
+    cluster.SubmitUntilAccepted(job, ShortJob());
   }
   cluster.RunFor(seconds(30));
   REQUIRE(cluster.AllDone());
