Tests: all of the memory for jobs is used

The tests of accepted jobs stopped long before the limit, since an instance accepts only a part until the leader has counted it. Two accounts now hand in urgent and other jobs until all of it is used; a third one, with urgent and other work, is accepted beside them.

--- a/testing/hostile_callers/accepted_requests_test.cpp
+++ b/testing/hostile_callers/accepted_requests_test.cpp
@@ -208,6 +208,92 @@
   CheckSound(instance);
 }
 
+// Two accounts hand in urgent and other jobs, and come back while they are
+// refused, for long enough that all of the memory for jobs is used.
+void FillMemoryOfJobs(InstanceProcess& aInstance, const std::string& aBody)
+{
+  constexpr int kRounds = 100;
+  constexpr auto kRetryDelay = std::chrono::milliseconds(250);
+  // Far more than fit.
+  constexpr int kMaxAccepted = 2500;
+  const char* const keys[] = { kShopKey, kGuestKey };
+  const char* const prefixes[] = { kUrgentPrefix, kBatchPrefix };
+  std::vector<std::thread> threads;
+  threads.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    threads.emplace_back([&, i] {
+      KeepAliveCaller caller(aInstance.CallerPort());
+      const std::string key = keys[i % 2];
+      const std::string prefix = prefixes[i / 2 % 2];
+      int accepted = 0;
+      for (int round = 0; round < kRounds;) {
+        const auto job = JobId(kFirstJob + i * kJobsOfCaller + accepted);
+        if (accepted < kMaxAccepted &&
+            caller.Call("POST", prefix + job, key, aBody) == 200) {
+          ++accepted;
+          continue;
+        }
+        ++round;
+        std::this_thread::sleep_for(kRetryDelay);
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+}
+
+void CheckFilled(InstanceProcess& aInstance)
+{
+  REQUIRE(aInstance.IsAlive());
+  CHECK(aInstance.AnswersOrdinaryRequest(kClerkKey, kBatchPrefix));
+  CHECK(aInstance.AnswersOrdinaryRequest(kClerkKey, kUrgentPrefix));
+  CHECK(aInstance.TellsQueueLength(kBatchPrefix));
+  REQUIRE(aInstance.IsAlive());
+  CHECK(aInstance.PeakMemoryMb() <= kLimits.mMemoryMb);
+  CHECK(aInstance.OpenDescriptors() <= kLimits.mDescriptors);
+  MESSAGE("peak " << aInstance.PeakMemoryMb() << " MB");
+}
+
+// The texts of the rows are beside the decoded jobs while an instance takes the
+// lead.
+TEST_CASE("filled_by_texts: all of the memory for jobs is used, by texts")
+{
+  InstanceProcess instance(kLimits);
+  FillMemoryOfJobs(instance, LongJob());
+  CheckFilled(instance);
+  instance.Restart();
+  CheckFilled(instance);
+}
+
+TEST_CASE("filled_by_steps: all of the memory for jobs is used, by steps")
+{
+  InstanceProcess instance(kLimits);
+  std::string body = R"({"steps":[{"count":1})";
+  for (int i = 1; i < 100; ++i) {
+    body += R"(,{"count":1})";
+  }
+  FillMemoryOfJobs(instance, body + "]}");
+  CheckFilled(instance);
+  instance.Restart();
+  CheckFilled(instance);
+}
+
+// Each task is assigned to the server, and its start is sent or waits.
+TEST_CASE("filled_by_starts: all of the memory for jobs is used, by starts")
+{
+  UnresponsiveServer server;
+  InstanceProcess instance(kLimits, server.Port());
+  FillMemoryOfJobs(instance,
+                   R"({"specification":")" +
+                     std::string(kLongestSpecification, 's') +
+                     R"(","steps":[{"count":500}]})");
+  CheckFilled(instance);
+  CHECK(server.Starts() > 0);
+  instance.Restart();
+  CheckFilled(instance);
+}
+
 // Its row is larger than a row of the store may be, although the request is
 // within the limits: its caller was asked to come back each time.
 TEST_CASE("large_row: a job of 180 steps, each after all before it")
--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -121,7 +121,8 @@
                { "idle-timeout-ms", aLimits.mIdleTimeoutMs } } },
            { "tenants",
              { MakeAccount("shop", kShopKey, 8),
-               MakeAccount("guest", kGuestKey, 0) } } };
+               MakeAccount("guest", kGuestKey, 0),
+               MakeAccount("clerk", kClerkKey, 0) } } };
 }
 
 Json MakeServer(int aPort)
--- a/testing/hostile_callers/instance_process.h
+++ b/testing/hostile_callers/instance_process.h
@@ -1,5 +1,5 @@
 // One instance as a process on loopback, beside a stand-in for the store. Its
-// configuration has two accounts, and queues for urgent and for batch work.
+// configuration has three accounts, and queues for urgent and for batch work.
 //
 //   InstanceProcess instance({ .mMemoryMb = 40, .mDescriptors = 300 });
 //   RawCaller caller(instance.CallerPort());
@@ -22,6 +22,7 @@
 inline constexpr const char* kHost = "shop.example";
 inline constexpr const char* kShopKey = "d4a3hwrr6x73d3zji9n7";
 inline constexpr const char* kGuestKey = "m2f9x07qkq51v8s3c6te";
+inline constexpr const char* kClerkKey = "u8c1n5zt40wrb7gq2x9a";
 // Prefixes of the queues with priority 0 and 1.
 inline constexpr const char* kUrgentPrefix = "/quotes/";
 inline constexpr const char* kBatchPrefix = "/batch/";
