--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -142,23 +142,11 @@
                : 0;
 }
 
-bool Store::MayRead()
-{
-  constexpr double kSecondMs = 1000;
-  if (mRuntime.NowMs() - mSecondStartMs >= kSecondMs) {
-    mSecondStartMs = mRuntime.NowMs();
-    mReadsThisSecond = 0;
-  }
-  return mMaxReadsPerSecond == 0 || ++mReadsThisSecond <= mMaxReadsPerSecond;
-}
-
 void Store::Dispatch(const Request& aRequest, const Responder& aRespond)
 {
   const auto path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
   if (path == "/rows-tx") {
     Transact(Json::parse(aRequest.mBody), aRespond);
-  } else if (!MayRead()) {
-    aRespond({ 429 });
   } else if (path == "/rows-get") {
     Get(ParseQuery(aRequest.mTarget), aRespond);
   } else if (path == "/rows-feed") {
@@ -234,15 +222,12 @@
   Json listed = Json::array();
   bool more = false;
   const auto& table = aQuery["table"];
-  const auto& part = aQuery["part"];
-  const auto& target = aQuery["target"];
-  const auto& rows = mTables[table];
-  for (auto entry = rows.lower_bound({ part, aQuery["from"] });
-       entry != rows.end() && entry->first.first == part &&
-       (target.empty() || entry->first.second < target);
-       ++entry) {
-    const auto& [partAndKey, row] = *entry;
-    if (row.mDeleted) {
+  for (const auto& [partAndKey, row] : mTables[table]) {
+    const bool inRange =
+      partAndKey.first == aQuery["part"] &&
+      partAndKey.second >= aQuery["from"] &&
+      (aQuery["target"].empty() || partAndKey.second < aQuery["target"]);
+    if (!inRange || row.mDeleted) {
       continue;
     }
     if (listed.size() == kMaxRows) {
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -28,9 +28,6 @@
   // While it is slow each call takes up to 60 times as long as usual, as drawn
   // for each call.
   void SetSlow(bool aSlow) { mSlow = aSlow; }
-  // Reads of rows beyond this number in a second are answered with 429; 0 for
-  // no limit. To be called before the first call to the store.
-  void SetMaxReadsPerSecond(int aReads) { mMaxReadsPerSecond = aReads; }
   // While it is down the store answers each call with 503 and does nothing.
   void SetDown(bool aDown);
   bool IsDown() const { return mDown; }
@@ -68,8 +65,6 @@
                 const PartAndKey& aPartAndKey,
                 const Row& aRow) const;
   Response Reply(int aStatus, Json aBody) const;
-  // Counts a read; returns whether it is within the limit.
-  bool MayRead();
   // How much longer than usual a call takes.
   double DelayMs();
 
@@ -81,9 +76,6 @@
   std::int64_t mVersion = 0;
   bool mDown = false;
   bool mSlow = false;
-  int mMaxReadsPerSecond = 0;
-  double mSecondStartMs = 0;
-  int mReadsThisSecond = 0;
   std::mt19937 mRandom{ std::random_device{}() };
 };
 
--- a/testing/hostile_callers/instance_process.cpp
+++ b/testing/hostile_callers/instance_process.cpp
@@ -145,7 +145,14 @@
   : mRuntime("/dev/null")
   , mStore(mRuntime)
 {
-  mStore.SetMaxReadsPerSecond(aReadsPerSecond);
+  if (aReadsPerSecond > 0) {
+    mReadLimiter.emplace(mRuntime, mStore.Address(), aReadsPerSecond);
+  }
+}
+
+std::string InstanceProcess::Platform::Address() const
+{
+  return mReadLimiter ? mReadLimiter->Address() : mStore.Address();
 }
 
 InstanceProcess::Platform::~Platform()
@@ -156,7 +163,6 @@
 
 InstanceProcess::InstanceProcess(MachineLimits aLimits, int aServerPort)
   : InstanceProcess(aLimits,
-                    "frontend-1",
                     std::make_shared<Platform>(aLimits.mReadsPerSecond))
 {
   mPlatform->mStore.Put(
@@ -174,14 +180,13 @@
 
 InstanceProcess::InstanceProcess(MachineLimits aLimits,
                                  const InstanceProcess& aFirst)
-  : InstanceProcess(aLimits, "frontend-2", aFirst.mPlatform)
+  : InstanceProcess(aLimits, aFirst.mPlatform)
 {
   Launch();
   REQUIRE(WaitUntil([this] { return IsReady(); }));
 }
 
 InstanceProcess::InstanceProcess(MachineLimits aLimits,
-                                 std::string aName,
                                  std::shared_ptr<Platform> aPlatform)
   : mPlatform(std::move(aPlatform))
   , mFolder(MakeFolder())
@@ -189,27 +194,28 @@
   , mReadinessPort(ReservePort())
   , mMetricsPort(ReservePort())
 {
-  Json platform{ { "address", mPlatform->mStore.Address() } };
+  Json platform{ { "address", mPlatform->Address() } };
   if (aLimits.mReadsPerSecond > 0) {
     platform["reads-per-s"] = aLimits.mReadsPerSecond;
   }
-  const Json settings{ { "node-name", std::move(aName) },
-                       { "ip", "127.0.0.1" },
-                       { "zone", "nordur-a" },
-                       { "region", "nordur" },
-                       { "listen-addresses",
-                         { { "frontend", Loopback(mCallerPort) },
-                           { "readiness", Loopback(mReadinessPort) } } },
-                       { "internal-port-range",
-                         { mMetricsPort, mMetricsPort } },
-                       { "limits",
-                         { { "cpu-share", 0.25 },
-                           { "cores", 1 },
-                           { "memory-mb", aLimits.mMemoryMb },
-                           { "file-descriptors", aLimits.mDescriptors },
-                           { "link-mbps", 1000.0 } } },
-                       { "bounds", Json::object() },
-                       { "platform", std::move(platform) } };
+  const Json settings{
+    { "node-name", "frontend-" + std::to_string(++mPlatform->mInstances) },
+    { "ip", "127.0.0.1" },
+    { "zone", "nordur-a" },
+    { "region", "nordur" },
+    { "listen-addresses",
+      { { "frontend", Loopback(mCallerPort) },
+        { "readiness", Loopback(mReadinessPort) } } },
+    { "internal-port-range", { mMetricsPort, mMetricsPort } },
+    { "limits",
+      { { "cpu-share", 0.25 },
+        { "cores", 1 },
+        { "memory-mb", aLimits.mMemoryMb },
+        { "file-descriptors", aLimits.mDescriptors },
+        { "link-mbps", 1000.0 } } },
+    { "bounds", Json::object() },
+    { "platform", std::move(platform) }
+  };
   std::ofstream(mFolder + "/settings.json") << settings.dump(2);
 }
 
--- a/testing/hostile_callers/instance_process.h
+++ b/testing/hostile_callers/instance_process.h
@@ -11,11 +11,13 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <thread>
 
 #include "review/standins/store.h"
+#include "testing/hostile_callers/read_limiter.h"
 
 namespace flamingoloom::testing::hostile_callers {
 
@@ -101,7 +103,7 @@
   // Writes the configuration again, with another version.
   void ChangeConfiguration(const MachineLimits& aLimits, int aVersion) const;
   // Ends the process with SIGTERM. Returns whether it ended by itself, with the
-  // status 0, within its grace period.
+  // status 0.
   bool Stop();
   // Whether the process has restored the jobs of the store, to lead, since it
   // was started last.
@@ -121,14 +123,19 @@
     explicit Platform(int aReadsPerSecond);
     ~Platform();
 
+    // Where instances reach the store.
+    std::string Address() const;
+
     review::Runtime mRuntime;
     review::Store mStore;
+    // Set if the store's reads are limited.
+    std::optional<ReadLimiter> mReadLimiter;
+    // Instances that have been started.
+    int mInstances = 0;
     std::thread mLoop;
   };
 
-  InstanceProcess(MachineLimits aLimits,
-                  std::string aName,
-                  std::shared_ptr<Platform> aPlatform);
+  InstanceProcess(MachineLimits aLimits, std::shared_ptr<Platform> aPlatform);
 
   std::shared_ptr<Platform> mPlatform;
   std::string mFolder;
