Job API and scheduler: submission and outputs in files of their own

Submit is taken apart into what is refused for the job itself and Admit, which asks the limits in their order. No change of behaviour but for the account in each job_refused line.

--- a/flamingoloom/node/job_api.cpp
+++ b/flamingoloom/node/job_api.cpp
@@ -1,7 +1,6 @@
 #include "flamingoloom/node/job_api.h"
 
 #include <algorithm>
-#include <string_view>
 
 #include "flamingoloom/jobs/records.h"
 
@@ -12,13 +11,6 @@
 
 namespace {
 
-bool IsJobId(const std::string& aText)
-{
-  constexpr std::size_t kLength = 16;
-  return aText.size() == kLength &&
-         aText.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
-}
-
 CallerResponse MakeResponse(CallerStatus aStatus)
 {
   CallerResponse response;
@@ -87,6 +79,13 @@
   return response;
 }
 
+bool JobApi::IsJobId(const std::string& aText)
+{
+  constexpr std::size_t kLength = 16;
+  return aText.size() == kLength &&
+         aText.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
 bool JobApi::MayCallStore(scheduler::AccountRates& aRates,
                           const base::AccountId& aAccount) const
 {
@@ -140,228 +139,6 @@
                                     mSettings.mCallTimeout);
 }
 
-void JobApi::Submit(
-  const CallerTarget& aTarget,
-  const std::function<base::Expected<jobs::JobSpec>()>& aReadJob,
-  Callback aThen)
-{
-  const auto resolved = Resolve(aTarget, aThen);
-  if (!resolved) {
-    return;
-  }
-  if (!IsJobId(resolved->mJob)) {
-    aThen(MakeResponse(CallerStatus::eNoSuchQueue));
-    return;
-  }
-  auto job = aReadJob();
-  if (!job) {
-    mPorts.mLog->Write(
-      "job_malformed",
-      { { "job", resolved->mJob }, { "error", job.error().ToString() } });
-    aThen(MakeResponse(CallerStatus::eMalformed));
-    return;
-  }
-  for (const auto& step : job->mSteps) {
-    if (scheduler::MayEverRun(
-          step, resolved->mMaximum, mSettings.mLimitTolerance)) {
-      continue;
-    }
-    mPorts.mLog->Write("job_refused",
-                       { { "job", resolved->mJob },
-                         { "account", resolved->mAccount.Value() },
-                         { "reason", "over_maximum" },
-                         { "tasks", std::to_string(step.mTaskCount) } });
-    auto response = MakeResponse(CallerStatus::eOverMaximum);
-    response.mRetryAfter = mSettings.mOverMaximumRetryAfter;
-    aThen(response);
-    return;
-  }
-  job->mId = resolved->mJob;
-  job->mAccount = resolved->mAccount;
-  job->mRules = resolved->mQueue->mRules;
-  job->mAcceptedMs = mPorts.mLoop->UnixMs();
-  auto value = jobs::EncodeJob(*job);
-  if (value.size() > jobs::kMaxValueBytes) {
-    mPorts.mLog->Write("job_refused",
-                       { { "job", resolved->mJob },
-                         { "account", resolved->mAccount.Value() },
-                         { "reason", "too_large" },
-                         { "bytes", std::to_string(value.size()) } });
-    aThen(MakeResponse(CallerStatus::eTooLarge));
-    return;
-  }
-  const auto refuse = [this, &resolved, &aThen](const char* aReason) {
-    mPorts.mLog->Write("job_refused",
-                       { { "job", resolved->mJob }, { "reason", aReason } });
-    aThen(RetryLater());
-  };
-  if (!mStoreReachable) {
-    refuse("store_away");
-    return;
-  }
-  const Time until = mPorts.mLoop->Now() + aTarget.mCallerTimeout;
-  if (!MayCallStore(mWriteRates, resolved->mAccount)) {
-    mPorts.mLog->Write("job_refused",
-                       { { "job", resolved->mJob },
-                         { "account", resolved->mAccount.Value() },
-                         { "reason", "store_rate" } });
-    // An earlier request may have stored the job, which is not looked up.
-    aThen(MakeResponse(CallerStatus::eUnknown));
-    return;
-  }
-  const auto admitted = mAdmission.TryAdmit(
-    mPorts.mLoop->Now(),
-    admission::ClassOf(job->mAccount, job->mRules.mPriority),
-    admission::JobMemory(*job));
-  if (!admitted) {
-    RefuseForMemory(*resolved, admitted.error(), until, aThen);
-    return;
-  }
-  // Comes last: a request that is refused otherwise must not use up the probe
-  // that shows whether the store is well again.
-  if (!mStoreBreaker.Allows(mPorts.mLoop->Now())) {
-    mAdmission.Withdraw(*admitted);
-    refuse("store_slow");
-    return;
-  }
-  StoreJob(std::make_shared<const Submission>(
-             Submission{ resolved->mJob,
-                         resolved->mAccount,
-                         resolved->mQueue->mRules.mQueue,
-                         std::move(value),
-                         *admitted,
-                         until,
-                         std::move(aThen) }),
-           1,
-           false);
-}
-
-void JobApi::RefuseForMemory(const ResolvedTarget& aResolved,
-                             admission::Refusal aRefusal,
-                             Time aUntil,
-                             const Callback& aThen)
-{
-  const bool tooLarge = aRefusal == admission::Refusal::eTooLarge;
-  mPorts.mLog->Write("job_refused",
-                     { { "job", aResolved.mJob },
-                       { "account", aResolved.mAccount.Value() },
-                       { "reason", tooLarge ? "too_large" : "no_memory" } });
-  if (tooLarge) {
-    aThen(MakeResponse(CallerStatus::eTooLarge));
-    return;
-  }
-  const Time now = mPorts.mLoop->Now();
-  auto& nextCheck = mNextRefusalCheck[aResolved.mAccount];
-  if (now < nextCheck) {
-    aThen(MakeResponse(CallerStatus::eUnknown));
-    return;
-  }
-  nextCheck = now + mSettings.mRefusalCheckInterval;
-  ReadRow(
-    jobs::kJobTable,
-    jobs::PartitionOfJob(aResolved.mJob),
-    aResolved.mJob,
-    aUntil,
-    1,
-    [this, aThen](const std::optional<std::string>& aValue) {
-      aThen(aValue ? MakeResponse(CallerStatus::eAccepted) : NoRoom());
-    },
-    [aThen](const CallerResponse&) {
-      aThen(MakeResponse(CallerStatus::eUnknown));
-    });
-}
-
-void JobApi::StoreJob(const SubmissionPtr& aSubmission,
-                      int aCallAttempt,
-                      bool aUnknown)
-{
-  const auto& id = aSubmission->mJob;
-  const Transaction transaction{
-    jobs::PartitionOfJob(id),
-    // A cancellation may have been stored before the job.
-    { { jobs::kJobTable, jobs::CancelKey(id), 0 } },
-    { { jobs::kJobTable, id, aSubmission->mValue, 0 } }
-  };
-  const Time sentAt = mPorts.mLoop->Now();
-  mPorts.mStore->Commit(
-    transaction,
-    CallTimeout(aSubmission->mUntil),
-    [this, sentAt, submission = aSubmission, aCallAttempt, aUnknown](
-      base::Expected<CommitResult> aResult) {
-      mStoreBreaker.RecordCall(
-        mPorts.mLoop->Now(), sentAt, aResult.has_value());
-      if (aResult && aResult->mApplied) {
-        RespondToSubmit(
-          *submission, aCallAttempt, CallerStatus::eAccepted, "accepted");
-        return;
-      }
-      if (aResult) {
-        bool stored = false;
-        for (const auto& current : aResult->mCurrent) {
-          stored = stored || (current.mTable == jobs::kJobTable &&
-                              current.mRow.mKey == submission->mJob &&
-                              current.mRow.mVersion > 0);
-        }
-        // Stored by an earlier call of the caller or of this instance, or
-        // cancelled before it arrived.
-        RespondToSubmit(*submission,
-                        aCallAttempt,
-                        stored ? CallerStatus::eAccepted
-                               : CallerStatus::eRetryLater,
-                        stored ? "already_stored" : "cancelled_before");
-        return;
-      }
-      const bool unknown =
-        aUnknown || aResult.error().mCode == ErrorCode::eOutcomeUnknown;
-      if (!MayRetry(submission->mUntil, aCallAttempt, unknown)) {
-        GiveUpSubmit(*submission, aCallAttempt, unknown);
-        return;
-      }
-      mPorts.mLoop->After(
-        mSettings.mRetryDelay, [this, submission, aCallAttempt, unknown] {
-          // The process may have stood still meanwhile.
-          if (MayRetry(submission->mUntil, aCallAttempt, unknown)) {
-            StoreJob(submission, aCallAttempt + 1, unknown);
-          } else {
-            GiveUpSubmit(*submission, aCallAttempt, unknown);
-          }
-        });
-    });
-}
-
-void JobApi::GiveUpSubmit(const Submission& aSubmission,
-                          int aCallAttempt,
-                          bool aUnknown)
-{
-  RespondToSubmit(aSubmission,
-                  aCallAttempt,
-                  aUnknown ? CallerStatus::eUnknown : CallerStatus::eRetryLater,
-                  aUnknown ? "unknown" : "store_refused");
-}
-
-void JobApi::RespondToSubmit(const Submission& aSubmission,
-                             int aCallAttempt,
-                             CallerStatus aStatus,
-                             const char* aOutcome)
-{
-  // What was stored by an earlier request was counted with that.
-  if (aStatus == CallerStatus::eRetryLater ||
-      std::string_view(aOutcome) == "already_stored") {
-    mAdmission.Withdraw(aSubmission.mTicket);
-  }
-  mPorts.mLog->Write(
-    "job_submitted",
-    { { "job", aSubmission.mJob },
-      { "account", aSubmission.mAccount.Value() },
-      { "queue", aSubmission.mQueue },
-      { "outcome", aOutcome },
-      { "tries", std::to_string(aCallAttempt) },
-      { "config", std::to_string(mConfiguration->mVersion) } });
-  aSubmission.mThen(aStatus == CallerStatus::eRetryLater
-                      ? RetryLater()
-                      : MakeResponse(aStatus));
-}
-
 void JobApi::ReadRow(
   const char* aTable,
   const std::string& aPartition,
--- a/flamingoloom/node/job_api.h
+++ b/flamingoloom/node/job_api.h
@@ -200,8 +200,18 @@
   // within the account's rate.
   bool MayCallStore(scheduler::AccountRates& aRates,
                     const base::AccountId& aAccount) const;
-  // Responds to a submission that is not admitted.
-  void RefuseForMemory(const ResolvedTarget& aResolved,
+  static bool IsJobId(const std::string& aText);
+  void LogRefusedJob(const ResolvedTarget& aTarget,
+                     const char* aReason,
+                     EventLog::Fields aFields = {}) const;
+  // Stores the job, unless it is refused: for its size, the account's rate, the
+  // memory of jobs, or a store that is away or slow.
+  void Admit(const ResolvedTarget& aTarget,
+             const jobs::JobSpec& aJob,
+             base::Time aUntil,
+             Callback aThen);
+  // Responds to a submission that is refused for its memory.
+  void RefuseForMemory(const ResolvedTarget& aTarget,
                        admission::Refusal aRefusal,
                        base::Time aUntil,
                        const Callback& aThen);
--- a/flamingoloom/scheduler/account_rates.h
+++ b/flamingoloom/scheduler/account_rates.h
@@ -1,4 +1,5 @@
-// Tells the jobs that accounts submit beyond their rates from the others.
+// Tells what accounts submit beyond their rates, jobs or requests, from the
+// rest.
 //
 //   AccountRates rates(window);
 //   rates.SetRate(shop, 3.0);
--- a/flamingoloom/scheduler/scheduler_store.cpp
+++ b/flamingoloom/scheduler/scheduler_store.cpp
@@ -234,7 +234,8 @@
     commands.mStops.push_back(
       std::move(mStops.extract(mStops.begin()).value()));
   }
-  // A start that has waited may have been given up.
+  // A start that has waited may have been given up, and its task may have been
+  // assigned again.
   std::erase_if(mStarts, [this](const StartCommand& aStart) {
     return !IsStartWanted(aStart);
   });
