Tests: unfinished messages at flamingoloomd's port for other instances

A lower limit of requests was tried and taken back: Cap'n Proto applies it to the responses on the same connection.

--- a/testing/hostile_callers/raw_crowd.cpp
+++ b/testing/hostile_callers/raw_crowd.cpp
@@ -3,9 +3,10 @@
 //
 //   raw_crowd PORT CONNECTIONS FORM
 //
-// FORM is unfinished_bodies, nested_bodies, trailers, chunk_extensions, headers
-// or idle.
+// FORM is unfinished_bodies, nested_bodies, trailers, chunk_extensions,
+// headers, unfinished_messages or idle.
 #include <chrono>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -27,6 +28,10 @@
 constexpr std::size_t kBytesOfSender = 16 * kMegabyte;
 constexpr auto kReadingTime = std::chrono::seconds(3);
 
+// The default limit of a message between instances.
+constexpr std::size_t kWordBytes = 8;
+constexpr std::uint32_t kLongestMessageWords = kMegabyte / kWordBytes;
+
 // What is sent once, and then again and again.
 struct Form
 {
@@ -46,6 +51,17 @@
   return Head("Content-Length: " + std::to_string(aBytes) + "\r\n");
 }
 
+std::string MessageHeader(std::uint32_t aWords)
+{
+  // The number of segments less one, and the size of the first one, in little
+  // endian.
+  std::string header(kWordBytes, '\0');
+  for (std::size_t i = 0; i < sizeof aWords; ++i) {
+    header[sizeof aWords + i] = static_cast<char>(aWords >> (8 * i) & 0xff);
+  }
+  return header;
+}
+
 std::map<std::string, Form> Forms()
 {
   const auto chunked = Head("Transfer-Encoding: chunked\r\n");
@@ -63,6 +79,12 @@
       { chunked + "2\r\n{}\r\n0\r\n",
         "T: " + std::string(8000, 't') + "\r\n" } },
     { "chunk_extensions", { chunked + "2;a=", std::string(8000, 'e') } },
+    // A message of one segment in the framing of Cap'n Proto, without its last
+    // word.
+    { "unfinished_messages",
+      { MessageHeader(kLongestMessageWords) +
+          std::string((kLongestMessageWords - 1) * kWordBytes, 'm'),
+        "" } },
     { "headers",
       { "GET /v1/requests HTTP/1.1\r\n",
         "H: " + std::string(8000, 'h') + "\r\n" } },
