--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -21,6 +21,7 @@
 constexpr int kTickMs = 10;
 constexpr int kMaxHoldMs = 6000;
 constexpr int kStopMs = 50;
+constexpr int kGangMs = 3000;
 constexpr std::size_t kMaxListed = 500;
 
 std::mutex gRecordMutex;
@@ -347,6 +348,15 @@
   if (entries > kMaxEntries) {
     return { 400, "{}" };
   }
+  constexpr std::size_t kMaxRowBytes = 65536;
+  for (const auto& entry : aBody.value("write", Json::array())) {
+    const auto bytes = entry.at("value").get_ref<const std::string&>().size();
+    if (bytes / 4 * 3 > kMaxRowBytes + 2) {
+      Record(
+        fmt::format("store: rejects a row of {} bytes (400)", bytes / 4 * 3));
+      return { 400, "{}" };
+    }
+  }
   const std::lock_guard lock(mMutex);
   bool holds = true;
   Json current = Json::array();
@@ -452,18 +462,78 @@
   return { 200, answer.dump() };
 }
 
+Gangs& Gangs::Instance()
+{
+  static Gangs sGangs;
+  return sGangs;
+}
+
+Gangs::Gang* Gangs::Find(const std::string& aTask, int aRun)
+{
+  const auto found = mGangs.find({ aTask.substr(0, aTask.rfind('.')), aRun });
+  return found == mGangs.end() ? nullptr : &found->second;
+}
+
+void Gangs::Join(const std::string& aTask,
+                 int aRun,
+                 const std::string& aSpecification)
+{
+  const std::string prefix = "gang ";
+  if (aSpecification.rfind(prefix, 0) != 0) {
+    return;
+  }
+  const std::lock_guard lock(mMutex);
+  auto& gang = mGangs[{ aTask.substr(0, aTask.rfind('.')), aRun }];
+  gang.mSize = std::stoul(aSpecification.substr(prefix.size()));
+  gang.mMembers[aTask] = true;
+  if (gang.mMembers.size() == gang.mSize) {
+    gang.mCompleteSince = NowMs();
+  }
+}
+
+void Gangs::Break(const std::string& aTask, int aRun)
+{
+  const std::lock_guard lock(mMutex);
+  if (Gang* gang = Find(aTask, aRun)) {
+    gang->mBroken = true;
+  }
+}
+
+bool Gangs::IsMember(const std::string& aTask, int aRun)
+{
+  const std::lock_guard lock(mMutex);
+  return Find(aTask, aRun) != nullptr;
+}
+
+bool Gangs::IsBroken(const std::string& aTask, int aRun)
+{
+  const std::lock_guard lock(mMutex);
+  const Gang* gang = Find(aTask, aRun);
+  return gang != nullptr && gang->mBroken;
+}
+
+std::optional<std::int64_t> Gangs::CompleteSince(const std::string& aTask,
+                                                 int aRun)
+{
+  const std::lock_guard lock(mMutex);
+  const Gang* gang = Find(aTask, aRun);
+  return gang == nullptr ? std::nullopt : gang->mCompleteSince;
+}
+
 Worker::Worker(Store& aStore,
                std::string aId,
                std::string aRack,
                std::string aService,
                std::string aZone,
-               Length aTaskMs)
+               Length aTaskMs,
+               std::size_t aCheckpointBytes)
   : mStore(aStore)
   , mId(std::move(aId))
   , mRack(std::move(aRack))
   , mService(std::move(aService))
   , mZone(std::move(aZone))
   , mTaskMs(std::move(aTaskMs))
+  , mCheckpointBytes(aCheckpointBytes)
   , mBorn(UnixMs())
   , mListener([this](const Query& aQuery) { return Handle(aQuery); })
 {
@@ -528,26 +598,57 @@
         End(task, "stopped");
       } else if (Clock() > mLeaseMs) {
         End(task, "lapsed");
-      } else if (run.mLengthMs && NowMs() - run.mStartedMs >= *run.mLengthMs) {
+      } else if (Gangs::Instance().IsBroken(task, run.mRun)) {
+        End(task, "broken");
+      } else if (Gangs::Instance().IsMember(task, run.mRun) &&
+                 !Gangs::Instance().CompleteSince(task, run.mRun) &&
+                 NowMs() - run.mStartedMs >= kGangMs) {
+        End(task, "alone");
+      } else if (run.mLengthMs && WorkedMs(task, run) >= *run.mLengthMs) {
         End(task, "done");
       }
     }
   }
 }
 
+std::int64_t Worker::WorkedMs(const std::string& aTask, const Run& aRun) const
+{
+  if (!Gangs::Instance().IsMember(aTask, aRun.mRun)) {
+    return NowMs() - aRun.mStartedMs;
+  }
+  const auto since = Gangs::Instance().CompleteSince(aTask, aRun.mRun);
+  return since ? NowMs() - *since : 0;
+}
+
 void Worker::End(const std::string& aTask, const std::string& aHow)
 {
   const auto run = mRuns.find(aTask);
   const int number = run->second.mRun;
+  const auto saved = aHow == "done" ? std::string() : Saved(aTask, run->second);
+  if (aHow != "done") {
+    Gangs::Instance().Break(aTask, number);
+  }
   mRuns.erase(run);
   mStopping.erase(aTask);
   mPast[aTask] = std::max(mPast[aTask], number);
   ++mLastEnd;
-  mEnds.emplace_back(mLastEnd, Json{ mLastEnd, aTask, number, aHow, "" });
+  mEnds.emplace_back(mLastEnd, Json{ mLastEnd, aTask, number, aHow, saved });
   Record(fmt::format("{}: {} run {} ends {}", mId, aTask, number, aHow));
   mEnded.notify_all();
 }
 
+std::string Worker::Saved(const std::string& aTask, const Run& aRun) const
+{
+  constexpr std::int64_t kIntervalMs = 500;
+  const auto count = WorkedMs(aTask, aRun) / kIntervalMs;
+  if (mCheckpointBytes == 0 || count == 0) {
+    return {};
+  }
+  auto saved = fmt::format("{:08x}", count);
+  saved.resize(mCheckpointBytes, 'c');
+  return saved;
+}
+
 bool Worker::Fail(const std::string& aTask)
 {
   const std::lock_guard lock(mMutex);
@@ -658,6 +759,7 @@
   Extend(aBody);
   const std::string specification = aBody.value("specification", "");
   mRuns[task] = { run, NowMs(), mTaskMs(specification) };
+  Gangs::Instance().Join(task, run, specification);
   mStarts.push_back({ NowMs(), mId, task, run, specification });
   Record(fmt::format("{}: starts {} run {}, specification \"{}\"",
                      mId,
@@ -699,7 +801,7 @@
                                              (NowMs() - run.mStartedMs) *
                                                kAllPercent / *run.mLengthMs)
                     : kAllPercent;
-    running.push_back({ task, run.mRun, "", percent });
+    running.push_back({ task, run.mRun, Saved(task, run), percent });
   }
   Json finished = Json::array();
   for (const auto& [number, end] : mEnds) {
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -126,6 +126,36 @@
   std::string mSpecification;
 };
 
+// The runs of gangs on all workers of the process: members of one run work only
+// together. A task is a member if its specification begins with "gang " and the
+// number of members.
+class Gangs
+{
+public:
+  static Gangs& Instance();
+  void Join(const std::string& aTask,
+            int aRun,
+            const std::string& aSpecification);
+  void Break(const std::string& aTask, int aRun);
+  bool IsMember(const std::string& aTask, int aRun);
+  bool IsBroken(const std::string& aTask, int aRun);
+  // When the last member came; none before that.
+  std::optional<std::int64_t> CompleteSince(const std::string& aTask, int aRun);
+
+private:
+  struct Gang
+  {
+    std::size_t mSize = 0;
+    std::map<std::string, bool> mMembers;
+    std::optional<std::int64_t> mCompleteSince;
+    bool mBroken = false;
+  };
+  Gang* Find(const std::string& aTask, int aRun);
+
+  std::mutex mMutex;
+  std::map<std::pair<std::string, int>, Gang> mGangs;
+};
+
 class Worker
 {
 public:
@@ -137,7 +167,8 @@
          std::string aRack,
          std::string aService,
          std::string aZone,
-         Length aTaskMs);
+         Length aTaskMs,
+         std::size_t aCheckpointBytes = 0);
   // Ends the run of a task as failed by its own fault.
   bool Fail(const std::string& aTask);
   bool Runs(const std::string& aTask);
@@ -155,6 +186,11 @@
     std::optional<int> mLengthMs;
   };
 
+  // How long a run has worked.
+  std::int64_t WorkedMs(const std::string& aTask, const Run& aRun) const;
+  // The last checkpoint of a run; empty if there is none yet.
+  std::string Saved(const std::string& aTask, const Run& aRun) const;
+
   Reply Handle(const Query& aQuery);
   Reply HandleStart(const Json& aBody);
   Reply HandleStop(const Json& aBody);
@@ -172,6 +208,7 @@
   std::string mService;
   std::string mZone;
   Length mTaskMs;
+  std::size_t mCheckpointBytes;
   std::int64_t mBorn;
   std::mutex mMutex;
   std::condition_variable mEnded;
