--- a/review/standins-3/anti_affinity.cpp
+++ b/review/standins-3/anti_affinity.cpp
@@ -54,6 +54,7 @@
             Configuration(Json::array({ Route("survey", 1) }),
                           Json::array({ Tenant("alpha", "key-alpha") })));
   std::vector<std::unique_ptr<Worker>> workers;
+  workers.reserve(kWorkers);
   for (int i = 0; i < kWorkers; ++i) {
     workers.push_back(std::make_unique<Worker>(
       store,
--- a/review/standins-3/checkpoints.cpp
+++ b/review/standins-3/checkpoints.cpp
@@ -63,6 +63,7 @@
                   Json::array({ Tenant("alpha", "key-alpha"),
                                 Tenant("beta", "key-beta") })));
   std::vector<std::unique_ptr<Worker>> workers;
+  workers.reserve(kWorkers);
   for (int i = 0; i < kWorkers; ++i) {
     workers.push_back(std::make_unique<Worker>(
       store,
--- a/review/standins-3/shared_id.cpp
+++ b/review/standins-3/shared_id.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int kVisibleMs = 3000;
+constexpr int kWorkers = 4;
 
 std::string Job(const std::string& aSpecification)
 {
@@ -48,7 +49,8 @@
                   Json::array({ Tenant("alpha", "key-alpha"),
                                 Tenant("beta", "key-beta") })));
   std::vector<std::unique_ptr<Worker>> workers;
-  for (int i = 0; i < 4; ++i) {
+  workers.reserve(kWorkers);
+  for (int i = 0; i < kWorkers; ++i) {
     workers.push_back(std::make_unique<Worker>(
       store,
       fmt::format("i-00000{}", i),
--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -821,7 +821,7 @@
   const auto loopback = [] {
     return "127.0.0.1:" + std::to_string(FreePort());
   };
-  const Instance instance{ loopback(), loopback() };
+  Instance instance{ loopback(), loopback() };
   const int internalPort = FreePort();
   Json settings = Json::parse(R"({
     "role": "my-frontend", "machine-class": "frontend",
