Review: ports of the third review's stand-ins, and their end

Its ports came from the range of outgoing connections and could be lost before an instance listened; likely the cause, not shown, as the logs were not kept.

--- a/review/standins-3/shared_id.cpp
+++ b/review/standins-3/shared_id.cpp
@@ -70,7 +70,7 @@
   std::ofstream(folder + "/ready") << "\n";
   if (!AwaitReady(instances, 20000)) {
     Record("the instances don't become ready");
-    return 2;
+    std::_Exit(2);
   }
   SleepMs(3000);
 
@@ -87,7 +87,7 @@
                       "key-alpha",
                       Job("order of alpha")))) {
     Record("the first job was not accepted");
-    return 2;
+    std::_Exit(2);
   }
   SleepMs(500);
   const bool betaAccepted = IsSuccess(Send("beta",
@@ -104,7 +104,7 @@
                       "key-alpha",
                       Job("long survey")))) {
     Record("the survey was not accepted");
-    return 2;
+    std::_Exit(2);
   }
   SleepMs(500);
   const bool bookingAccepted = IsSuccess(Send("alpha",
--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast.hpp>
 #include <fmt/format.h>
 #include <openssl/evp.h>
+#include <unistd.h>
 
 namespace flamingoloom::review3 {
 
@@ -154,12 +155,27 @@
   std::cout << line << std::endl;
 }
 
+// Below the ports that the system gives to outgoing connections: these must not
+// take it before an instance listens there.
 int FreePort()
 {
+  constexpr int kFirstPort = 12000;
+  constexpr int kPorts = 20000;
+  constexpr int kPortsOfProcess = 50;
+  static std::atomic<int> sNext{ static_cast<int>(getpid()) % kPorts *
+                                 kPortsOfProcess };
   asio::io_context loop;
-  Tcp::acceptor acceptor(loop,
-                         Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint().port();
+  for (;;) {
+    const int port = kFirstPort + sNext++ % kPorts;
+    Tcp::acceptor acceptor(loop, Tcp::v4());
+    beast::error_code error;
+    acceptor.bind({ asio::ip::make_address("127.0.0.1"),
+                    static_cast<unsigned short>(port) },
+                  error);
+    if (!error) {
+      return port;
+    }
+  }
 }
 
 Listener::Listener(Handler aHandler)
